--- a/src/cluster/reducer.ts
+++ b/src/cluster/reducer.ts
@@ -6,6 +6,7 @@
 
 import { applyClaimCommand } from "./claims.js";
 import { changeConfiguration } from "./configuration.js";
+import { applyPublishedCommand } from "./published.js";
 import { applyReplicaCommand } from "./replicas.js";
 import { applySuspectCommand } from "./suspects.js";
 import type { ClusterState, Command, CommandResult } from "./state.js";
@@ -34,5 +35,10 @@
             const { state: suspects, result } = applySuspectCommand(state.suspects, command);
             return { state: { ...state, suspects }, result };
         }
+        case "publish-site":
+        case "evacuate": {
+            const { state: published, result } = applyPublishedCommand(state.published, command);
+            return { state: { ...state, published }, result };
+        }
     }
 }
--- a/src/cluster/state.ts
+++ b/src/cluster/state.ts
@@ -7,6 +7,7 @@
 import { z } from "zod";
 import { type ClaimResult, type ClaimsState, claimSchema, finishClaimSchema, noClaims } from "./claims.js";
 import { type ChangeResult, type ConfigurationState, changeConfigurationSchema, emptyConfiguration } from "./configuration.js";
+import { evacuateSchema, nothingPublished, type PublishedResult, type PublishedState, publishSiteSchema } from "./published.js";
 import { dissolveReplicaSchema, formReplicaSchema, freeVmSchema, noReplicas, type ReplicaResult, type ReplicasState } from "./replicas.js";
 import {
     clearSuspectSchema, noSuspects, reportCrashSchema, type SuspectResult, type SuspectsState, trySuspectSchema,
@@ -22,6 +23,8 @@
     reportCrashSchema,
     trySuspectSchema,
     clearSuspectSchema,
+    publishSiteSchema,
+    evacuateSchema,
 ]);
 export type Command = z.infer<typeof commandSchema>;
 
@@ -30,13 +33,15 @@
     readonly replicas: ReplicasState;
     readonly claims: ClaimsState;
     readonly suspects: SuspectsState;
+    readonly published: PublishedState;
 }
 
-export type CommandResult = ChangeResult | ReplicaResult | ClaimResult | SuspectResult;
+export type CommandResult = ChangeResult | ReplicaResult | ClaimResult | SuspectResult | PublishedResult;
 
 export const emptyCluster: ClusterState = {
     configuration: emptyConfiguration,
     replicas: noReplicas,
     claims: noClaims,
     suspects: noSuspects,
+    published: nothingPublished,
 };
--- a/src/config/load.ts
+++ b/src/config/load.ts
@@ -6,63 +6,19 @@
  */
 
 import { readFileSync } from "node:fs";
-import type { z } from "zod";
-import { type Checked, type Finding, sortFindings } from "./findings.js";
-import { type IniFile, readIni } from "./iniFile.js";
-import { issueFinding, mayBeAbsent, readSection, unwrap } from "./section.js";
+import { checkText, type CheckedText, type RawSettings as RawSections, type Rule as SectionRule } from "./checkText.js";
+import type { Checked } from "./findings.js";
 import { addressSchema, type Settings, settingsSchema } from "./settings.js";
 
 /** The settings of a file, or everything that is wrong with it. */
-export type LoadedSettings = { readonly settings: Settings } | { readonly findings: readonly Finding[] };
+export type LoadedSettings = CheckedText<Settings>;
 
 type SectionName = keyof Settings;
-type RawSettings = Partial<Record<SectionName, Record<string, unknown>>>;
-
-const sectionNames = Object.keys(settingsSchema.shape) as SectionName[];
-
-function isSectionName(name: string): name is SectionName {
-    return Object.hasOwn(settingsSchema.shape, name);
-}
-
-function shapeOf(name: SectionName) {
-    return (unwrap(settingsSchema.shape[name]) as z.ZodObject).shape;
-}
-
-function readSections(ini: IniFile): { raw: RawSettings; findings: Finding[] } {
-    const raw: RawSettings = {};
-    const findings: Finding[] = [];
-    for (const section of ini.sections.values()) {
-        if (!isSectionName(section.name)) {
-            const expected = `one of the sections ${sectionNames.join(", ")}`;
-            findings.push({ file: ini.file, line: section.line, section: section.name, expected, found: "an unknown section" });
-            continue;
-        }
-        const read = readSection(ini.file, section, shapeOf(section.name));
-        raw[section.name] = read.raw;
-        findings.push(...read.findings);
-    }
-    return { raw, findings };
-}
-
-function absentSections(ini: IniFile): Finding[] {
-    return sectionNames
-        .filter(name => !ini.sections.has(name) && !mayBeAbsent(settingsSchema.shape[name]))
-        .map(name => ({ file: ini.file, line: 1, section: name, expected: `a section [${name}]`, found: "nothing" }));
-}
-
-function schemaFindings(ini: IniFile, raw: RawSettings): Finding[] {
-    const issues = settingsSchema.safeParse(raw).error?.issues ?? [];
-    return issues.flatMap(issue => {
-        const [name, ...path] = issue.path;
-        // An absent section has its own finding.
-        return path.length === 0 ? [] : [issueFinding(ini.file, String(name), ini.sections.get(String(name)), { ...issue, path })];
-    });
-}
+type RawSettings = RawSections<SectionName>;
 
 const loopbackPattern = /^(?:127\.\d+\.\d+\.\d+|localhost):/;
 
-/** A rule between sections. It reads the raw texts, so that it speaks also when other values are wrong. */
-type Rule = (raw: RawSettings) => { section: SectionName; key?: string; expected: string; found: string }[];
+type Rule = SectionRule<SectionName>;
 
 function hasRole(raw: RawSettings, role: string): boolean {
     const roles = raw.daemon?.roles;
@@ -106,23 +62,9 @@
     oneTraceExporter,
 ];
 
-function ruleFindings(ini: IniFile, raw: RawSettings): Finding[] {
-    return rules.flatMap(rule => rule(raw)).map(broken => {
-        const section = ini.sections.get(broken.section);
-        const entry = broken.key === undefined ? undefined : section?.entries.get(broken.key);
-        return { file: ini.file, line: entry?.line ?? section?.line ?? 1, ...broken };
-    });
-}
-
 /** Checks the text of a settings file; `file` names it in the findings. */
 export function checkSettings(file: string, text: string): LoadedSettings {
-    const ini = readIni(file, text);
-    const { raw, findings } = readSections(ini);
-    const all = [...ini.findings, ...findings, ...absentSections(ini), ...schemaFindings(ini, raw), ...ruleFindings(ini, raw)];
-    if (all.length > 0) {
-        return { findings: sortFindings(all) };
-    }
-    return { settings: settingsSchema.parse(raw) };
+    return checkText(file, text, settingsSchema, rules);
 }
 
 /** Reads a text file; a file that can't be read is a finding. */
--- a/src/consensus/bootstrap.ts
+++ b/src/consensus/bootstrap.ts
@@ -8,6 +8,7 @@
 import { startPreVote } from "./election.js";
 import type { Identity, Membership, MessageOf } from "./messages.js";
 import { lastIndexOf, withEntries } from "./entries.js";
+import { invite } from "./membership.js";
 import { freshProgress, withProgress } from "./replication.js";
 import type { ConsensusState, ConsensusStep, Effect } from "./state.js";
 import { chain, isVoter, persist, send, set } from "./steps.js";
@@ -26,16 +27,25 @@
 
 /** Announces this process to the voters of the settings for as long as its disk has no vote. */
 export function sayHello(state: ConsensusState, random: number): ConsensusStep {
-    if (isVoter(state) || state.nowMs < state.helloDueMs) {
+    if (isVoter(state) && !isForgotten(state) || state.nowMs < state.helloDueMs) {
         return { state, effects: [] };
     }
     const voterIds = settingsIds(state);
     const hello = { kind: "hello" as const, empty: isEmpty(state), address: state.options.address, voterIds };
-    const effects: Effect[] = otherPeers(state).map(peer => ({ kind: "announce", toVoterId: peer.id, message: hello }));
+    const effects: Effect[] = [...otherPeers(state), ...state.namedPeers].map(peer => ({ kind: "announce", toVoterId: peer.id, message: hello }));
     const asked: ConsensusState = { ...state, helloDueMs: state.nowMs + state.options.timings.helloMs };
     return chain(asked, next => ({ state: next, effects }), noteAwaited, next => formIfAllEmpty(next, random));
 }
 
+/** A voter without a leader for this many election timeouts may have been voted out while it was away, and asks to be taken in again. */
+const forgottenTimeouts = 3;
+
+/** Whether this voter has heard no leader for so long that the others may count it out. */
+function isForgotten(state: ConsensusState): boolean {
+    const { isOpen, timings } = state.options;
+    return isOpen && state.role.kind !== "leader" && state.nowMs - state.lastLeaderContactMs > forgottenTimeouts * timings.electionTimeoutMaxMs;
+}
+
 /** Logs whom this process waits for, once for each change. */
 function noteAwaited(state: ConsensusState): ConsensusStep {
     const silent = otherPeers(state).filter(peer => state.peerAnswers[peer.id] === undefined).map(peer => peer.id);
@@ -59,7 +69,10 @@
  * would be gone while the third voter still holds it. So one voter that holds anything, or does not answer, stops the forming.
  */
 function formIfAllEmpty(state: ConsensusState, random: number): ConsensusStep {
-    const { self } = state.options;
+    const { self, mayForm, peers } = state.options;
+    if (!mayForm || !peers.some(peer => peer.id === self.voterId)) {
+        return { state, effects: [] };
+    }
     const lowest = settingsIds(state)[0] === self.voterId;
     const ready = otherPeers(state).every(peer => state.peerAnswers[peer.id]?.empty && state.peerAnswers[peer.id]?.sameVoters);
     if (!lowest || !ready || !isEmpty(state) || state.membershipIndex > 0) {
@@ -87,8 +100,23 @@
 
 export function onHello(state: ConsensusState, from: Identity, message: MessageOf<"hello">): ConsensusStep {
     const voterIds = settingsIds(state);
-    const response = send(from, { kind: "hello-response", empty: isEmpty(state), voterIds });
-    return { state: takeInLearner(state, from, message.address), effects: [response] };
+    const voters = state.membership?.voters.map(voter => ({ id: voter.voterId, address: voter.address }));
+    const answered = { ...state, namedPeers: withPeer(state, { id: from.voterId, address: message.address }) };
+    const response = send(from, { kind: "hello-response", empty: isEmpty(state), voterIds, ...voters === undefined ? {} : { voters } });
+    return chain(
+        answered,
+        next => ({ state: next, effects: [response] }),
+        next => invite(next, from, message.address),
+        next => ({ state: takeInLearner(next, from, message.address), effects: [] }),
+    );
+}
+
+/** How many processes without a vote are remembered, so that they can be answered. */
+const mostNamedPeers = 64;
+
+function withPeer(state: ConsensusState, peer: { readonly id: string; readonly address: string }): ConsensusState["namedPeers"] {
+    const isKnown = state.options.peers.some(other => other.id === peer.id) || state.namedPeers.some(other => other.id === peer.id);
+    return isKnown || peer.id === state.options.self.voterId ? state.namedPeers : [...state.namedPeers, peer].slice(-mostNamedPeers);
 }
 
 /** Lets the leader replicate to a disk that stands for a known voter or for one that is to be added. */
@@ -110,8 +138,9 @@
     }
     const sameVoters = message.voterIds.join("\n") === settingsIds(state).join("\n");
     const answer = { diskId: from.diskId, empty: message.empty, sameVoters };
+    const named = (message.voters ?? []).reduce((next, peer) => ({ ...next, namedPeers: withPeer(next, peer) }), state);
     return chain(
-        state,
+        named,
         next => set(next, { peerAnswers: { ...next.peerAnswers, [from.voterId]: answer } }),
         noteAwaited,
         next => formIfAllEmpty(next, random),
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -6,7 +6,7 @@
  */
 
 import { lastIndexOf } from "./entries.js";
-import type { Membership, Voter } from "./messages.js";
+import type { Identity, Membership, Voter } from "./messages.js";
 import { becomeFollower } from "./election.js";
 import { freshProgress, replicate } from "./replication.js";
 import type { Answer, ConsensusState, ConsensusStep, LeaderRole, Progress } from "./state.js";
@@ -68,18 +68,68 @@
     }
     const { admitting } = membership;
     if (admitting !== undefined) {
+        if (state.options.isOpen && hasGivenUp(state, admitting.voterId)) {
+            const { clusterId, formed, voters } = membership;
+            return writeMembership(state, { clusterId, formed, voters }, `consensus: ${admitting.voterId} has fallen silent before it could vote`);
+        }
         const learner = caughtUpLearner(state, voter => voter.voterId === admitting.voterId);
         return learner === undefined ? { state, effects: [] } : admit(state, membership, learner);
     }
     const wiped = caughtUpLearner(state, voter => membership.voters.some(other => other.voterId === voter.voterId));
     if (wiped === undefined || membership.voters.length === 1) {
-        return { state, effects: [] };
+        return voteOutSilent(state, membership);
     }
     const voters = membership.voters.filter(voter => voter.voterId !== wiped.voterId);
     const line = `consensus: ${wiped.voterId} came back with a new disk and has caught up; its lost disk votes no more`;
     return writeMembership(state, { ...membership, voters, admitting: { voterId: wiped.voterId, address: wiped.address } }, line);
 }
 
+/** Silence after which a process that is to be admitted is given up, and a voter of an even quorum loses its vote. */
+const silentTimeouts = 4;
+
+function isSilent(state: ConsensusState, progress: Progress | undefined): boolean {
+    return progress !== undefined && state.nowMs - progress.lastContactMs > silentTimeouts * state.options.timings.electionTimeoutMaxMs;
+}
+
+/** Whether whoever is to be admitted has not been heard since long before now. */
+function hasGivenUp(state: ConsensusState, voterId: string): boolean {
+    const role = state.role as LeaderRole;
+    const learner = Object.values(role.progress).find(item =>
+        item.voter.voterId === voterId && !state.membership!.voters.some(voter => voter.diskId === item.voter.diskId));
+    const sinceMs = Math.max(role.sinceMs, learner?.lastContactMs ?? 0, state.invitedAtMs);
+    return state.nowMs - sinceMs > silentTimeouts * state.options.timings.electionTimeoutMaxMs;
+}
+
+/**
+ * Votes out a silent voter of an even quorum. A VM that was replaced never comes back, and its vote would count against every majority
+ * for good; an even quorum bears no more losses with it than without it. A voter that does come back asks to be taken in again.
+ */
+function voteOutSilent(state: ConsensusState, membership: Membership): ConsensusStep {
+    const role = state.role as LeaderRole;
+    const isEven = membership.voters.length % 2 === 0;
+    const silent = membership.voters.find(voter => isSilent(state, role.progress[voter.diskId]));
+    if (!state.options.isOpen || !isEven || silent === undefined) {
+        return { state, effects: [] };
+    }
+    const voters = membership.voters.filter(voter => voter.diskId !== silent.diskId);
+    if (refusedRemoval(state, voters) !== undefined) {
+        return { state, effects: [] };
+    }
+    const { clusterId, formed } = membership;
+    return writeMembership(state, { clusterId, formed, voters }, `consensus: ${silent.voterId} has been silent for long; it votes no more`);
+}
+
+/** Writes down that a process that announced itself is to be admitted, where nobody else decides that. */
+export function invite(state: ConsensusState, from: Identity, address: string): ConsensusStep {
+    const { membership } = state;
+    const isKnown = membership?.voters.some(voter => voter.voterId === from.voterId) ?? true;
+    if (!state.options.isOpen || isKnown || !mayChange(state) || !membership!.formed || membership!.admitting !== undefined) {
+        return { state, effects: [] };
+    }
+    const invited = { ...state, invitedAtMs: state.nowMs };
+    return writeMembership(invited, { ...membership!, admitting: { voterId: from.voterId, address } }, `consensus: ${from.voterId} announced itself; it votes once it has caught up`);
+}
+
 function admit(state: ConsensusState, membership: Membership, learner: Voter): ConsensusStep {
     const voters = [...membership.voters, learner].sort((a, b) => a.voterId < b.voterId ? -1 : 1);
     const { clusterId, formed } = membership;
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -56,6 +56,8 @@
     kind: z.literal("hello-response"),
     empty: z.boolean(),
     voterIds: z.array(z.string()),
+    /** Who votes by the newest membership that the sender knows: the settings of the asker may name none of them any more. */
+    voters: z.array(z.strictObject({ id: z.string(), address: z.string() })).optional(),
 });
 
 const preVoteSchema = z.strictObject({
--- a/src/consensus/node.ts
+++ b/src/consensus/node.ts
@@ -28,6 +28,10 @@
     /** The region's voters by the settings, this one among them. */
     readonly peers: readonly SettingsPeer[];
     readonly dataFolder: string;
+    /** Where the other voters reach this one; unset, the settings' list of voters says it. */
+    readonly address?: string;
+    readonly mayForm?: boolean;
+    readonly isOpen?: boolean;
     readonly timings?: Partial<ConsensusTimings>;
     readonly limits?: Partial<ConsensusLimits>;
     readonly transport?: Partial<typeof defaultTransport>;
@@ -83,7 +87,9 @@
     const { identity: self } = storage;
     const consensusOptions: ConsensusOptions = {
         self,
-        address: options.peers.find(peer => peer.id === options.voterId)?.address ?? "",
+        mayForm: options.mayForm ?? true,
+        isOpen: options.isOpen ?? false,
+        address: options.address ?? options.peers.find(peer => peer.id === options.voterId)?.address ?? "",
         peers: options.peers,
         timings: { ...defaultTimings, ...options.timings },
         limits: { ...defaultLimits, ...options.limits },
--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -60,6 +60,10 @@
     readonly peers: readonly SettingsPeer[];
     readonly timings: ConsensusTimings;
     readonly limits: ConsensusLimits;
+    /** Whether a new cluster may be formed: false once the site has existed, or wiped disks would begin a history of their own. */
+    readonly mayForm: boolean;
+    /** Whether the leader takes in processes that announce themselves, and votes silent ones out, without an operator. */
+    readonly isOpen: boolean;
 }
 
 /** What the leader knows of one other identity. */
@@ -155,6 +159,10 @@
     readonly storageFault: string | undefined;
     readonly helloDueMs: number;
     readonly peerAnswers: Readonly<Record<string, PeerAnswer>>;
+    /** Voters that others have named and the settings do not. */
+    readonly namedPeers: readonly SettingsPeer[];
+    /** When the newest process was invited to vote. */
+    readonly invitedAtMs: number;
     /** The last line logged about what this process waits for, so that it is logged once. */
     readonly awaited: string | undefined;
     /** Reads that this follower sent to the leader, by id. */
@@ -264,6 +272,8 @@
         storageFault: undefined,
         helloDueMs: nowMs,
         peerAnswers: {},
+        namedPeers: [],
+        invitedAtMs: 0,
         awaited: undefined,
         forwardedReads: {},
     };
--- a/src/consensus/steps.ts
+++ b/src/consensus/steps.ts
@@ -107,5 +107,6 @@
 /** The address of an identity's voter, from the newest membership or the settings. */
 export function addressOf(state: ConsensusState, voterId: string): string | undefined {
     return state.membership?.voters.find(voter => voter.voterId === voterId)?.address ??
-        state.options.peers.find(peer => peer.id === voterId)?.address;
+        state.options.peers.find(peer => peer.id === voterId)?.address ??
+        state.namedPeers.find(peer => peer.id === voterId)?.address;
 }
--- /dev/null
+++ b/src/fleet/directory.ts
@@ -0,0 +1,103 @@
+/**
+ * The upstreams that have announced themselves, merged from what this process heard itself and what others carry to it.
+ *
+ * Invariants: of two announcements of one id the later life wins, and within a life the higher sequence number, whatever the order
+ * of arrival; an upstream that said goodbye never comes back in the same life. A late announcement of a crashed life thus cannot
+ * replace the life that has started at the same address since.
+ *
+ * @module
+ */
+
+import type { Announcement, CarriedUpstream, Upstream } from "./types.js";
+
+export type DirectoryState = ReadonlyMap<string, Upstream>;
+
+/** How long a life that ended is remembered, in ms: well past the 12 s after which a late announcement may still arrive. */
+const rememberGoneMs = 60_000;
+
+/** Whether `later` replaces `earlier`, both of one id. */
+function supersedes(later: Announcement, earlier: Upstream): boolean {
+    if (later.bornMs !== earlier.bornMs) {
+        return later.bornMs > earlier.bornMs;
+    }
+    return later.sequence > earlier.sequence;
+}
+
+function withUpstream(state: DirectoryState, upstream: Upstream): DirectoryState {
+    const next = new Map(state);
+    next.set(upstream.id, upstream);
+    if (!upstream.isGone) {
+        // Addresses are used again: whoever held this one before is there no more.
+        for (const other of state.values()) {
+            if (other.id !== upstream.id && other.address === upstream.address && !other.isGone) {
+                const isOlder = other.bornMs <= upstream.bornMs;
+                const loser = isOlder ? other : upstream;
+                next.set(loser.id, { ...loser, isGone: true });
+            }
+        }
+    }
+    return next;
+}
+
+/** Takes in an announcement made to this process at `nowMs`. */
+export function announce(state: DirectoryState, announcement: Announcement, nowMs: number): DirectoryState {
+    const known = state.get(announcement.id);
+    if (known !== undefined && !supersedes(announcement, known)) {
+        return state;
+    }
+    const isGone = known !== undefined && known.bornMs === announcement.bornMs && known.isGone;
+    const coldUntilMs = nowMs + announcement.coldRemainingMs;
+    return withUpstream(state, { ...announcement, heardAtMs: nowMs, coldUntilMs, isGone });
+}
+
+/** Takes in an upstream that another process carries here. */
+export function takeCarried(state: DirectoryState, carried: CarriedUpstream, nowMs: number): DirectoryState {
+    const { heardAgoMs, isGone, ...announcement } = carried;
+    const known = state.get(carried.id);
+    const isSameLife = known !== undefined && known.bornMs === carried.bornMs;
+    const goneHere = isSameLife && known.isGone;
+    if (known !== undefined && !supersedes(announcement, known)) {
+        return isGone && isSameLife && !known.isGone ? withUpstream(state, { ...known, isGone: true }) : state;
+    }
+    const heardAtMs = nowMs - heardAgoMs;
+    const coldUntilMs = heardAtMs + announcement.coldRemainingMs;
+    return withUpstream(state, { ...announcement, heardAtMs, coldUntilMs, isGone: isGone || goneHere });
+}
+
+/** An upstream's goodbye. */
+export function depart(state: DirectoryState, id: string): DirectoryState {
+    const known = state.get(id);
+    return known === undefined || known.isGone ? state : withUpstream(state, { ...known, isGone: true });
+}
+
+/** Notes that upstreams were heard elsewhere `agoMs` ago, without anything new from them. */
+export function refresh(state: DirectoryState, heard: readonly { readonly id: string; readonly agoMs: number }[], nowMs: number): DirectoryState {
+    const next = new Map(state);
+    for (const { id, agoMs } of heard) {
+        const known = next.get(id);
+        if (known !== undefined && nowMs - agoMs > known.heardAtMs) {
+            next.set(id, { ...known, heardAtMs: nowMs - agoMs });
+        }
+    }
+    return next;
+}
+
+/** Drops lives that ended long ago. */
+export function forgetGone(state: DirectoryState, nowMs: number): DirectoryState {
+    const kept = [...state].filter(([, upstream]) => !upstream.isGone || nowMs - upstream.heardAtMs < rememberGoneMs);
+    return kept.length === state.size ? state : new Map(kept);
+}
+
+/** An upstream as it is carried to another process. */
+export function carry(upstream: Upstream, nowMs: number): CarriedUpstream {
+    const { heardAtMs, coldUntilMs: _coldUntilMs, ...rest } = upstream;
+    return { ...rest, heardAgoMs: Math.max(0, nowMs - heardAtMs) };
+}
+
+/** Whether anything but the time of hearing and the sequence number differs: what others need to be told. */
+export function isNews(before: Upstream | undefined, after: Upstream): boolean {
+    return before === undefined || before.bornMs !== after.bornMs || before.isGone !== after.isGone || before.state !== after.state ||
+        before.address !== after.address || before.service !== after.service ||
+        (before.coldUntilMs > after.heardAtMs) !== (after.coldUntilMs > after.heardAtMs) ||
+        JSON.stringify([before.group, before.stagedModels, before.slots]) !== JSON.stringify([after.group, after.stagedModels, after.slots]);
+}
--- /dev/null
+++ b/src/fleet/index.ts
@@ -0,0 +1,3 @@
+export * from "./directory.js";
+export * from "./groups.js";
+export * from "./types.js";
--- /dev/null
+++ b/src/gateway/answer.ts
@@ -0,0 +1,93 @@
+/**
+ * The answer to one caller: written once, final once, whichever of the several things that may end a request comes first.
+ *
+ * @module
+ */
+
+import type { ServerResponse } from "node:http";
+
+export interface CallerAnswer {
+    readonly isStarted: boolean;
+    readonly isOver: boolean;
+    /** Starts an answer whose body follows in pieces. */
+    start(status: number, headers: string[]): void;
+    /** False: the caller reads too slowly, `drained` is called when it has caught up. */
+    write(chunk: Buffer): boolean;
+    end(): void;
+    /** The whole answer at once. */
+    whole(status: number, headers: string[], body: Buffer): void;
+    /** An answer of this entry's own. */
+    own(status: number, reason: string, retryAfterMs?: number): void;
+    /** Ends an answer that was started and can't be completed, so that it does not look complete. */
+    breakOff(): void;
+}
+
+export interface AnswerOptions {
+    /** Whether the caller should use another connection from now on. */
+    closes(): boolean;
+    /** Headers of every own answer. */
+    readonly headers: string[];
+    drained(): void;
+}
+
+/** Wraps the response of one request. */
+export function createAnswer(response: ServerResponse, options: AnswerOptions): CallerAnswer {
+    let isStarted = false;
+    let isOver = false;
+
+    function begin(status: number, headers: string[]) {
+        isStarted = true;
+        const list = options.closes() ? [...headers, "Connection", "close"] : headers;
+        response.writeHead(status, list);
+    }
+
+    response.on("drain", () => options.drained());
+
+    return {
+        get isStarted() {
+            return isStarted;
+        },
+        get isOver() {
+            return isOver;
+        },
+        start(status, headers) {
+            if (!isStarted && !isOver) {
+                begin(status, headers);
+                response.flushHeaders();
+            }
+        },
+        write(chunk) {
+            return isOver || chunk.length === 0 ? true : response.write(chunk);
+        },
+        end() {
+            if (!isOver) {
+                isOver = true;
+                response.end();
+            }
+        },
+        whole(status, headers, body) {
+            if (!isStarted && !isOver) {
+                isOver = true;
+                const withoutLength = headers.filter((_, at) => headers[at - at % 2]!.toLowerCase() !== "content-length");
+                begin(status, [...withoutLength, "Content-Length", String(body.length)]);
+                response.end(body);
+            }
+        },
+        own(status, reason, retryAfterMs) {
+            if (isStarted || isOver) {
+                return;
+            }
+            isOver = true;
+            const body = Buffer.from(JSON.stringify({ status, reason }));
+            const retry = retryAfterMs === undefined ? [] : ["Retry-After", (retryAfterMs / 1_000).toFixed(2)];
+            begin(status, [...options.headers, ...retry, "Content-Type", "application/json", "Content-Length", String(body.length)]);
+            response.end(body);
+        },
+        breakOff() {
+            if (!isOver) {
+                isOver = true;
+                response.destroy();
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/gateway/balance.ts
@@ -0,0 +1,181 @@
+/**
+ * Chooses the upstream for a request and knows how each one fares, from the answers that this entry has seen.
+ *
+ * The pattern it answers: several entries share a few groups that come and go; an entry sees the load of a group only in answers. The
+ * estimate is the last load told plus what this entry has sent since, so that a burst between two answers is spread as well. A head
+ * whose streams have all stopped has lost a member: it is avoided until it moves again.
+ *
+ * @module
+ */
+
+import type { Upstream } from "../fleet/index.js";
+import type { Candidate } from "./siteView.js";
+
+/** With streams on it and no event for this long, a head stands still: events come every 60 ms, on a slow one every 300 ms. */
+const stillMs = 700;
+/** A load told longer ago says nothing about now: about the length of a request. */
+const loadAgeMs = 1_500;
+/** After failures an upstream is left alone for this long, doubled for each further one. */
+const avoidMs = 400;
+const mostAvoidMs = 5_000;
+/** The part of the cold limit that one entry may use: no more than twelve entries are known to serve one site. */
+const coldShare = 1 / 12;
+/** A failing upstream weighs as much as this many requests for each failure lately. */
+const failureWeight = 6;
+const failureHalfLifeMs = 3_000;
+
+interface Standing {
+    readonly bornMs: number;
+    running: number;
+    /** Requests with a stream under way. */
+    streaming: number;
+    lastEventAtMs: number;
+    stillSinceMs: number;
+    load: number;
+    loadAtMs: number;
+    avoidUntilMs: number;
+    failures: number;
+    failedAtMs: number;
+    coldSentAtMs: number[];
+}
+
+export interface Balance {
+    /** The best of `candidates`, or undefined when none may be sent to now. */
+    choose(candidates: readonly Candidate[], options: ChooseOptions): Candidate | undefined;
+    /** Requests at an upstream, running and waiting, as far as is known here. */
+    estimate(upstream: Upstream): number;
+    sent(upstream: Upstream, isCold: boolean): void;
+    ended(upstream: Upstream): void;
+    streamStarted(upstream: Upstream): void;
+    streamEnded(upstream: Upstream): void;
+    event(upstream: Upstream): void;
+    toldLoad(upstream: Upstream, running: number, waiting: number): void;
+    failed(upstream: Upstream): void;
+    succeeded(upstream: Upstream): void;
+    isStill(upstream: Upstream): boolean;
+    readonly stillIds: readonly string[];
+    readonly movingIds: readonly string[];
+}
+
+export interface ChooseOptions {
+    readonly without: ReadonlySet<string>;
+    readonly coldRequestsPerSecond: number;
+    /** Prefers this data centre when loads are close: bytes between data centres cost. */
+    readonly dataCentre: string;
+}
+
+/** Another data centre weighs as much as this many requests. */
+const farWeight = 0.5;
+
+/** Creates a balance that has seen nothing; `random` is uniform in [0, 1). */
+export function createBalance(nowMs: () => number, random: () => number): Balance {
+    const standings = new Map<string, Standing>();
+
+    function standing(upstream: Upstream): Standing {
+        const known = standings.get(upstream.id);
+        if (known?.bornMs === upstream.bornMs) {
+            return known;
+        }
+        const fresh: Standing = {
+            bornMs: upstream.bornMs, running: 0, streaming: 0, lastEventAtMs: 0, stillSinceMs: 0, load: 0, loadAtMs: Number.NEGATIVE_INFINITY,
+            avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [],
+        };
+        standings.set(upstream.id, fresh);
+        return fresh;
+    }
+
+    function estimateOf(state: Standing): number {
+        const isFresh = nowMs() - state.loadAtMs < loadAgeMs;
+        return Math.max(state.running, isFresh ? state.load : 0);
+    }
+
+    function failuresNow(state: Standing): number {
+        return state.failures * 0.5 ** ((nowMs() - state.failedAtMs) / failureHalfLifeMs);
+    }
+
+    function isStillNow(state: Standing): boolean {
+        const sinceMs = Math.max(state.lastEventAtMs, state.stillSinceMs);
+        return state.streaming > 0 && nowMs() - sinceMs > stillMs;
+    }
+
+    /** Whether one more request now stays within this entry's part of what a cold upstream bears. */
+    function isWithinCold(upstream: Upstream, state: Standing, perSecond: number): boolean {
+        if (perSecond <= 0 || upstream.coldUntilMs <= nowMs()) {
+            return true;
+        }
+        state.coldSentAtMs = state.coldSentAtMs.filter(atMs => nowMs() - atMs < 1_000);
+        return state.coldSentAtMs.length < Math.max(1, Math.floor(perSecond * coldShare));
+    }
+
+    return {
+        choose(candidates, options) {
+            let best: Candidate | undefined;
+            let bestScore = Infinity;
+            for (const candidate of candidates) {
+                const { upstream } = candidate;
+                const state = standing(upstream);
+                if (options.without.has(upstream.id) || !isWithinCold(upstream, state, options.coldRequestsPerSecond)) {
+                    continue;
+                }
+                const isAvoided = state.avoidUntilMs > nowMs() || isStillNow(state) || candidate.isDoubtful;
+                const far = upstream.dataCentre === options.dataCentre ? 0 : farWeight;
+                const score = estimateOf(state) + failuresNow(state) * failureWeight + far + random() + (isAvoided ? 1_000 : 0);
+                if (score < bestScore) {
+                    best = candidate;
+                    bestScore = score;
+                }
+            }
+            return best;
+        },
+        estimate: upstream => estimateOf(standing(upstream)),
+        sent(upstream, isCold) {
+            const state = standing(upstream);
+            state.running++;
+            state.load++;
+            if (isCold) {
+                state.coldSentAtMs.push(nowMs());
+            }
+        },
+        ended(upstream) {
+            const state = standing(upstream);
+            state.running = Math.max(0, state.running - 1);
+            state.load = Math.max(0, state.load - 1);
+        },
+        streamStarted(upstream) {
+            const state = standing(upstream);
+            if (state.streaming === 0) {
+                state.stillSinceMs = nowMs();
+            }
+            state.streaming++;
+        },
+        streamEnded(upstream) {
+            const state = standing(upstream);
+            state.streaming = Math.max(0, state.streaming - 1);
+        },
+        event(upstream) {
+            standing(upstream).lastEventAtMs = nowMs();
+        },
+        toldLoad(upstream, running, waiting) {
+            const state = standing(upstream);
+            state.load = running + waiting;
+            state.loadAtMs = nowMs();
+        },
+        failed(upstream) {
+            const state = standing(upstream);
+            state.failures = failuresNow(state) + 1;
+            state.failedAtMs = nowMs();
+            state.avoidUntilMs = nowMs() + Math.min(mostAvoidMs, avoidMs * 2 ** Math.min(4, state.failures - 1));
+        },
+        succeeded(upstream) {
+            const state = standing(upstream);
+            state.avoidUntilMs = 0;
+        },
+        isStill: upstream => isStillNow(standing(upstream)),
+        get stillIds() {
+            return [...standings].filter(([, state]) => isStillNow(state)).map(([id]) => id);
+        },
+        get movingIds() {
+            return [...standings].filter(([, state]) => nowMs() - state.lastEventAtMs < stillMs / 2).map(([id]) => id);
+        },
+    };
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,152 @@
+/**
+ * The entry role towards a site: watches the control daemons, serves callers, and reports what it has seen.
+ *
+ * @module
+ */
+
+import { RetryBudget, type RetryBudgetPolicy } from "../admission/index.js";
+import { createFeedWatcher } from "../feed/index.js";
+import type { EngineSpec, SiteDialect } from "../site/index.js";
+import type { Logger } from "../telemetry/index.js";
+import type { Asked } from "./asked.js";
+import { createBalance } from "./balance.js";
+import { createConnections } from "./connections.js";
+import type { HeaderNames } from "./headers.js";
+import { type GatewayServer, listenForCallers } from "./server.js";
+import { type Candidate, createSiteView } from "./siteView.js";
+
+export interface GatewayOptions {
+    readonly daemonId: string;
+    readonly dataCentre: string;
+    readonly callers: string;
+    readonly controls: readonly string[];
+    readonly dialect: SiteDialect;
+    readonly names: HeaderNames;
+    readonly logger: Logger;
+}
+
+export interface Gateway {
+    readonly isReady: boolean;
+    /** Other control daemons to start from. */
+    useControls(addresses: readonly string[]): void;
+    /** Stops gracefully within `withinMs`. */
+    stop(withinMs: number): Promise<void>;
+}
+
+/**
+ * Second sends of one entry: a tenth of its requests and a few more. The bound on all entries together is a fifth and a stated slack;
+ * a tenth each keeps below it however the entries' shares differ, and the slack is never used up by fewer than 14 entries.
+ */
+const repeatPolicy: RetryBudgetPolicy = { perSuccess: 0.1, perSecond: 0, most: 10 };
+/** Short against the time in which a stalled group must be noticed. */
+const reportIntervalMs = 250;
+const sweepIntervalMs = 500;
+/** How long the balancer may still send new connections after readiness was withdrawn: two of its questions, a second apart, and one more. */
+const balancerNoticeMs = 3_000;
+/** The wait at a group, running requests aside, that still brings a first event before callers turn away, in ms. */
+const mostWaitMs = 900;
+/** Requests waiting at a plain service for each of its places. */
+const plainQueue = 3;
+
+/** Milliseconds of one VM that a request takes of a group of `model`. */
+function workOf(engine: EngineSpec, modelName: string, promptTokens: number, answerTokens: number): { vmMs: number; groupMs: number } {
+    const model = engine.models.find(candidate => candidate.name === modelName);
+    if (model === undefined) {
+        return { vmMs: 0, groupMs: 0 };
+    }
+    const stepMs = (engine.stepMs + engine.slots * engine.stepPerRequestMs) / engine.slots;
+    const groupMs = model.pace * (promptTokens / engine.promptTokensPerSecond * 1_000 + answerTokens * stepMs);
+    return { groupMs, vmMs: groupMs * model.size };
+}
+
+/** Starts the role. */
+export async function createGateway(options: GatewayOptions): Promise<Gateway> {
+    const { logger } = options;
+    const nowMs = () => performance.now();
+    const view = createSiteView(options.dialect, logger);
+    const balance = createBalance(nowMs, Math.random);
+    const connections = createConnections();
+    const budgets = new Map<string, RetryBudget>();
+    let work: Record<string, number> = {};
+    let requests = 0;
+    let isStopping = false;
+
+    function budgetOf(service: string): RetryBudget {
+        const known = budgets.get(service) ?? new RetryBudget(nowMs(), repeatPolicy);
+        budgets.set(service, known);
+        return known;
+    }
+
+    /** Answers are shorter than their bound: the usual length is taken where it is known. */
+    function usualAnswer(engine: EngineSpec, asked: Asked): number {
+        return Math.min(asked.answerTokens || engine.usualAnswerTokens, engine.usualAnswerTokens || asked.answerTokens);
+    }
+
+    function mostAt(candidate: Candidate, asked: Asked): number {
+        const engine = asked.table.service(candidate.upstream.service)?.engine;
+        if (engine === undefined || candidate.model === undefined) {
+            return Math.max(1, candidate.upstream.slots) * (1 + plainQueue);
+        }
+        const { groupMs } = workOf(engine, candidate.model, engine.usualPromptTokens, engine.usualAnswerTokens);
+        return engine.slots + mostWaitMs / Math.max(1, groupMs);
+    }
+
+    const watcher = createFeedWatcher({
+        daemonId: options.daemonId,
+        take(frame) {
+            view.take(frame);
+            if (frame.kind === "controls") {
+                watcher.watch(frame.addresses);
+            }
+        },
+        changed: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
+    });
+    watcher.watch(options.controls);
+
+    const server: GatewayServer = await listenForCallers(options.callers, {
+        names: options.names, view, balance, connections, logger, dataCentre: options.dataCentre, nowMs, random: Math.random, mostAt,
+        mayRepeat: service => budgetOf(service).tryRetry(nowMs()) === undefined,
+        count(outcome, asked) {
+            requests++;
+            const target = asked.route.targets[0]!.service;
+            budgetOf(target).succeeded(nowMs());
+            const engine = asked.table.service(target)?.engine;
+            if (engine !== undefined && asked.model !== undefined && outcome !== "caller-left") {
+                const { vmMs } = workOf(engine, asked.model, asked.promptTokens, usualAnswer(engine, asked));
+                work[asked.model] = (work[asked.model] ?? 0) + vmMs;
+            }
+        },
+    });
+
+    const timers = [
+        setInterval(() => {
+            watcher.report({ workByModel: work, requests, suspectIds: [...balance.stillIds], movingIds: [...balance.movingIds], crashes: [] });
+            work = {};
+            requests = 0;
+        }, reportIntervalMs),
+        setInterval(() => connections.sweep(view.addresses), sweepIntervalMs),
+    ];
+
+    return {
+        get isReady() {
+            return !isStopping && view.table !== undefined && view.addresses.size > 0;
+        },
+        useControls: addresses => watcher.watch(addresses),
+        async stop(withinMs) {
+            isStopping = true;
+            server.drain();
+            logger.info("stopping", { running: server.running });
+            const untilMs = nowMs() + withinMs;
+            await new Promise(resolve => setTimeout(resolve, Math.min(balancerNoticeMs, withinMs)));
+            server.closeListener();
+            while (server.running > 0 && nowMs() < untilMs) {
+                await new Promise(resolve => setTimeout(resolve, 50));
+            }
+            timers.forEach(timer => clearInterval(timer));
+            server.close();
+            watcher.close();
+            connections.close();
+            logger.info("stopped", { unfinished: server.running });
+        },
+    };
+}
--- /dev/null
+++ b/src/gateway/index.ts
@@ -0,0 +1,2 @@
+export { createGateway, type Gateway, type GatewayOptions } from "./gateway.js";
+export { type HeaderNames } from "./headers.js";
--- /dev/null
+++ b/src/groups/adopt.ts
@@ -0,0 +1,41 @@
+/**
+ * Takes over groups that members report and this leader did not form: those of an earlier leader, or of an order that was carried out
+ * late. A whole one goes on as it is; of any other the rest is ended, so that its head cannot open without its members.
+ *
+ * @module
+ */
+
+import { type ReportedGroup, reportedGroups } from "../fleet/index.js";
+import type { GroupsView, PlannedGroup } from "./types.js";
+
+function adopted(reported: ReportedGroup, view: GroupsView): PlannedGroup {
+    const size = view.engine.models.find(model => model.name === reported.model)?.size;
+    const known = reported.members.filter(member => member !== undefined);
+    const isWhole = size !== undefined && known.length === size && reported.members.length === size &&
+        known.every(member => member.group!.epoch === reported.epoch && member.group!.state !== "broken");
+    const headState = reported.members[0]?.group?.state;
+    const length = Math.max(size ?? 0, reported.members.length);
+    const phase = !isWhole || headState === "closing" ? "ending" : headState === "open" ? "open" : "forming";
+    return {
+        name: reported.name,
+        epoch: reported.epoch,
+        model: reported.model,
+        domain: known[0]?.domain ?? "",
+        memberIds: Array.from({ length }, (_, rank) => reported.members[rank]?.id ?? ""),
+        bornMs: Array.from({ length }, (_, rank) => reported.members[rank]?.bornMs ?? 0),
+        phase,
+        sinceMs: view.nowMs,
+        isGentle: false,
+    };
+}
+
+/** Groups that are reported by upstreams that belong to no group in `groups`. */
+export function adoptGroups(groups: ReadonlyMap<string, PlannedGroup>, view: GroupsView): PlannedGroup[] {
+    const taken = new Set([...groups.values()].flatMap(group => group.memberIds));
+    const strays = view.upstreams.filter(upstream => !taken.has(upstream.id));
+    return [...reportedGroups(strays).values()]
+        .filter(reported => !groups.has(reported.name))
+        .map(reported => adopted(reported, view))
+        // A member alone, without the head, holds nobody back once this leader knows every group: its head can't be open unseen.
+        .filter(group => group.memberIds[0] !== "" || view.nowMs - view.leadsSinceMs < view.stallMs);
+}
--- /dev/null
+++ b/src/groups/follow.ts
@@ -0,0 +1,142 @@
+/**
+ * Follows each group through its phases by what the members report: opens one that is complete, ends one that has lost a member, and
+ * lets go of the members of one that has ended.
+ *
+ * Invariants: a head is told to open only after every member has been seen ready in this group and epoch; members of a group are
+ * given to another only once its head cannot be serving, that is after it reports another state, or its process has ended, or it has
+ * been unreachable without its members for longer than an engine goes on without them.
+ *
+ * @module
+ */
+
+import type { Upstream } from "../fleet/index.js";
+import type { GroupsView, OrderTo, PlannedGroup } from "./types.js";
+
+/** Beyond the engine's own bound, for the last order's way there. */
+const stallMarginMs = 1_000;
+/** A group that has not come together by then is given up: twice the longest load, and time for orders that were lost. */
+const formingMarginMs = 8_000;
+
+export interface Followed {
+    /** Undefined: the group is over and its members are free. */
+    readonly group: PlannedGroup | undefined;
+    readonly orders: readonly OrderTo[];
+}
+
+type Members = readonly (Upstream | undefined)[];
+
+function isIn(upstream: Upstream | undefined, group: PlannedGroup): boolean {
+    return upstream?.group?.name === group.name && upstream.group.epoch === group.epoch;
+}
+
+/** Why a group cannot go on; undefined while it can. */
+function whyBroken(group: PlannedGroup, members: Members, view: GroupsView): string | undefined {
+    for (const [rank, member] of members.entries()) {
+        const id = group.memberIds[rank]!;
+        if (member === undefined || view.isEnded(id)) {
+            return `member ${id} is gone`;
+        }
+        if (member.bornMs !== group.bornMs[rank]) {
+            return `member ${id} has started again`;
+        }
+        // A member that this leader can't reach may be cut off from it alone; what callers get shows whether it works.
+        if (view.isLost(id) && !view.isMoving(group.memberIds[0]!)) {
+            return `member ${id} does not answer`;
+        }
+        if (isIn(member, group) && member.group!.state === "broken") {
+            return `member ${id} reports that it is broken`;
+        }
+        if (group.phase === "open" && !isIn(member, group) && member.heardAtMs > group.sinceMs) {
+            return `member ${id} is in it no more`;
+        }
+    }
+    return undefined;
+}
+
+function order(group: PlannedGroup, rank: number, kind: "open" | "leave", reason: string): OrderTo {
+    return { upstreamId: group.memberIds[rank]!, order: { kind, group: group.name, epoch: group.epoch }, reason };
+}
+
+function closeHead(group: PlannedGroup, reason: string): OrderTo {
+    const running = group.isGentle ? "finish" : "stop";
+    return { upstreamId: group.memberIds[0]!, order: { kind: "close", group: group.name, epoch: group.epoch, running }, reason };
+}
+
+/** Starts to end a group. */
+export function endGroup(group: PlannedGroup, view: GroupsView, reason: string, isGentle: boolean): Followed {
+    const ending: PlannedGroup = { ...group, phase: "ending", sinceMs: view.nowMs, isGentle };
+    return followEnding(ending, membersOf(ending, view), view, reason);
+}
+
+export function membersOf(group: PlannedGroup, view: GroupsView): Members {
+    return group.memberIds.map(id => view.upstreams.find(upstream => upstream.id === id));
+}
+
+function followEnding(group: PlannedGroup, members: Members, view: GroupsView, reason: string): Followed {
+    const head = members[0];
+    const headId = group.memberIds[0]!;
+    const headIsOver = headId !== "" && (head === undefined ? view.isEnded(headId) : view.isEnded(headId) || head.bornMs !== group.bornMs[0]);
+    if (headIsOver) {
+        return { group: undefined, orders: [] };
+    }
+    if (head !== undefined && !view.isLost(headId)) {
+        const serves = isIn(head, group) && (head.group!.state === "open" || head.group!.state === "closing");
+        // Without a member nothing moves at the head: what runs there can only be taken up elsewhere, so it is cut short at once.
+        // An `open` may be on its way still: a head that is told to close after it, or to leave, can't be opened by it any more.
+        const isSettled = head.heardAtMs > group.sinceMs || !isIn(head, group);
+        if (serves && group.isGentle) {
+            return { group, orders: [closeHead(group, reason)] };
+        }
+        if (isIn(head, group)) {
+            return { group, orders: [order(group, 0, "leave", reason)] };
+        }
+        return { group: isSettled ? undefined : group, orders: [] };
+    }
+    // The head can't be asked. Without its members it stops by itself after the stall bound, counted from when all have left.
+    const staying = members.flatMap((member, rank) => rank > 0 && isIn(member, group) && !view.isLost(member!.id) ? [rank] : []);
+    if (staying.length > 0) {
+        return { group: { ...group, sinceMs: view.nowMs }, orders: staying.map(rank => order(group, rank, "leave", reason)) };
+    }
+    const isOver = view.nowMs - group.sinceMs > view.stallMs + stallMarginMs;
+    return { group: isOver ? undefined : group, orders: [] };
+}
+
+function followForming(group: PlannedGroup, members: Members, view: GroupsView): Followed {
+    const isReady = members.every((member, rank) => isIn(member, group) && member!.group!.rank === rank && member!.group!.state === "ready");
+    if (isReady) {
+        return { group: { ...group, phase: "open", sinceMs: view.nowMs }, orders: [order(group, 0, "open", "every member is ready")] };
+    }
+    const { models } = view.engine;
+    const loadMs = Math.max(0, ...models.map(model => model.loadMs));
+    if (view.nowMs - group.sinceMs > 2 * loadMs + formingMarginMs) {
+        return endGroup(group, view, "it did not come together in time", false);
+    }
+    const orders = members.flatMap((member, rank): OrderTo[] => isIn(member, group) ? [] : [{
+        upstreamId: group.memberIds[rank]!,
+        order: { kind: "join", group: group.name, epoch: group.epoch, model: group.model, memberIds: group.memberIds },
+        reason: "forming",
+    }]);
+    return { group, orders };
+}
+
+/** One step of one group. */
+export function followGroup(group: PlannedGroup, view: GroupsView): Followed {
+    const members = membersOf(group, view);
+    if (group.phase === "ending") {
+        return followEnding(group, members, view, "ending");
+    }
+    const broken = whyBroken(group, members, view);
+    if (broken !== undefined) {
+        return endGroup(group, view, broken, false);
+    }
+    const leaving = members.find(member => member?.state === "draining");
+    if (leaving !== undefined) {
+        return endGroup(group, view, `member ${leaving.id} leaves`, true);
+    }
+    if (group.phase === "forming") {
+        return followForming(group, members, view);
+    }
+    const head = members[0]!;
+    const isServing = isIn(head, group) && head.group!.state === "open";
+    return { group, orders: isServing ? [] : [order(group, 0, "open", "the head has not opened yet")] };
+}
--- /dev/null
+++ b/src/groups/form.ts
@@ -0,0 +1,170 @@
+/**
+ * Decides which groups to form from the free VMs and which weights to bring onto those that stay spare.
+ *
+ * The pattern it answers: VMs are lost for good every few seconds, one of a group each time, and empty ones arrive about as often. A
+ * group that lost a member serves again as soon as a spare with its weights joins, some 2 s; without such a spare it waits for a
+ * load from the weight store, 12 to 16 s. So each domain keeps spares, one with the weights of each model where it can.
+ *
+ * @module
+ */
+
+import { groupNameOf, type Upstream } from "../fleet/index.js";
+import type { EngineModel } from "../site/index.js";
+import type { GroupsState, GroupsView, OrderTo, PlannedGroup } from "./types.js";
+
+/** One spare for this many VMs of a domain: over a repair's 15 s about one VM in eight is lost on the heaviest days seen. */
+const vmsPerSpare = 8;
+/** How quickly a VM can join a group of a model. */
+type Readiness = "hot" | "warm" | "empty";
+const ranks: Record<Readiness, number> = { hot: 0, warm: 1, empty: 2 };
+
+/** Draft of one step; it lives for one call. */
+export interface Draft {
+    readonly view: GroupsView;
+    readonly groups: Map<string, PlannedGroup>;
+    readonly orders: OrderTo[];
+    readonly lastModels: GroupsState["lastModels"];
+    readonly loadsAtMs: number[];
+    lastEpoch: number;
+}
+
+function readinessOf(upstream: Upstream, model: EngineModel, draft: Draft): Readiness {
+    const last = draft.lastModels.get(upstream.id);
+    if (last?.bornMs === upstream.bornMs && last.model === model.name) {
+        return "hot";
+    }
+    return upstream.stagedModels.includes(model.name) ? "warm" : "empty";
+}
+
+function isUsable(upstream: Upstream, view: GroupsView): boolean {
+    return upstream.state === "ready" && !view.isLost(upstream.id) && !view.isEnded(upstream.id) && !view.evacuated.includes(upstream.dataCentre);
+}
+
+/** VMs that may be put into a group, by domain. */
+export function freeByDomain(draft: Draft): Map<string, Upstream[]> {
+    const taken = new Set([...draft.groups.values()].flatMap(group => group.memberIds));
+    const free = new Map<string, Upstream[]>();
+    for (const upstream of draft.view.upstreams) {
+        if (upstream.domain !== undefined && !taken.has(upstream.id) && isUsable(upstream, draft.view)) {
+            free.set(upstream.domain, [...free.get(upstream.domain) ?? [], upstream]);
+        }
+    }
+    return free;
+}
+
+/** VMs in living groups of each model, for each part of the demand: the model with the least is helped first. */
+function coverage(model: EngineModel, draft: Draft): number {
+    const { view } = draft;
+    const demand = view.demand.get(model.name) ?? model.share;
+    const vms = [...draft.groups.values()]
+        .filter(group => group.model === model.name && group.phase !== "ending")
+        .filter(group => !view.evacuated.includes(view.upstreams.find(upstream => upstream.id === group.memberIds[0])?.dataCentre ?? ""))
+        .reduce((sum, group) => sum + group.memberIds.length, 0);
+    return vms / Math.max(demand, 1e-6);
+}
+
+function domainSize(domain: string, draft: Draft): number {
+    return draft.view.upstreams.filter(upstream => upstream.domain === domain && isUsable(upstream, draft.view)).length;
+}
+
+interface Choice {
+    readonly domain: string;
+    readonly members: readonly Upstream[];
+    readonly readiness: Readiness;
+    readonly left: number;
+}
+
+/** The best place for one more group of `model`: the one that serves soonest, then the domain with most VMs left over. */
+function bestPlace(model: EngineModel, free: ReadonlyMap<string, Upstream[]>, draft: Draft): Choice | undefined {
+    const choices = [...free].flatMap(([domain, upstreams]): Choice[] => {
+        if (upstreams.length < model.size) {
+            return [];
+        }
+        const order = [...upstreams].sort((a, b) => ranks[readinessOf(a, model, draft)] - ranks[readinessOf(b, model, draft)] || (a.id < b.id ? -1 : 1));
+        const members = order.slice(0, model.size);
+        return [{ domain, members, readiness: readinessOf(members.at(-1)!, model, draft), left: upstreams.length - model.size }];
+    });
+    return choices.sort((a, b) => ranks[a.readiness] - ranks[b.readiness] || b.left - a.left || (a.domain < b.domain ? -1 : 1))[0];
+}
+
+/** Whether the group may be formed now, given what it leaves of spares and what it has to load. */
+function isWorthwhile(choice: Choice, model: EngineModel, draft: Draft): boolean {
+    const { view } = draft;
+    const isServed = [...draft.groups.values()].some(group => group.model === model.name && group.phase !== "ending");
+    if (!isServed) {
+        return true;
+    }
+    const spares = Math.floor(domainSize(choice.domain, draft) / vmsPerSpare);
+    const isRepair = choice.members.some(member => readinessOf(member, model, draft) === "hot");
+    if (!isRepair && choice.left < spares) {
+        return false;
+    }
+    return !view.hasTraffic || choice.readiness !== "empty";
+}
+
+function form(choice: Choice, model: EngineModel, draft: Draft): void {
+    const { view } = draft;
+    draft.lastEpoch++;
+    const epoch = draft.lastEpoch;
+    const name = groupNameOf(model.name, epoch);
+    const memberIds = choice.members.map(member => member.id);
+    draft.groups.set(name, {
+        name, epoch, model: model.name, domain: choice.domain, memberIds,
+        bornMs: choice.members.map(member => member.bornMs), phase: "forming", sinceMs: view.nowMs, isGentle: false,
+    });
+    for (const upstreamId of memberIds) {
+        draft.orders.push({ upstreamId, order: { kind: "join", group: name, epoch, model: model.name, memberIds }, reason: `a group of ${choice.readiness} VMs` });
+    }
+}
+
+/** Forms groups for the models with the least coverage, as long as one is worthwhile. */
+export function formGroups(draft: Draft): void {
+    const refused = new Set<string>();
+    for (;;) {
+        const model = draft.view.engine.models
+            .filter(candidate => !refused.has(candidate.name))
+            .sort((a, b) => coverage(a, draft) - coverage(b, draft))[0];
+        if (model === undefined) {
+            return;
+        }
+        const choice = bestPlace(model, freeByDomain(draft), draft);
+        if (choice === undefined || !isWorthwhile(choice, model, draft)) {
+            refused.add(model.name);
+            continue;
+        }
+        form(choice, model, draft);
+    }
+}
+
+/** The window over which the store's rate is kept, in ms, and the part of it that is used: another leader's loads may overlap. */
+const loadWindowMs = 5_000;
+const loadRateShare = 0.8;
+
+function mayLoad(draft: Draft): boolean {
+    const { engine, nowMs, hasTraffic } = draft.view;
+    if (!hasTraffic) {
+        return true;
+    }
+    const recent = draft.loadsAtMs.filter(atMs => nowMs - atMs < loadWindowMs).length;
+    return recent < engine.loadsPerSecond * loadWindowMs / 1_000 * loadRateShare;
+}
+
+/** Brings weights onto spares: of the model that has fewest spares of its own in the domain for the members that it has there. */
+export function stageSpares(draft: Draft): void {
+    const { view } = draft;
+    for (const [domain, upstreams] of freeByDomain(draft)) {
+        const held = new Map(view.engine.models.map(model => [model.name, 0]));
+        upstreams.forEach(upstream => upstream.stagedModels.forEach(model => held.set(model, (held.get(model) ?? 0) + 1)));
+        for (const upstream of upstreams) {
+            if (upstream.stagedModels.length > 0 || !mayLoad(draft)) {
+                continue;
+            }
+            const wanted = [...view.engine.models].sort((a, b) =>
+                (held.get(a.name)! - held.get(b.name)!) || coverage(a, draft) - coverage(b, draft) || b.size - a.size)[0];
+            if (wanted !== undefined) {
+                held.set(wanted.name, held.get(wanted.name)! + 1);
+                draft.orders.push({ upstreamId: upstream.id, order: { kind: "stage", model: wanted.name }, reason: `a spare of domain ${domain}` });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/groups/index.ts
@@ -0,0 +1,2 @@
+export { firstEpochOf, type GroupsPlan, planGroups } from "./plan.js";
+export * from "./types.js";
--- /dev/null
+++ b/src/groups/plan.ts
@@ -0,0 +1,111 @@
+/**
+ * One step of planning a service's groups: follow those that stand, adopt those that were found, form new ones, stage spares. Pure:
+ * the shell sends the orders and calls again soon, and an order whose effect is not seen by then is sent again.
+ *
+ * Epochs grow strictly over all leaders, since each starts above what the log's term gives it; engines refuse a join of an earlier
+ * epoch, so an order that is carried out late finds nothing that it can harm.
+ *
+ * @module
+ */
+
+import { adoptGroups } from "./adopt.js";
+import { followGroup } from "./follow.js";
+import { type Draft, formGroups, stageSpares } from "./form.js";
+import type { EngineOrder, GroupsState, GroupsView, OrderTo, SentOrder } from "./types.js";
+
+/** A new leader hears every VM at least once before it decides: heartbeats come about every 1.2 s. */
+const settleMs = 1_500;
+/** Before traffic nothing is at stake but time. */
+const settleBeforeTrafficMs = 300;
+/** An unanswered order is sent again after this long: the effect is reported within some hundred ms when all is well. */
+const resendMs = 1_200;
+/** Staging is reported only once it is done. */
+const resendStageFactor = 2.5;
+/** Epochs that one term of the log may use. */
+const epochsPerTerm = 1 << 20;
+
+export interface GroupsPlan {
+    readonly state: GroupsState;
+    readonly orders: readonly OrderTo[];
+}
+
+/** The epoch after which a leader of `term` counts. */
+export function firstEpochOf(term: number): number {
+    return term * epochsPerTerm;
+}
+
+function resendAfterMs(order: EngineOrder, view: GroupsView): number {
+    if (order.kind !== "stage") {
+        return resendMs;
+    }
+    const model = view.engine.models.find(candidate => candidate.name === order.model);
+    return Math.max(resendMs, (model?.loadMs ?? 0) * resendStageFactor);
+}
+
+/** Leaves out orders that were sent a moment ago. */
+function unsent(orders: readonly OrderTo[], state: GroupsState, view: GroupsView): { due: OrderTo[]; sent: Map<string, SentOrder> } {
+    const alive = new Set(view.upstreams.map(upstream => upstream.id));
+    const sent = new Map([...state.sent].filter(([id]) => alive.has(id)));
+    const due = orders.filter(({ upstreamId, order }) => {
+        const born = view.upstreams.find(upstream => upstream.id === upstreamId)?.bornMs;
+        const text = `${born} ${JSON.stringify(order)}`;
+        const last = sent.get(upstreamId);
+        if (last?.text === text && view.nowMs - last.atMs < resendAfterMs(order, view)) {
+            return false;
+        }
+        sent.set(upstreamId, { text, atMs: view.nowMs });
+        return true;
+    });
+    return { due, sent };
+}
+
+function noteLastModels(state: GroupsState, view: GroupsView): GroupsState["lastModels"] {
+    const next = new Map<string, { bornMs: number; model: string }>();
+    for (const { id, bornMs, group } of view.upstreams) {
+        const known = state.lastModels.get(id);
+        const reached = group !== undefined && group.state !== "joining" ? group.name.slice(0, group.name.lastIndexOf("/")) : undefined;
+        if (reached !== undefined) {
+            next.set(id, { bornMs, model: reached });
+        }
+        else if (known?.bornMs === bornMs) {
+            next.set(id, known);
+        }
+    }
+    return next;
+}
+
+/** Plans one step. */
+export function planGroups(state: GroupsState, view: GroupsView): GroupsPlan {
+    const draft: Draft = {
+        view,
+        groups: new Map(state.groups),
+        orders: [],
+        lastModels: noteLastModels(state, view),
+        loadsAtMs: state.loadsAtMs.filter(atMs => view.nowMs - atMs < 60_000),
+        lastEpoch: state.lastEpoch,
+    };
+    if (view.nowMs - view.leadsSinceMs >= (view.hasTraffic ? settleMs : settleBeforeTrafficMs)) {
+        adoptGroups(draft.groups, view).forEach(group => draft.groups.set(group.name, group));
+        for (const group of [...draft.groups.values()]) {
+            const followed = followGroup(group, view);
+            draft.orders.push(...followed.orders);
+            if (followed.group === undefined) {
+                draft.groups.delete(group.name);
+            }
+            else {
+                draft.groups.set(group.name, followed.group);
+            }
+        }
+        formGroups(draft);
+        stageSpares(draft);
+    }
+    const { due, sent } = unsent(draft.orders, state, view);
+    const loads = due.filter(({ order }) => order.kind === "stage").map(() => view.nowMs);
+    return {
+        state: {
+            groups: draft.groups, lastEpoch: draft.lastEpoch, sent, lastModels: draft.lastModels,
+            loadsAtMs: [...draft.loadsAtMs, ...loads],
+        },
+        orders: due,
+    };
+}
--- /dev/null
+++ b/src/groups/types.ts
@@ -0,0 +1,87 @@
+/**
+ * Groups of engines as the control leader plans them, and the orders that it gives to engines.
+ *
+ * @module
+ */
+
+import type { EngineSpec } from "../site/index.js";
+import type { Upstream } from "../fleet/index.js";
+
+/** An order to one engine. All but `stage` name a group and its epoch and touch no other. */
+export type EngineOrder =
+    | { readonly kind: "join"; readonly group: string; readonly epoch: number; readonly model: string; readonly memberIds: readonly string[] }
+    | { readonly kind: "open"; readonly group: string; readonly epoch: number }
+    /** `running`: whether requests that run are finished first or stopped. */
+    | { readonly kind: "close"; readonly group: string; readonly epoch: number; readonly running: "finish" | "stop" }
+    | { readonly kind: "leave"; readonly group: string; readonly epoch: number }
+    /** Brings the model's weights onto the VM, beside whatever runs there. */
+    | { readonly kind: "stage"; readonly model: string };
+
+/**
+ * `forming`: members are joining, the head is not open. `open`: the head was told to open. `ending`: the head is being closed; the
+ * members are free once it serves no more.
+ */
+export type GroupPhase = "forming" | "open" | "ending";
+
+export interface PlannedGroup {
+    readonly name: string;
+    readonly epoch: number;
+    readonly model: string;
+    readonly domain: string;
+    /** By rank, the head first. A member that a new leader could not make out is an empty text. */
+    readonly memberIds: readonly string[];
+    /** The lives that were taken in; a member that has started again holds nothing of the group. */
+    readonly bornMs: readonly number[];
+    readonly phase: GroupPhase;
+    readonly sinceMs: number;
+    /** True: the running requests are finished before the group ends. */
+    readonly isGentle: boolean;
+}
+
+/** An order that was sent and whose effect has not been seen yet. */
+export interface SentOrder {
+    readonly text: string;
+    readonly atMs: number;
+}
+
+export interface GroupsState {
+    readonly groups: ReadonlyMap<string, PlannedGroup>;
+    /** The epoch of the last group formed. */
+    readonly lastEpoch: number;
+    /** The last order to each upstream. */
+    readonly sent: ReadonlyMap<string, SentOrder>;
+    /** The model of the last group of each life, by id: its weights are still on the accelerator, so joining again is quick. */
+    readonly lastModels: ReadonlyMap<string, { readonly bornMs: number; readonly model: string }>;
+    /** When loads from the weight store were started, newest last. */
+    readonly loadsAtMs: readonly number[];
+}
+
+export interface GroupsView {
+    readonly nowMs: number;
+    /** Since when this process has led. */
+    readonly leadsSinceMs: number;
+    readonly engine: EngineSpec;
+    /** All living upstreams of the service. */
+    readonly upstreams: readonly Upstream[];
+    /** Upstreams that answer nobody, and those whose process has certainly ended. */
+    readonly isLost: (id: string) => boolean;
+    readonly isEnded: (id: string) => boolean;
+    /** Whether requests at this head have gone on just now, which they do only while every member of its group works. */
+    readonly isMoving: (headId: string) => boolean;
+    readonly evacuated: readonly string[];
+    /** The work wanted by model; its unit cancels out. */
+    readonly demand: ReadonlyMap<string, number>;
+    /** Whether callers' requests have been seen: before that, loads are quick and free. */
+    readonly hasTraffic: boolean;
+    /** How long a head whose member is gone goes on as if nothing had happened. */
+    readonly stallMs: number;
+}
+
+export interface OrderTo {
+    readonly upstreamId: string;
+    readonly order: EngineOrder;
+    /** Why, for the log. */
+    readonly reason: string;
+}
+
+export const noGroups: GroupsState = { groups: new Map(), lastEpoch: 0, sent: new Map(), lastModels: new Map(), loadsAtMs: [] };
--- /dev/null
+++ b/src/site/index.ts
@@ -0,0 +1,4 @@
+export * from "./check.js";
+export * from "./dialect.js";
+export * from "./table.js";
+export * from "./types.js";
--- /dev/null
+++ b/src/site/table.ts
@@ -0,0 +1,62 @@
+/**
+ * A published site arranged for look-ups: the route of a host and path, the organisation of a key, a service by name. Built once for
+ * each version; a request's whole decision is made from one table, so that no request sees parts of two versions.
+ *
+ * @module
+ */
+
+import type { Route, Site, SiteService } from "./types.js";
+
+/** Who holds a key. */
+export interface KeyHolder {
+    readonly organisation: string;
+    readonly priority: number | undefined;
+}
+
+export interface SiteTable {
+    readonly site: Site;
+    /** The route of `host` with the longest prefix that begins `path`. */
+    route(host: string, path: string): Route | undefined;
+    /** The holder of a key; undefined for one that no organisation holds. */
+    holder(key: string): KeyHolder | undefined;
+    service(name: string): SiteService | undefined;
+    /** Whether requests to `route` need a key. */
+    asksForKey(route: Route): boolean;
+}
+
+function withoutPort(host: string): string {
+    return host.replace(/:\d+$/, "").toLowerCase();
+}
+
+/** Arranges `site`. */
+export function createSiteTable(site: Site): SiteTable {
+    const routesByHost = new Map<string, Map<string, Route>>();
+    for (const route of site.routes) {
+        const host = withoutPort(route.host);
+        const byPrefix = routesByHost.get(host) ?? new Map<string, Route>();
+        byPrefix.set(route.pathPrefix, route);
+        routesByHost.set(host, byPrefix);
+    }
+    const holders = new Map<string, KeyHolder>();
+    for (const organisation of site.organisations ?? []) {
+        organisation.keys.forEach(key => holders.set(key, { organisation: organisation.name, priority: organisation.priority }));
+    }
+    const services = new Map(site.services.map(service => [service.name, service]));
+    return {
+        site,
+        route(host, path) {
+            const byPrefix = routesByHost.get(withoutPort(host));
+            // Prefixes end with a slash, so only the path's own slashes can end one: the longest is tried first.
+            for (let end = path.lastIndexOf("/"); byPrefix !== undefined && end >= 0; end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)) {
+                const route = byPrefix.get(path.slice(0, end + 1));
+                if (route !== undefined) {
+                    return route;
+                }
+            }
+            return undefined;
+        },
+        holder: key => holders.get(key),
+        service: serviceName => services.get(serviceName),
+        asksForKey: route => site.organisations !== undefined && !route.isPublic,
+    };
+}
--- /dev/null
+++ b/src/siteControl/index.ts
@@ -0,0 +1,2 @@
+export { type ProbeResult } from "./prober.js";
+export { createSiteControl, type Engines, type PublishOutcome, type SiteControl, type SiteControlOptions } from "./siteControl.js";
--- /dev/null
+++ b/src/siteControl/prober.ts
@@ -0,0 +1,114 @@
+/**
+ * Finds out which upstreams are still there. Heartbeats alone tell late: they come about every 1.2 s and may be seconds on their way, and
+ * one that crashes says nothing. An upstream that is overdue, or that entries suspect, is asked directly.
+ *
+ * @module
+ */
+
+import type { Upstream } from "../fleet/index.js";
+
+/** What a direct question to an upstream gave. `refused`: nothing listens at its address, so its process has ended. */
+export type ProbeResult =
+    | { readonly outcome: "answered"; readonly upstream: Upstream | undefined }
+    | { readonly outcome: "refused" }
+    | { readonly outcome: "silent" };
+
+export interface ProberOptions {
+    probe(upstream: Upstream): Promise<ProbeResult>;
+    /** Takes every answer; `isLost` tells whether the upstream now counts as lost. */
+    judged(upstream: Upstream, result: ProbeResult): void;
+    nowMs(): number;
+}
+
+/** One heartbeat and a half without news: by then the next one is overdue also with its usual spread. */
+const overdueMs = 1_900;
+/** A question a second to one that stays silent, in case it comes back. */
+const againMs = 1_000;
+/** Questions in a row without an answer before an upstream counts as lost: a single packet may be lost. */
+const silentProbes = 2;
+
+interface Asked {
+    readonly bornMs: number;
+    atMs: number;
+    silent: number;
+    isAsking: boolean;
+    result: "lost" | "ended" | undefined;
+}
+
+export interface Prober {
+    /** Asks those that are due. */
+    look(upstreams: Iterable<Upstream>): void;
+    /** Asks about these at once. */
+    suspect(ids: readonly string[]): void;
+    isLost(id: string): boolean;
+    isEnded(id: string): boolean;
+    readonly lostIds: readonly string[];
+    forget(): void;
+}
+
+/** Creates a prober that has asked nobody yet. */
+export function createProber(options: ProberOptions): Prober {
+    const asked = new Map<string, Asked>();
+    const suspects = new Set<string>();
+
+    async function ask(upstream: Upstream, memory: Asked) {
+        memory.isAsking = true;
+        memory.atMs = options.nowMs();
+        const result = await options.probe(upstream);
+        memory.isAsking = false;
+        if (result.outcome === "answered") {
+            memory.silent = 0;
+            memory.result = undefined;
+        }
+        else if (result.outcome === "refused") {
+            memory.result = "ended";
+        }
+        else {
+            memory.silent++;
+            memory.result = memory.silent >= silentProbes ? "lost" : memory.result;
+        }
+        options.judged(upstream, result);
+    }
+
+    function memoryOf(upstream: Upstream): Asked {
+        const known = asked.get(upstream.id);
+        if (known !== undefined && known.bornMs === upstream.bornMs) {
+            return known;
+        }
+        const fresh: Asked = { bornMs: upstream.bornMs, atMs: Number.NEGATIVE_INFINITY, silent: 0, isAsking: false, result: undefined };
+        asked.set(upstream.id, fresh);
+        return fresh;
+    }
+
+    return {
+        look(upstreams) {
+            const nowMs = options.nowMs();
+            for (const upstream of upstreams) {
+                const memory = memoryOf(upstream);
+                if (upstream.heardAtMs > memory.atMs && memory.result !== undefined) {
+                    memory.result = undefined;
+                    memory.silent = 0;
+                }
+                const isOverdue = nowMs - upstream.heardAtMs > overdueMs;
+                const isDoubted = suspects.has(upstream.id) || memory.silent > 0 && memory.result === undefined;
+                const isDue = isDoubted || isOverdue && nowMs - memory.atMs > againMs;
+                if (isDue && !memory.isAsking && !upstream.isGone) {
+                    void ask(upstream, memory);
+                }
+            }
+            suspects.clear();
+        },
+        suspect(ids) {
+            ids.forEach(id => suspects.add(id));
+        },
+        isLost: id => asked.get(id)?.result !== undefined,
+        isEnded: id => asked.get(id)?.result === "ended",
+        get lostIds() {
+            return [...asked].filter(([, memory]) => memory.result !== undefined).map(([id]) => id);
+        },
+        forget() {
+            asked.clear();
+            suspects.clear();
+        },
+    };
+}
--- /dev/null
+++ b/src/siteDaemon.ts
@@ -0,0 +1,125 @@
+/**
+ * Joins the roles of a daemon that serves a published site, and ends them gracefully.
+ *
+ * @module
+ */
+
+import { asFunction, asValue, createContainer, InjectionMode } from "awilix";
+import type { SiteSettings } from "./config/index.js";
+import { type ConsensusNode, createReplicatedLog } from "./consensus/index.js";
+import { createGateway, type Gateway, type HeaderNames } from "./gateway/index.js";
+import { createPeerConnections, createRpcServer, type RpcServer } from "./rpc/index.js";
+import type { SiteDialect } from "./site/index.js";
+import { createSiteControl, type Engines, type SiteControl } from "./siteControl/index.js";
+import { createLogger, type Logger } from "./telemetry/index.js";
+
+/** What a platform's adapter gives: translations and calls. */
+export interface Platform {
+    readonly dialect: SiteDialect;
+    readonly names: HeaderNames;
+    createEngines(): Engines;
+    /** Serves upstreams' and operators' calls; resolves to the way to stop. */
+    serveControl(address: string, control: SiteControl, logger: Logger): Promise<() => Promise<void>>;
+    /** Answers the balancer's questions; resolves to the way to stop. */
+    serveReady(address: string, isReady: () => boolean): Promise<() => Promise<void>>;
+}
+
+export interface SiteDaemon {
+    /** Takes what may change while the daemon runs. */
+    reload(settings: SiteSettings): void;
+    stop(): Promise<void>;
+}
+
+/** A snapshot for each this many changes: a site's text may be large, and the log keeps every version since the last snapshot. */
+const snapshotEntries = 32;
+const trailingEntries = 16;
+/** What a stop leaves of its time for the last writes. */
+const stopMarginMs = 700;
+
+interface Parts {
+    settings: SiteSettings;
+    logger: Logger;
+    gateway: Promise<Gateway>;
+    log: Promise<ConsensusNode>;
+}
+
+/** Starts the roles that the settings name. */
+export async function createSiteDaemon(settings: SiteSettings, platform: Platform): Promise<SiteDaemon> {
+    const { daemon, listen, control: controlSettings, engines } = settings;
+    const container = createContainer<Parts>({ injectionMode: InjectionMode.PROXY, strict: true });
+    container.register({
+        settings: asValue(settings),
+        logger: asFunction(() => createLogger(daemon.logLevel, daemon.id, process.stdout)).singleton(),
+        gateway: asFunction(({ logger }: Parts) => createGateway({
+            daemonId: daemon.id, dataCentre: daemon.dataCentre, callers: listen.callers!, controls: peerAddresses(settings),
+            dialect: platform.dialect, names: platform.names, logger,
+        })).singleton(),
+        log: asFunction(({ logger }: Parts) => createReplicatedLog({
+            voterId: hostOf(listen.rpc!), address: listen.rpc!, dataFolder: daemon.dataFolder!,
+            peers: peerAddresses(settings).map(address => ({ id: hostOf(address), address })),
+            mayForm: controlSettings.firstStart, isOpen: true,
+            limits: { snapshotEntries, trailingEntries },
+            logger: line => logger.info(line),
+        })).singleton(),
+    });
+    const { logger } = container.cradle;
+    const stops: (() => Promise<void>)[] = [];
+    const isEntry = daemon.roles.includes("entry");
+    logger.info("starting", { roles: daemon.roles, dataCentre: daemon.dataCentre });
+
+    if (daemon.roles.includes("control")) {
+        stops.push(await startControl());
+    }
+    const gateway = isEntry ? await container.cradle.gateway : undefined;
+    if (gateway !== undefined) {
+        const stopReady = await platform.serveReady(listen.ready!, () => gateway.isReady);
+        stops.push(async () => {
+            await gateway.stop(daemon.stopS * 1_000 - stopMarginMs);
+            await stopReady();
+        });
+    }
+    logger.info("started", { tookMs: Math.round(performance.now()) });
+
+    async function startControl(): Promise<() => Promise<void>> {
+        const log = await container.cradle.log;
+        const connections = createPeerConnections();
+        const control = createSiteControl({
+            daemonId: daemon.id, address: listen.rpc!, log, dialect: platform.dialect, engines: platform.createEngines(), connections, logger,
+            stallMs: engines.stallMs, isFirstStart: controlSettings.firstStart,
+        });
+        const rpc: RpcServer = await createRpcServer(listen.rpc!, router => {
+            log.routes(router);
+            control.feed.routes(router);
+        });
+        control.start();
+        const stopApi = await platform.serveControl(listen.control!, control, logger);
+        return async () => {
+            await log.stop();
+            control.stop();
+            await stopApi();
+            connections.closeAll();
+            await rpc.stop(true);
+        };
+    }
+
+    return {
+        reload(next) {
+            logger.info("settings read again", { seeds: next.control.seeds });
+            gateway?.useControls(peerAddresses(next));
+        },
+        async stop() {
+            logger.info("stopping on request");
+            await Promise.all(stops.map(stop => stop()));
+            logger.info("stopped");
+        },
+    };
+}
+
+function hostOf(address: string): string {
+    return address.slice(0, address.lastIndexOf(":"));
+}
+
+/** Where the control daemons that the settings name are reached by other daemons. */
+function peerAddresses(settings: SiteSettings): string[] {
+    return settings.control.seeds.map(address => `${hostOf(address)}:${settings.control.rpcPort}`);
+}
