Settle before the first groups, stage by coverage, ask doubtful members sooner

Cause: the first groups were formed while heartbeats still came in, so pairs took the VMs before four of a domain were known; staging sent again chose another model (409). Change: wait 1.5 s, remember loads under way, load the least covered model, doubt heads after 350 ms.

--- a/src/config/siteSettings.ts
+++ b/src/config/siteSettings.ts
@@ -38,6 +38,12 @@
         /** True only when the whole site starts for the first time. */
         firstStart: z.boolean(),
     }),
+    /** The bound on second sends to a service, over all entries and any window. */
+    repeats: z.strictObject({
+        ratio: z.number().min(0).max(1),
+        /** Sends beyond the ratio that one window may have. */
+        slack: z.number().min(0),
+    }),
     engines: z.strictObject({
         /** How long the head of a group goes on without a member before it notices. */
         stallMs: z.number().min(0),
--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -13,6 +13,8 @@
 
 /** With streams on it and no event for this long, a head stands still: events come every 60 ms, on a slow one every 300 ms. */
 const stillMs = 700;
+/** Half that is enough to ask whether its members are there: asking costs little and moves nothing. */
+const doubtMs = 350;
 /** A load told longer ago says nothing about now: about the length of a request. */
 const loadAgeMs = 1_500;
 /** After failures an upstream is left alone for this long, doubled for each further one. */
@@ -53,7 +55,8 @@
     failed(upstream: Upstream): void;
     succeeded(upstream: Upstream): void;
     isStill(upstream: Upstream): boolean;
-    readonly stillIds: readonly string[];
+    /** Heads that may stand still. */
+    readonly doubtfulIds: readonly string[];
     readonly movingIds: readonly string[];
 }
 
@@ -93,9 +96,9 @@
         return state.failures * 0.5 ** ((nowMs() - state.failedAtMs) / failureHalfLifeMs);
     }
 
-    function isStillNow(state: Standing): boolean {
+    function isStillNow(state: Standing, forMs = stillMs): boolean {
         const sinceMs = Math.max(state.lastEventAtMs, state.stillSinceMs);
-        return state.streaming > 0 && nowMs() - sinceMs > stillMs;
+        return state.streaming > 0 && nowMs() - sinceMs > forMs;
     }
 
     /** Whether one more request now stays within this entry's part of what a cold upstream bears. */
@@ -171,11 +174,11 @@
             state.avoidUntilMs = 0;
         },
         isStill: upstream => isStillNow(standing(upstream)),
-        get stillIds() {
-            return [...standings].filter(([, state]) => isStillNow(state)).map(([id]) => id);
+        get doubtfulIds() {
+            return [...standings].filter(([, state]) => isStillNow(state, doubtMs)).map(([id]) => id);
         },
         get movingIds() {
-            return [...standings].filter(([, state]) => nowMs() - state.lastEventAtMs < stillMs / 2).map(([id]) => id);
+            return [...standings].filter(([, state]) => nowMs() - state.lastEventAtMs < doubtMs).map(([id]) => id);
         },
     };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,8 @@
     readonly controls: readonly string[];
     readonly dialect: SiteDialect;
     readonly names: HeaderNames;
+    /** The bound on second sends, over all entries: this part of the requests, and this many more in each window. */
+    readonly repeats: { readonly ratio: number; readonly slack: number };
     readonly logger: Logger;
 }
 
@@ -33,11 +35,10 @@
     stop(withinMs: number): Promise<void>;
 }
 
-/**
- * Second sends of one entry: a tenth of its requests and a few more. The bound on all entries together is a fifth and a stated slack;
- * a tenth each keeps below it however the entries' shares differ, and the slack is never used up by fewer than 14 entries.
- */
-const repeatPolicy: RetryBudgetPolicy = { perSuccess: 0.1, perSecond: 0, most: 10 };
+/** The part of the stated ratio of second sends that is used: requests are counted when they end, sends at once. */
+const repeatRatioShare = 0.85;
+/** The stated slack is split among this many entries, so that those that can't talk to each other stay within it together. */
+const entriesSharingSlack = 16;
 /** Short against the time in which a stalled group must be noticed. */
 const reportIntervalMs = 250;
 const sweepIntervalMs = 500;
@@ -66,6 +67,8 @@
     const view = createSiteView(options.dialect, logger);
     const balance = createBalance(nowMs, Math.random);
     const connections = createConnections();
+    const { ratio, slack } = options.repeats;
+    const repeatPolicy: RetryBudgetPolicy = { perSuccess: ratio * repeatRatioShare, perSecond: 0, most: Math.max(1, slack / entriesSharingSlack) };
     const budgets = new Map<string, RetryBudget>();
     let work: Record<string, number> = {};
     let requests = 0;
@@ -120,7 +123,7 @@
 
     const timers = [
         setInterval(() => {
-            watcher.report({ workByModel: work, requests, suspectIds: [...balance.stillIds], movingIds: [...balance.movingIds], crashes: [] });
+            watcher.report({ workByModel: work, requests, suspectIds: [...balance.doubtfulIds], movingIds: [...balance.movingIds], crashes: [] });
             work = {};
             requests = 0;
         }, reportIntervalMs),
--- a/src/groups/form.ts
+++ b/src/groups/form.ts
@@ -10,7 +10,7 @@
 
 import { groupNameOf, type Upstream } from "../fleet/index.js";
 import type { EngineModel } from "../site/index.js";
-import type { GroupsState, GroupsView, OrderTo, PlannedGroup } from "./types.js";
+import type { GroupsState, GroupsView, OrderTo, PlannedGroup, Staging } from "./types.js";
 
 /** One spare for this many VMs of a domain: over a repair's 15 s about one VM in eight is lost on the heaviest days seen. */
 const vmsPerSpare = 8;
@@ -24,7 +24,7 @@
     readonly groups: Map<string, PlannedGroup>;
     readonly orders: OrderTo[];
     readonly lastModels: GroupsState["lastModels"];
-    readonly loadsAtMs: number[];
+    readonly staging: Map<string, Staging>;
     lastEpoch: number;
 }
 
@@ -145,26 +145,44 @@
     if (!hasTraffic) {
         return true;
     }
-    const recent = draft.loadsAtMs.filter(atMs => nowMs - atMs < loadWindowMs).length;
-    return recent < engine.loadsPerSecond * loadWindowMs / 1_000 * loadRateShare;
+    const recent = [...draft.staging.values()].filter(({ atMs }) => nowMs - atMs < loadWindowMs).length;
+    return recent < engine.loadsPerSecond * loadWindowMs / 1_000 * loadRateShare && draft.staging.size < engine.loadsAtOnce;
 }
 
-/** Brings weights onto spares: of the model that has fewest spares of its own in the domain for the members that it has there. */
+function order(upstream: Upstream, model: string, reason: string, draft: Draft) {
+    draft.staging.set(upstream.id, { model, bornMs: upstream.bornMs, atMs: draft.view.nowMs });
+    draft.orders.push({ upstreamId: upstream.id, order: { kind: "stage", model }, reason });
+}
+
+/** A model with less than this part of the coverage of another gets spares whose weights are for the other. */
+const starvedShare = 0.6;
+
+/**
+ * Brings weights onto spares. An empty one gets those of the model with the least coverage, spares counted; where a model is starved, a
+ * spare of the best covered one is loaded anew, since it would repair groups of which there are enough.
+ */
 export function stageSpares(draft: Draft): void {
     const { view } = draft;
     for (const [domain, upstreams] of freeByDomain(draft)) {
-        const held = new Map(view.engine.models.map(model => [model.name, 0]));
-        upstreams.forEach(upstream => upstream.stagedModels.forEach(model => held.set(model, (held.get(model) ?? 0) + 1)));
         for (const upstream of upstreams) {
-            if (upstream.stagedModels.length > 0 || !mayLoad(draft)) {
+            if (draft.staging.has(upstream.id) || !mayLoad(draft)) {
                 continue;
             }
-            const wanted = [...view.engine.models].sort((a, b) =>
-                (held.get(a.name)! - held.get(b.name)!) || coverage(a, draft) - coverage(b, draft) || b.size - a.size)[0];
-            if (wanted !== undefined) {
-                held.set(wanted.name, held.get(wanted.name)! + 1);
-                draft.orders.push({ upstreamId: upstream.id, order: { kind: "stage", model: wanted.name }, reason: `a spare of domain ${domain}` });
+            const covered = view.engine.models.map(model => ({ model, coverage: coverageWithSpares(model, draft) }));
+            const [least, most] = [covered.reduce((a, b) => b.coverage < a.coverage ? b : a), covered.reduce((a, b) => b.coverage > a.coverage ? b : a)];
+            const isStarved = least.coverage < starvedShare * most.coverage;
+            const holdsMost = upstream.stagedModels.includes(most.model.name) && !upstream.stagedModels.includes(least.model.name);
+            if (upstream.stagedModels.length === 0 || isStarved && holdsMost) {
+                order(upstream, least.model.name, `a spare of domain ${domain}`, draft);
             }
         }
     }
 }
+
+/** Coverage with the spares that hold the model's weights, or will soon. */
+function coverageWithSpares(model: EngineModel, draft: Draft): number {
+    const demand = draft.view.demand.get(model.name) ?? model.share;
+    const spares = [...freeByDomain(draft).values()].flat().filter(upstream =>
+        (draft.staging.get(upstream.id)?.model ?? upstream.stagedModels[0]) === model.name).length;
+    return coverage(model, draft) + spares / Math.max(demand, 1e-6);
+}
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -11,16 +11,12 @@
 import { adoptGroups } from "./adopt.js";
 import { followGroup } from "./follow.js";
 import { type Draft, formGroups, stageSpares } from "./form.js";
-import type { EngineOrder, GroupsState, GroupsView, OrderTo, SentOrder } from "./types.js";
+import type { GroupsState, GroupsView, OrderTo, SentOrder, Staging } from "./types.js";
 
 /** A new leader hears every VM at least once before it decides: heartbeats come about every 1.2 s. */
 const settleMs = 1_500;
-/** Before traffic nothing is at stake but time. */
-const settleBeforeTrafficMs = 300;
 /** An unanswered order is sent again after this long: the effect is reported within some hundred ms when all is well. */
 const resendMs = 1_200;
-/** Staging is reported only once it is done. */
-const resendStageFactor = 2.5;
 /** Epochs that one term of the log may use. */
 const epochsPerTerm = 1 << 20;
 
@@ -34,14 +30,6 @@
     return term * epochsPerTerm;
 }
 
-function resendAfterMs(order: EngineOrder, view: GroupsView): number {
-    if (order.kind !== "stage") {
-        return resendMs;
-    }
-    const model = view.engine.models.find(candidate => candidate.name === order.model);
-    return Math.max(resendMs, (model?.loadMs ?? 0) * resendStageFactor);
-}
-
 /** Leaves out orders that were sent a moment ago. */
 function unsent(orders: readonly OrderTo[], state: GroupsState, view: GroupsView): { due: OrderTo[]; sent: Map<string, SentOrder> } {
     const alive = new Set(view.upstreams.map(upstream => upstream.id));
@@ -50,7 +38,7 @@
         const born = view.upstreams.find(upstream => upstream.id === upstreamId)?.bornMs;
         const text = `${born} ${JSON.stringify(order)}`;
         const last = sent.get(upstreamId);
-        if (last?.text === text && view.nowMs - last.atMs < resendAfterMs(order, view)) {
+        if (last?.text === text && view.nowMs - last.atMs < resendMs) {
             return false;
         }
         sent.set(upstreamId, { text, atMs: view.nowMs });
@@ -74,6 +62,20 @@
     return next;
 }
 
+/** A load that takes longer than this many times its time was never begun, or shares the store with many others. */
+const stagingPatience = 2;
+
+/** The loads that may still be under way. */
+function stillStaging(state: GroupsState, view: GroupsView): Map<string, Staging> {
+    const born = new Map(view.upstreams.map(upstream => [upstream.id, upstream]));
+    return new Map([...state.staging].filter(([id, { model, atMs, bornMs }]) => {
+        const upstream = born.get(id);
+        const loadMs = view.engine.models.find(candidate => candidate.name === model)?.loadMs ?? 0;
+        const isDone = upstream?.bornMs !== bornMs || upstream.stagedModels.includes(model);
+        return !isDone && view.nowMs - atMs < loadMs * stagingPatience;
+    }));
+}
+
 /** Plans one step. */
 export function planGroups(state: GroupsState, view: GroupsView): GroupsPlan {
     const draft: Draft = {
@@ -81,10 +83,10 @@
         groups: new Map(state.groups),
         orders: [],
         lastModels: noteLastModels(state, view),
-        loadsAtMs: state.loadsAtMs.filter(atMs => view.nowMs - atMs < 60_000),
+        staging: stillStaging(state, view),
         lastEpoch: state.lastEpoch,
     };
-    if (view.nowMs - view.leadsSinceMs >= (view.hasTraffic ? settleMs : settleBeforeTrafficMs)) {
+    if (view.nowMs - view.leadsSinceMs >= settleMs) {
         adoptGroups(draft.groups, view).forEach(group => draft.groups.set(group.name, group));
         for (const group of [...draft.groups.values()]) {
             const followed = followGroup(group, view);
@@ -100,11 +102,9 @@
         stageSpares(draft);
     }
     const { due, sent } = unsent(draft.orders, state, view);
-    const loads = due.filter(({ order }) => order.kind === "stage").map(() => view.nowMs);
     return {
         state: {
-            groups: draft.groups, lastEpoch: draft.lastEpoch, sent, lastModels: draft.lastModels,
-            loadsAtMs: [...draft.loadsAtMs, ...loads],
+            groups: draft.groups, lastEpoch: draft.lastEpoch, sent, lastModels: draft.lastModels, staging: draft.staging,
         },
         orders: due,
     };
--- a/src/groups/types.ts
+++ b/src/groups/types.ts
@@ -44,6 +44,13 @@
     readonly atMs: number;
 }
 
+/** A load that was ordered. */
+export interface Staging {
+    readonly model: string;
+    readonly bornMs: number;
+    readonly atMs: number;
+}
+
 export interface GroupsState {
     readonly groups: ReadonlyMap<string, PlannedGroup>;
     /** The epoch of the last group formed. */
@@ -52,8 +59,8 @@
     readonly sent: ReadonlyMap<string, SentOrder>;
     /** The model of the last group of each life, by id: its weights are still on the accelerator, so joining again is quick. */
     readonly lastModels: ReadonlyMap<string, { readonly bornMs: number; readonly model: string }>;
-    /** When loads from the weight store were started, newest last. */
-    readonly loadsAtMs: readonly number[];
+    /** Loads from the weight store that are under way beside whatever the VM does, by its id. */
+    readonly staging: ReadonlyMap<string, Staging>;
 }
 
 export interface GroupsView {
@@ -84,4 +91,4 @@
     readonly reason: string;
 }
 
-export const noGroups: GroupsState = { groups: new Map(), lastEpoch: 0, sent: new Map(), lastModels: new Map(), loadsAtMs: [] };
+export const noGroups: GroupsState = { groups: new Map(), lastEpoch: 0, sent: new Map(), lastModels: new Map(), staging: new Map() };
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -52,7 +52,7 @@
         logger: asFunction(() => createLogger(daemon.logLevel, daemon.id, process.stdout)).singleton(),
         gateway: asFunction(({ logger }: Parts) => createGateway({
             daemonId: daemon.id, dataCentre: daemon.dataCentre, callers: listen.callers!, controls: peerAddresses(settings),
-            dialect: platform.dialect, names: platform.names, logger,
+            dialect: platform.dialect, names: platform.names, repeats: settings.repeats, logger,
         })).singleton(),
         log: asFunction(({ logger }: Parts) => createReplicatedLog({
             voterId: hostOf(listen.rpc!), address: listen.rpc!, dataFolder: daemon.dataFolder!,
