--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -54,7 +54,8 @@
     toldLoad(upstream: Upstream, running: number, waiting: number): void;
     failed(upstream: Upstream): void;
     succeeded(upstream: Upstream): void;
-    isStill(upstream: Upstream): boolean;
+    /** `isWaiting`: for a stream without any event yet, which loses nothing by going elsewhere. */
+    isStill(upstream: Upstream, isWaiting?: boolean): boolean;
     /** Heads that may stand still. */
     readonly doubtfulIds: readonly string[];
     readonly movingIds: readonly string[];
@@ -173,7 +174,7 @@
             const state = standing(upstream);
             state.avoidUntilMs = 0;
         },
-        isStill: upstream => isStillNow(standing(upstream)),
+        isStill: (upstream, isWaiting = false) => isStillNow(standing(upstream), isWaiting ? doubtMs : stillMs),
         get doubtfulIds() {
             return [...standings].filter(([, state]) => isStillNow(state, doubtMs)).map(([id]) => id);
         },
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -89,6 +89,8 @@
     let attempts = 0;
     let current: { abort(): void; exchange: RunningExchange; upstream: Upstream } | undefined;
     let isOver = false;
+    /** From arrival to the first event. */
+    let firstMs: number | undefined;
 
     const deadline = setTimeout(onTimeout, Math.max(0, asked.giveUpAtMs - parts.nowMs()));
 
@@ -105,10 +107,9 @@
         isOver = true;
         clearTimeout(deadline);
         parts.count(outcome, asked);
-        const level = outcome === "delivered" ? "debug" : "info";
-        logger.log(level, "request ended", {
-            request: asked.attemptId, route: route.name, outcome, attempts, version: asked.table.site.version,
-            tookMs: Math.round(parts.nowMs() - asked.arrivedAtMs), ...facts,
+        logger.info("request ended", {
+            request: asked.attemptId, route: route.name, model, outcome, attempts, version: asked.table.site.version,
+            tookMs: Math.round(parts.nowMs() - asked.arrivedAtMs), firstMs, ...facts,
         });
     }
 
@@ -259,7 +260,7 @@
         function checkStill() {
             const hasOthers = parts.view.candidates(service, model).some(other =>
                 other.upstream.id !== upstream.id && !tried.has(other.upstream.id) && !balance.isStill(other.upstream) && !other.isDoubtful);
-            if (balance.isStill(upstream) && hasOthers && mayRunAgain && attempts < route.maxAttempts) {
+            if (balance.isStill(upstream, splitter.lastId === undefined) && hasOthers && mayRunAgain && attempts < route.maxAttempts) {
                 abandon({ kind: "unknown", reason: "nothing moves at this upstream" });
             }
         }
@@ -308,6 +309,7 @@
                 const events = splitter.take(chunk);
                 if (events.length > 0) {
                     balance.event(upstream);
+                    firstMs ??= Math.round(parts.nowMs() - asked.arrivedAtMs);
                     if (!answer.write(events)) {
                         exchange.pause();
                     }
--- a/src/groups/form.ts
+++ b/src/groups/form.ts
@@ -117,13 +117,35 @@
     }
 }
 
-/** Forms groups for the models with the least coverage, as long as one is worthwhile. */
+/** VMs that fall to a model when all that may be used are split by demand. */
+function fairVms(model: EngineModel, draft: Draft): number {
+    const { engine, upstreams } = draft.view;
+    const domains = new Set(upstreams.map(upstream => upstream.domain ?? ""));
+    const usable = [...domains].reduce((sum, domain) => {
+        const size = domainSize(domain, draft);
+        return sum + size - Math.floor(size / vmsPerSpare);
+    }, 0);
+    const demandOf = (candidate: EngineModel) => draft.view.demand.get(candidate.name) ?? candidate.share;
+    const total = engine.models.reduce((sum, candidate) => sum + demandOf(candidate), 0);
+    return usable * demandOf(model) / Math.max(total, 1e-6);
+}
+
+/**
+ * The model to form a group of next: the largest that is short of its fair part by half a group or more, since small groups fit into what
+ * large ones leave and not the other way round; then the one with the least coverage.
+ */
+function nextModel(refused: ReadonlySet<string>, draft: Draft): EngineModel | undefined {
+    const open = draft.view.engine.models.filter(model => !refused.has(model.name));
+    const demandOf = (model: EngineModel) => draft.view.demand.get(model.name) ?? model.share;
+    const short = open.filter(model => coverage(model, draft) * demandOf(model) + model.size / 2 <= fairVms(model, draft));
+    return short.sort((a, b) => b.size - a.size)[0] ?? open.sort((a, b) => coverage(a, draft) - coverage(b, draft))[0];
+}
+
+/** Forms groups for the models that are short of VMs, as long as one is worthwhile. */
 export function formGroups(draft: Draft): void {
     const refused = new Set<string>();
     for (;;) {
-        const model = draft.view.engine.models
-            .filter(candidate => !refused.has(candidate.name))
-            .sort((a, b) => coverage(a, draft) - coverage(b, draft))[0];
+        const model = nextModel(refused, draft);
         if (model === undefined) {
             return;
         }
