--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,7 +12,7 @@
 });
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", "src/rpc/gen/**", ".demo/**"] },
+    { ignores: ["dist/**", "target/**", "journal/**", "node_modules/**", "src/rpc/gen/**", ".demo/**"] },
     ...tseslint.configs.recommended,
     format,
     {
--- a/src/config/checkText.ts
+++ b/src/config/checkText.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { z } from "zod";
+import type { z } from "zod";
 import { type Finding, sortFindings } from "./findings.js";
 import { type IniFile, readIni } from "./iniFile.js";
 import { issueFinding, mayBeAbsent, readSection, unwrap } from "./section.js";
--- /dev/null
+++ b/src/gateway/attempt.ts
@@ -0,0 +1,257 @@
+/**
+ * One attempt of a request at one upstream: what is sent, what of the answer reaches the caller, and what an answer that is missing,
+ * cut short or somebody else's says about the request.
+ *
+ * @module
+ */
+
+import type { Upstream } from "../fleet/index.js";
+import type { CallerAnswer } from "./answer.js";
+import type { Asked } from "./asked.js";
+import type { Balance } from "./balance.js";
+import type { Connections, Exchange } from "./connections.js";
+import type { EventSplitter } from "./events.js";
+import { type HeaderNames, passedOn, valueOf } from "./headers.js";
+import type { SiteView } from "./siteView.js";
+
+export interface UpstreamAnswer {
+    readonly status: number;
+    readonly rawHeaders: string[];
+    readonly body: Buffer;
+}
+
+/** What an attempt that brought no answer says about its request. */
+export type Ending =
+    /** It certainly has not run and will not. */
+    | { readonly kind: "not-run"; readonly reason: string; readonly isUpstreamAtFault: boolean }
+    /** It may have run, and no usable answer came. */
+    | { readonly kind: "unknown"; readonly reason: string }
+    /** The upstream ran it and says that it failed. */
+    | { readonly kind: "ran-failed"; readonly answer: UpstreamAnswer };
+
+export interface AttemptParts {
+    readonly names: HeaderNames;
+    readonly view: SiteView;
+    readonly balance: Balance;
+    readonly connections: Connections;
+    nowMs(): number;
+}
+
+export interface AttemptOptions {
+    readonly asked: Asked;
+    readonly upstream: Upstream;
+    readonly answer: CallerAnswer;
+    readonly splitter: EventSplitter;
+    /** The request may be sent again, if need be. */
+    readonly mayRunAgain: boolean;
+    /** Headers that every attempt of the request carries. */
+    readonly headers: string[];
+    /** Whether another upstream would do better, should nothing move at this one. */
+    hasElsewhere(): boolean;
+    delivered(facts: { readonly status: number }): void;
+    /** The first event has come. */
+    begun(): void;
+    over(ending: Ending): void;
+}
+
+export interface RunningAttempt {
+    readonly upstream: Upstream;
+    /** Ends it without a word to the request. */
+    abort(): void;
+    resume(): void;
+}
+
+/** An answer larger than this is passed on as it comes, and then can't be replaced by another attempt's. */
+const heldBytes = 262_144;
+/** How often a stream looks whether anything moves at its head. */
+const stillCheckMs = 100;
+
+/** Headers of an upstream's answer as the caller gets them. */
+export function answerHeaders(raw: readonly string[]): string[] {
+    return passedOn(raw, new Set(["date"]));
+}
+
+/** Starts an attempt. */
+export function startAttempt(options: AttemptOptions, parts: AttemptParts): RunningAttempt {
+    const { asked, upstream, answer, splitter } = options;
+    const { names, balance, view } = parts;
+    const isStream = asked.route.kind === "stream";
+    let status = 0;
+    let rawHeaders: string[] = [];
+    let held: Buffer[] = [];
+    let heldLength = 0;
+    let isPassingOn = false;
+    let isOver = false;
+
+    balance.sent(upstream, upstream.coldUntilMs > parts.nowMs());
+    if (isStream) {
+        balance.streamStarted(upstream);
+    }
+    const stillTimer = isStream ? setInterval(checkStill, stillCheckMs) : undefined;
+
+    function leave() {
+        isOver = true;
+        clearInterval(stillTimer);
+        balance.ended(upstream);
+        if (isStream) {
+            balance.streamEnded(upstream);
+        }
+    }
+
+    function over(ending: Ending) {
+        if (isOver) {
+            return;
+        }
+        leave();
+        if (ending.kind !== "not-run" || ending.isUpstreamAtFault) {
+            balance.failed(upstream);
+        }
+        options.over(ending);
+    }
+
+    function abandon(reason: string) {
+        exchange.abort();
+        over({ kind: "unknown", reason });
+    }
+
+    /** Of a group that has lost a member nothing comes until its head notices, seconds later: the caller is served elsewhere. */
+    function checkStill() {
+        if (balance.isStill(upstream, splitter.lastId === undefined) && options.hasElsewhere()) {
+            abandon("nothing moves at this upstream");
+        }
+    }
+
+    /** Why an answer is not this upstream's own to this request; undefined for one that is. */
+    function whyForeign(): string | undefined {
+        if (valueOf(rawHeaders, names.attemptId) !== asked.attemptId) {
+            return "the answer bears another request's id";
+        }
+        if (status < 300 && valueOf(rawHeaders, names.signature) === undefined) {
+            return "the success bears no mark of the upstream";
+        }
+        return valueOf(rawHeaders, "content-encoding") === undefined ? undefined : "the answer is encoded";
+    }
+
+    function noteLoad() {
+        const [running, waiting] = (valueOf(rawHeaders, names.load) ?? "").split(",").map(Number);
+        if (running !== undefined && waiting !== undefined && Number.isFinite(running + waiting)) {
+            balance.toldLoad(upstream, running, waiting);
+        }
+    }
+
+    function onHead(givenStatus: number, raw: string[]) {
+        status = givenStatus;
+        rawHeaders = raw;
+        noteLoad();
+        const foreign = status === 421 ? undefined : whyForeign();
+        if (foreign !== undefined) {
+            abandon(foreign);
+            return;
+        }
+        if (status < 300 && isStream) {
+            // A continued stream keeps the headers of its first upstream: `start` does nothing the second time.
+            answer.start(status, passedOn(raw, new Set(["date", "content-length"])));
+            isPassingOn = true;
+        }
+    }
+
+    function passOn(bytes: Buffer) {
+        if (!answer.write(bytes)) {
+            exchange.pause();
+        }
+    }
+
+    function onData(chunk: Buffer) {
+        if (isPassingOn && isStream) {
+            const events = splitter.take(chunk);
+            if (events.length > 0) {
+                balance.event(upstream);
+                options.begun();
+                passOn(events);
+            }
+            return;
+        }
+        if (isPassingOn) {
+            passOn(chunk);
+            return;
+        }
+        held.push(chunk);
+        heldLength += chunk.length;
+        if (heldLength > heldBytes && status < 300) {
+            isPassingOn = true;
+            answer.start(status, answerHeaders(rawHeaders));
+            held.forEach(passOn);
+            held = [];
+        }
+    }
+
+    function onMisdirected() {
+        const isAnother = valueOf(rawHeaders, names.faultyUpstreamId) === undefined && valueOf(rawHeaders, names.servedBy) !== upstream.id;
+        if (isAnother) {
+            view.noteGone(upstream);
+        }
+        over({ kind: "not-run", reason: "it was sent to the wrong upstream", isUpstreamAtFault: true });
+    }
+
+    function deliver() {
+        leave();
+        balance.succeeded(upstream);
+        if (isPassingOn) {
+            answer.end();
+        }
+        else {
+            answer.whole(status, answerHeaders(rawHeaders), Buffer.concat(held));
+        }
+        options.delivered({ status });
+    }
+
+    function onEnd() {
+        if (status === 421) {
+            onMisdirected();
+            return;
+        }
+        if (isPassingOn && isStream && !splitter.isWhole) {
+            over({ kind: "unknown", reason: "the stream ended in the middle of an event" });
+            return;
+        }
+        if (!isPassingOn && valueOf(rawHeaders, names.notRun) !== undefined) {
+            over({ kind: "not-run", reason: `the upstream refused it with ${status}`, isUpstreamAtFault: status === 503 });
+            return;
+        }
+        if (!isPassingOn && status >= 500) {
+            over({ kind: "ran-failed", answer: { status, rawHeaders, body: Buffer.concat(held) } });
+            return;
+        }
+        deliver();
+    }
+
+    function onFailed(error: Error, isSent: boolean) {
+        if (isSent) {
+            over({ kind: "unknown", reason: error.message });
+            return;
+        }
+        if ((error as NodeJS.ErrnoException).code === "ECONNREFUSED") {
+            view.noteGone(upstream);
+        }
+        over({ kind: "not-run", reason: error.message, isUpstreamAtFault: true });
+    }
+
+    const sent: Exchange = {
+        method: asked.method,
+        path: asked.path,
+        headers: options.headers,
+        body: asked.body,
+        isFresh: !options.mayRunAgain,
+    };
+    const exchange = parts.connections.start(upstream.address, sent, { head: onHead, data: onData, end: onEnd, failed: onFailed });
+    return {
+        upstream,
+        abort() {
+            if (!isOver) {
+                exchange.abort();
+                leave();
+            }
+        },
+        resume: () => exchange.resume(),
+    };
+}
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -30,6 +30,16 @@
     readonly priority: string;
 }
 
+/** The value of a header, named in lower case, in a raw list. */
+export function valueOf(raw: readonly string[], name: string): string | undefined {
+    for (let at = 0; at < raw.length; at += 2) {
+        if (raw[at]!.toLowerCase() === name) {
+            return raw[at + 1];
+        }
+    }
+    return undefined;
+}
+
 /** Headers that concern one connection only. */
 const hopByHop = new Set(["connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect", "proxy-authenticate", "proxy-authorization"]);
 
--- a/src/groups/follow.ts
+++ b/src/groups/follow.ts
@@ -111,11 +111,13 @@
     if (view.nowMs - group.sinceMs > 2 * loadMs + formingMarginMs) {
         return endGroup(group, view, "it did not come together in time", false);
     }
-    const orders = members.flatMap((member, rank): OrderTo[] => isIn(member, group) ? [] : [{
-        upstreamId: group.memberIds[rank]!,
-        order: { kind: "join", group: group.name, epoch: group.epoch, model: group.model, memberIds: group.memberIds },
-        reason: "forming",
-    }]);
+    const orders = members.flatMap((member, rank): OrderTo[] => isIn(member, group)
+        ? []
+        : [{
+                upstreamId: group.memberIds[rank]!,
+                order: { kind: "join", group: group.name, epoch: group.epoch, model: group.model, memberIds: group.memberIds },
+                reason: "forming",
+            }]);
     return { group, orders };
 }
 
--- /dev/null
+++ b/test/gateway/answers.test.ts
@@ -0,0 +1,133 @@
+import { expect } from "chai";
+import type { RawUpstream } from "../support/rawUpstream.js";
+import { startRawUpstream } from "../support/rawUpstream.js";
+import { exchangeRaw, type GatewaySite, headAt, requestBytes, startGateway, statusOf, upstreamAt } from "../support/gatewaySite.js";
+
+const signed = "Zinnialanding-Upstream-Signature: s1\r\n";
+
+function ok(id: string | undefined, body: string, more = ""): string {
+    return `HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${id}\r\n${signed}${more}Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+describe("answers of upstreams at an entry", () => {
+    let upstream: RawUpstream;
+    let other: RawUpstream | undefined;
+    let site: GatewaySite;
+
+    afterEach(async () => {
+        site.stop();
+        await upstream.close();
+        await other?.close();
+        other = undefined;
+    });
+
+    it("reach the caller whole, and the upstream gets the organisation and its own id but not the key", async () => {
+        upstream = await startRawUpstream((request, socket) => socket.write(ok(request.header("Zinnialanding-Attempt-Id"), "done")));
+        site = await startGateway([upstreamAt(upstream.address, "u1")]);
+        const answer = await exchangeRaw(site.port, requestBytes("POST", "/charge/1?x=%20y", { body: "amount=1" }));
+        expect(statusOf(answer)).to.equal(200);
+        expect(answer).to.contain(signed.trim()).and.to.match(/done$/);
+        const request = upstream.requests[0]!;
+        expect(request.head.split("\r\n")[0]).to.equal("POST /charge/1?x=%20y HTTP/1.1");
+        expect(request.body).to.equal("amount=1");
+        expect([request.header("Zinnialanding-Tenant"), request.header("Zinnialanding-Target-Instance"), request.header("Api-Key")])
+            .to.deep.equal(["studio", "u1", undefined]);
+    });
+
+    // The upstream's answer has no length and its connection is reset on the way. The library ends such an answer as if it were complete;
+    // the caller would take half a receipt for a whole one. It must see a failure instead, which promises nothing.
+    it("without a length that are reset on the way are not complete", async () => {
+        upstream = await startRawUpstream((request, socket) => {
+            socket.write(`HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}\r\nhalf`);
+            setTimeout(() => socket.resetAndDestroy(), 50);
+        });
+        site = await startGateway([upstreamAt(upstream.address, "u1")]);
+        const answer = await exchangeRaw(site.port, requestBytes("POST", "/charge/1", { body: "x" }));
+        expect(statusOf(answer)).to.equal(502);
+        expect(upstream.requests).to.have.length(1);
+    });
+
+    it("without a length that end with their connection are complete", async () => {
+        upstream = await startRawUpstream((request, socket) =>
+            socket.end(`HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}\r\nall of it`));
+        site = await startGateway([upstreamAt(upstream.address, "u1")]);
+        const answer = await exchangeRaw(site.port, requestBytes("POST", "/charge/1", { body: "x" }));
+        expect(statusOf(answer)).to.equal(200);
+        expect(answer).to.contain("all of it");
+    });
+
+    // The upstream ran the request and its answer was lost. Sent again it would run twice; called "not run" it would be sent again by
+    // the caller. So the caller gets an answer that promises nothing.
+    it("that are lost are never asked for again where a request may run once", async () => {
+        upstream = await startRawUpstream((_request, socket) => socket.resetAndDestroy());
+        other = await startRawUpstream((request, socket) => socket.write(ok(request.header("Zinnialanding-Attempt-Id"), "done")));
+        site = await startGateway([upstreamAt(upstream.address, "u1"), upstreamAt(other.address, "u2", { dataCentre: "b" })]);
+        const answer = await exchangeRaw(site.port, requestBytes("POST", "/charge/1", { body: "x" }));
+        expect(statusOf(answer)).to.equal(502);
+        expect(other.requests).to.have.length(0);
+    });
+
+    it("that are lost are asked for again elsewhere where a request may be repeated", async () => {
+        upstream = await startRawUpstream((_request, socket) => socket.resetAndDestroy());
+        other = await startRawUpstream((request, socket) => socket.write(ok(request.header("Zinnialanding-Attempt-Id"), "done")));
+        site = await startGateway([upstreamAt(upstream.address, "u1"), upstreamAt(other.address, "u2", { dataCentre: "b" })]);
+        expect(statusOf(await exchangeRaw(site.port, requestBytes("GET", "/read/1")))).to.equal(200);
+    });
+
+    // A refusal that says the request has not run is kept for the caller only when no other upstream may be tried.
+    it("that say not run let a request that may run once go elsewhere", async () => {
+        upstream = await startRawUpstream((request, socket) => socket.write(
+            `HTTP/1.1 503 Full\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\nZinnialanding-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`));
+        other = await startRawUpstream((request, socket) => socket.write(ok(request.header("Zinnialanding-Attempt-Id"), "done")));
+        site = await startGateway([upstreamAt(upstream.address, "u1"), upstreamAt(other.address, "u2", { dataCentre: "b" })]);
+        expect(statusOf(await exchangeRaw(site.port, requestBytes("POST", "/charge/1", { body: "x" })))).to.equal(200);
+    });
+
+    // An upstream answers twice. The second answer lies on the kept connection and would be read as the next request's.
+    it("to other requests reach nobody", async () => {
+        upstream = await startRawUpstream((_request, socket) => socket.write(ok("another", "not yours")));
+        site = await startGateway([upstreamAt(upstream.address, "u1")]);
+        const answer = await exchangeRaw(site.port, requestBytes("POST", "/charge/1", { body: "x" }));
+        expect(statusOf(answer)).to.equal(502);
+        expect(answer).not.to.contain("not yours");
+    });
+
+    it("that are successes without the upstream's mark reach nobody", async () => {
+        upstream = await startRawUpstream((request, socket) =>
+            socket.write(`HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\nContent-Length: 2\r\n\r\nhi`));
+        site = await startGateway([upstreamAt(upstream.address, "u1")]);
+        expect(statusOf(await exchangeRaw(site.port, requestBytes("POST", "/charge/1", { body: "x" })))).to.equal(502);
+    });
+
+    // The first head breaks off in the middle of its third event. The caller gets each event once, in order, from two upstreams, under
+    // the headers of the first.
+    it("that are streams go on elsewhere after the last whole event", async () => {
+        const start = (id: string | undefined) =>
+            `HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${id}\r\n${signed}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
+        const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+        upstream = await startRawUpstream((request, socket) => {
+            socket.write(start(request.header("Zinnialanding-Attempt-Id")) + chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"));
+            setTimeout(() => socket.resetAndDestroy(), 50);
+        });
+        other = await startRawUpstream((request, socket) =>
+            socket.write(start(request.header("Zinnialanding-Attempt-Id")) + chunk("id: 3\ndata: c\n\n") + chunk("")));
+        site = await startGateway([headAt(upstream.address, "u1", 1), { ...headAt(other.address, "u2", 2), dataCentre: "b" }]);
+        const answer = await exchangeRaw(site.port, requestBytes("POST", "/caption/1", { body: "x", headers: { "Zinnialanding-Model": "lm" } }));
+        expect(other.requests[0]!.header("Last-Event-Id")).to.equal("2");
+        expect([...answer.matchAll(/^id: (\d)/gm)].map(match => match[1])).to.deep.equal(["1", "2", "3"]);
+        expect(answer).to.match(/0\r\n\r\n$/);
+    });
+
+    // No repeat is left in the budget when a stream breaks off: what came can't be completed and must not look complete.
+    it("that are streams and can't go on are cut off visibly", async () => {
+        upstream = await startRawUpstream((request, socket) => {
+            socket.write(`HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}` +
+                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: a\n\n\n\r\n");
+            setTimeout(() => socket.resetAndDestroy(), 50);
+        });
+        site = await startGateway([headAt(upstream.address, "u1", 1)], undefined, 0);
+        const answer = await exchangeRaw(site.port, requestBytes("POST", "/caption/1", { body: "x", headers: { "Zinnialanding-Model": "lm" } }));
+        expect(answer).to.contain("id: 1").and.not.to.match(/\r\n0\r\n\r\n$/);
+        expect(site.outcomes).to.deep.equal(["failed"]);
+    });
+});
--- /dev/null
+++ b/test/support/gatewaySite.ts
@@ -0,0 +1,122 @@
+import { createLogger } from "../../src/telemetry/index.js";
+import { createBalance } from "../../src/gateway/balance.js";
+import { createConnections } from "../../src/gateway/connections.js";
+import { type GatewayServer, listenForCallers } from "../../src/gateway/server.js";
+import { createSiteView, type SiteView } from "../../src/gateway/siteView.js";
+import { headerNames } from "../../platform/headers.js";
+import type { CarriedUpstream } from "../../src/fleet/index.js";
+import { type Site, siteSchema } from "../../src/site/index.js";
+import { PassThrough } from "node:stream";
+import { connect } from "node:net";
+
+/** A site with one plain service, `orders`, and one model, `lm`, served by groups of one. */
+export function siteWith(change: Partial<Site> = {}): Site {
+    const engine = {
+        slots: 4, models: [{ name: "lm", size: 1, share: 1, pace: 1, loadMs: 1_000, warmMs: 100 }], stepMs: 10, stepPerRequestMs: 1,
+        stepPerThousandTokensMs: 0, promptTokensPerSecond: 10_000, usualPromptTokens: 100, usualAnswerTokens: 20, loadsPerSecond: 2, loadsAtOnce: 2,
+        formMs: 100,
+    };
+    const service = { healthPath: "/", maxConnections: 50, coldMs: 0, coldRequestsPerSecond: 0 };
+    const route = { host: "shop.example", timeoutMs: 3_000, maxAttempts: 2 };
+    return siteSchema.parse({
+        version: 1,
+        routes: [
+            { ...route, name: "charge", pathPrefix: "/charge/", kind: "non-idempotent", targets: [{ service: "orders", weight: 1 }] },
+            { ...route, name: "read", pathPrefix: "/read/", kind: "idempotent", targets: [{ service: "orders", weight: 1 }] },
+            { ...route, name: "caption", pathPrefix: "/caption/", kind: "stream", isResumable: true, targets: [{ service: "pool", weight: 1 }] },
+        ],
+        services: [{ ...service, name: "orders" }, { ...service, name: "pool", engine }],
+        limits: {},
+        organisations: [{ name: "studio", keys: ["key-1"] }],
+        ...change,
+    });
+}
+
+/** An upstream of `service` as control daemons carry it. */
+export function upstreamAt(address: string, id: string, change: Partial<CarriedUpstream> = {}): CarriedUpstream {
+    return {
+        id, address, service: "orders", dataCentre: "a", bornMs: 1, sequence: 1, state: "ready", coldRemainingMs: 0, slots: 4,
+        stagedModels: [], heardAgoMs: 0, isGone: false, ...change,
+    };
+}
+
+/** The head of a group of one for the model `lm`. */
+export function headAt(address: string, id: string, epoch: number): CarriedUpstream {
+    return upstreamAt(address, id, { service: "pool", domain: "d", group: { name: `lm/${epoch}`, epoch, rank: 0, state: "open" } });
+}
+
+export interface GatewaySite {
+    readonly port: number;
+    readonly view: SiteView;
+    readonly outcomes: string[];
+    readonly server: GatewayServer;
+    stop(): void;
+}
+
+let nextPort = 21_300;
+
+/** An entry's listener over the given upstreams, without control daemons. */
+export async function startGateway(upstreams: CarriedUpstream[], site: Site = siteWith(), repeats = Infinity): Promise<GatewaySite> {
+    const logger = createLogger("error", "test", new PassThrough().resume());
+    const view = createSiteView({ decodeSite: () => ({ site }) }, logger);
+    view.take({ kind: "site", version: site.version, text: "" });
+    view.take({ kind: "upstreams", upstreams });
+    const outcomes: string[] = [];
+    const connections = createConnections();
+    const port = nextPort++;
+    const nowMs = () => performance.now();
+    let left = repeats;
+    const server = await listenForCallers(`127.0.0.1:${port}`, {
+        names: headerNames, view, logger, connections, dataCentre: "a", nowMs, random: () => 0.5,
+        balance: createBalance(nowMs, () => 0),
+        mayRepeat: () => left-- > 0,
+        mostAt: () => 100,
+        count: outcome => outcomes.push(outcome),
+    });
+    return {
+        port, view, outcomes, server,
+        stop() {
+            server.closeListener();
+            server.close();
+            connections.close();
+        },
+    };
+}
+
+/** Sends bytes on a new connection and resolves to all that comes back until the connection closes or is silent for `quietMs`. */
+export function exchangeRaw(port: number, bytes: string, quietMs = 400): Promise<string> {
+    return new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1");
+        let text = "";
+        const done = () => {
+            socket.destroy();
+            resolve(text);
+        };
+        let timer = setTimeout(done, quietMs);
+        socket.on("data", chunk => {
+            text += chunk.toString("latin1");
+            clearTimeout(timer);
+            timer = setTimeout(done, quietMs);
+        });
+        socket.on("error", done);
+        socket.on("close", done);
+        socket.write(bytes);
+    });
+}
+
+/** A caller's request with the platform's headers. */
+export function requestBytes(method: string, path: string, options: { id?: string; body?: string; headers?: Record<string, string> } = {}): string {
+    const { id = "attempt-1", body } = options;
+    const headers: Record<string, string> = {
+        "Host": "shop.example", "Zinnialanding-Attempt-Id": id, "Zinnialanding-Deadline-Ms": "2000", "Api-Key": "key-1", ...options.headers,
+        ...body === undefined ? {} : { "Content-Length": String(body.length) },
+    };
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+    return `${method} ${path} HTTP/1.1\r\n${lines.join("\r\n")}\r\n\r\n${body ?? ""}`;
+}
+
+/** The status of a raw answer; undefined where none came. */
+export function statusOf(answer: string): number | undefined {
+    const status = /^HTTP\/1\.1 (\d+)/.exec(answer)?.[1];
+    return status === undefined ? undefined : Number(status);
+}
