--- a/src/config/siteSettings.ts
+++ b/src/config/siteSettings.ts
@@ -27,6 +27,8 @@
         ready: addressSchema.optional(),
         /** Upstreams and operators. */
         control: addressSchema.optional(),
+        /** Counters and histograms as text; unset serves none. */
+        metrics: addressSchema.optional(),
         /** Other daemons. */
         rpc: addressSchema.optional(),
     }),
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -24,8 +24,8 @@
 export type Ending =
     /** It certainly has not run and will not. */
     | { readonly kind: "not-run"; readonly reason: string; readonly isUpstreamAtFault: boolean }
-    /** It may have run, and no usable answer came. */
-    | { readonly kind: "unknown"; readonly reason: string }
+    /** It may have run, and no usable answer came. `isCrash`: the connection broke, as it does when the upstream crashes. */
+    | { readonly kind: "unknown"; readonly reason: string; readonly isCrash: boolean }
     /** The upstream ran it and says that it failed. */
     | { readonly kind: "ran-failed"; readonly answer: UpstreamAnswer };
 
@@ -111,7 +111,7 @@
 
     function abandon(reason: string) {
         exchange.abort();
-        over({ kind: "unknown", reason });
+        over({ kind: "unknown", reason, isCrash: false });
     }
 
     /** Of a group that has lost a member nothing comes until its head notices, seconds later: the caller is served elsewhere. */
@@ -211,7 +211,7 @@
             return;
         }
         if (isPassingOn && isStream && !splitter.isWhole) {
-            over({ kind: "unknown", reason: "the stream ended in the middle of an event" });
+            over({ kind: "unknown", reason: "the stream ended in the middle of an event", isCrash: true });
             return;
         }
         if (!isPassingOn && valueOf(rawHeaders, names.notRun) !== undefined) {
@@ -227,7 +227,7 @@
 
     function onFailed(error: Error, isSent: boolean) {
         if (isSent) {
-            over({ kind: "unknown", reason: error.message });
+            over({ kind: "unknown", reason: error.message, isCrash: true });
             return;
         }
         if ((error as NodeJS.ErrnoException).code === "ECONNREFUSED") {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,10 +7,11 @@
 import { RetryBudget, type RetryBudgetPolicy } from "../admission/index.js";
 import { createFeedWatcher } from "../feed/index.js";
 import type { EngineSpec, SiteDialect } from "../site/index.js";
-import type { Logger } from "../telemetry/index.js";
+import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import type { Asked } from "./asked.js";
 import { createBalance } from "./balance.js";
 import { createConnections } from "./connections.js";
+import { createCrashes, fingerprintOf } from "./crashes.js";
 import type { HeaderNames } from "./headers.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { type Candidate, createSiteView } from "./siteView.js";
@@ -25,6 +26,7 @@
     /** The bound on second sends, over all entries: this part of the requests, and this many more in each window. */
     readonly repeats: { readonly ratio: number; readonly slack: number };
     readonly logger: Logger;
+    readonly metrics: SiteMetrics;
 }
 
 export interface Gateway {
@@ -62,11 +64,12 @@
 
 /** Starts the role. */
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
-    const { logger } = options;
+    const { logger, metrics } = options;
     const nowMs = () => performance.now();
     const view = createSiteView(options.dialect, logger);
     const balance = createBalance(nowMs, Math.random);
     const connections = createConnections();
+    const crashes = createCrashes(nowMs);
     const { ratio, slack } = options.repeats;
     const repeatPolicy: RetryBudgetPolicy = { perSuccess: ratio * repeatRatioShare, perSecond: 0, most: Math.max(1, slack / entriesSharingSlack) };
     const budgets = new Map<string, RetryBudget>();
@@ -109,7 +112,12 @@
     const server: GatewayServer = await listenForCallers(options.callers, {
         names: options.names, view, balance, connections, logger, dataCentre: options.dataCentre, nowMs, random: Math.random, mostAt,
         mayRepeat: service => budgetOf(service).tryRetry(nowMs()) === undefined,
-        count(outcome, asked) {
+        crashed: (asked, upstream) => crashes.note(asked, upstream),
+        isBarred: asked => view.barred.size > 0 && view.barred.has(fingerprintOf(asked)),
+        attemptEnded: ending => metrics.attemptEnded(ending),
+        refusedEarly: status => metrics.refused(status),
+        count(outcome, asked, tookMs, firstMs) {
+            metrics.request(asked.route.name, outcome, tookMs, firstMs);
             requests++;
             const target = asked.route.targets[0]!.service;
             budgetOf(target).succeeded(nowMs());
@@ -121,9 +129,14 @@
         },
     });
 
+    metrics.observe("zinnialanding_requests_running", () => server.running);
+    metrics.observe("zinnialanding_upstream_connections", () => connections.open);
+    metrics.observe("zinnialanding_site_version", () => view.version);
+    metrics.observe("zinnialanding_control_daemons_heard", () => watcher.heard.length);
+
     const timers = [
         setInterval(() => {
-            watcher.report({ workByModel: work, requests, suspectIds: [...balance.doubtfulIds], movingIds: [...balance.movingIds], crashes: [] });
+            watcher.report({ workByModel: work, requests, suspectIds: [...balance.doubtfulIds], movingIds: [...balance.movingIds], crashes: [...crashes.recent] });
             work = {};
             requests = 0;
         }, reportIntervalMs),
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -25,7 +25,12 @@
     mayRepeat(service: string): boolean;
     /** How many requests an upstream may have, running and waiting, before more are turned away. */
     mostAt(candidate: Candidate, asked: Asked): number;
-    count(outcome: Outcome, asked: Asked): void;
+    count(outcome: Outcome, asked: Asked, tookMs: number, firstMs: number | undefined): void;
+    attemptEnded(ending: Ending["kind"]): void;
+    /** Notes that an upstream broke off while it ran the request. */
+    crashed(asked: Asked, upstream: Upstream): void;
+    /** Whether upstreams crashed under this request so often that it must reach no other. */
+    isBarred(asked: Asked): boolean;
 }
 
 export type Outcome = "delivered" | "refused" | "failed" | "upstream-failed" | "caller-left";
@@ -77,10 +82,11 @@
         }
         isOver = true;
         clearTimeout(deadline);
-        parts.count(outcome, asked);
+        const tookMs = Math.round(parts.nowMs() - asked.arrivedAtMs);
+        parts.count(outcome, asked, tookMs, firstMs);
         logger.info("request ended", {
             request: asked.attemptId, route: route.name, model, outcome, attempts, version: asked.table.site.version,
-            tookMs: Math.round(parts.nowMs() - asked.arrivedAtMs), firstMs, ...facts,
+            tookMs, firstMs, ...facts,
         });
     }
 
@@ -113,6 +119,10 @@
     }
 
     function next() {
+        if (parts.isBarred(asked)) {
+            giveUp("upstreams have crashed under this request");
+            return;
+        }
         const all = choices();
         const candidate = balance.choose(all, {
             without: tried,
@@ -144,6 +154,10 @@
     function after(ending: Ending, upstream: Upstream) {
         current = undefined;
         hasNotRun &&= ending.kind === "not-run";
+        parts.attemptEnded(ending.kind);
+        if (ending.kind === "unknown" && ending.isCrash) {
+            parts.crashed(asked, upstream);
+        }
         const mayTry = (ending.kind === "not-run" || mayRunAgain) && attempts < route.maxAttempts &&
             asked.giveUpAtMs - parts.nowMs() > leastAttemptMs;
         const goesOn = mayTry && parts.mayRepeat(service);
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -27,8 +27,13 @@
     close(): void;
 }
 
+export interface ServerParts extends RequestParts {
+    /** A request was refused before an upstream was chosen. */
+    refusedEarly(status: number): void;
+}
+
 /** Listens for callers. */
-export async function listenForCallers(address: string, parts: RequestParts): Promise<GatewayServer> {
+export async function listenForCallers(address: string, parts: ServerParts): Promise<GatewayServer> {
     let isDraining = false;
     let running = 0;
 
@@ -53,6 +58,7 @@
         }
         const head = readHead(message, parts.names, table, parts.nowMs());
         if ("refused" in head) {
+            parts.refusedEarly(head.refused.status);
             parts.logger.info("request refused", { request: attemptId, ...head.refused, version: table.site.version });
             answer.own(head.refused.status, head.refused.reason);
             message.resume();
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -27,6 +27,8 @@
     /** Notes that an upstream is not what the directory says: another answers at its address, or nothing does. */
     noteGone(upstream: Upstream): void;
     readonly addresses: ReadonlySet<string>;
+    /** Fingerprints of requests that crash upstreams. */
+    readonly barred: ReadonlySet<string>;
     readonly controls: readonly string[];
 }
 
@@ -36,6 +38,7 @@
     let table: SiteTable | undefined;
     let evacuated: { index: number; dataCentres: readonly string[] } = { index: -1, dataCentres: [] };
     let lostIds: ReadonlySet<string> = new Set();
+    let barred: ReadonlySet<string> = new Set();
     let controls: readonly string[] = [];
     let lists: Map<string, Candidate[]> | undefined;
 
@@ -105,6 +108,7 @@
                     return;
                 case "judged":
                     lostIds = new Set(frame.lostIds);
+                    barred = new Set([...barred, ...frame.barred]);
                     break;
             }
             lists = undefined;
@@ -130,6 +134,9 @@
         get addresses() {
             return new Set([...directory.values()].filter(upstream => !upstream.isGone).map(upstream => upstream.address));
         },
+        get barred() {
+            return barred;
+        },
         get controls() {
             return controls;
         },
--- a/src/groups/follow.ts
+++ b/src/groups/follow.ts
@@ -3,8 +3,7 @@
  * lets go of the members of one that has ended.
  *
  * Invariants: a head is told to open only after every member has been seen ready in this group and epoch; members of a group are
- * given to another only once its head cannot be serving, that is after it reports another state, or its process has ended, or it has
- * been unreachable without its members for longer than an engine goes on without them.
+ * given to another only once its head is out of it or its life is over, or they have left it themselves.
  *
  * @module
  */
@@ -12,8 +11,6 @@
 import type { Upstream } from "../fleet/index.js";
 import type { GroupsView, OrderTo, PlannedGroup } from "./types.js";
 
-/** Beyond the engine's own bound, for the last order's way there. */
-const stallMarginMs = 1_000;
 /** A group that has not come together by then is given up: twice the longest load, and time for orders that were lost. */
 const formingMarginMs = 8_000;
 
@@ -21,6 +18,8 @@
     /** Undefined: the group is over and its members are free. */
     readonly group: PlannedGroup | undefined;
     readonly orders: readonly OrderTo[];
+    /** Why, where the phase changes. */
+    readonly reason: string;
 }
 
 type Members = readonly (Upstream | undefined)[];
@@ -72,39 +71,56 @@
     return group.memberIds.map(id => view.upstreams.find(upstream => upstream.id === id));
 }
 
+/** Whether this member has been heard since the group began to end and is in it no more, or its life is over. */
+function isOut(group: PlannedGroup, rank: number, member: Upstream | undefined, view: GroupsView): boolean {
+    const id = group.memberIds[rank]!;
+    if (view.isEnded(id) || (member !== undefined && member.bornMs !== group.bornMs[rank])) {
+        return true;
+    }
+    return member !== undefined && !view.isLost(id) && member.heardAtMs > group.sinceMs && !isIn(member, group);
+}
+
 function followEnding(group: PlannedGroup, members: Members, view: GroupsView, reason: string): Followed {
     const head = members[0];
     const headId = group.memberIds[0]!;
-    const headIsOver = headId !== "" && (head === undefined ? view.isEnded(headId) : view.isEnded(headId) || head.bornMs !== group.bornMs[0]);
-    if (headIsOver) {
-        return { group: undefined, orders: [] };
+    if (headId !== "" && isOut(group, 0, head, view)) {
+        return { group: undefined, orders: [], reason: "its head is out" };
     }
     if (head !== undefined && !view.isLost(headId)) {
         const serves = isIn(head, group) && (head.group!.state === "open" || head.group!.state === "closing");
-        // Without a member nothing moves at the head: what runs there can only be taken up elsewhere, so it is cut short at once.
-        // An `open` may be on its way still: a head that is told to close after it, or to leave, can't be opened by it any more.
-        const isSettled = head.heardAtMs > group.sinceMs || !isIn(head, group);
         if (serves && group.isGentle) {
-            return { group, orders: [closeHead(group, reason)] };
+            return { group, orders: [closeHead(group, reason)], reason };
         }
-        if (isIn(head, group)) {
-            return { group, orders: [order(group, 0, "leave", reason)] };
-        }
-        return { group: isSettled ? undefined : group, orders: [] };
-    }
-    // The head can't be asked. Without its members it stops by itself after the stall bound, counted from when all have left.
-    const staying = members.flatMap((member, rank) => rank > 0 && isIn(member, group) && !view.isLost(member!.id) ? [rank] : []);
-    if (staying.length > 0) {
-        return { group: { ...group, sinceMs: view.nowMs }, orders: staying.map(rank => order(group, rank, "leave", reason)) };
+        // Without a member nothing moves at the head: what runs there can only be taken up elsewhere, so it is cut short at once.
+        return { group, orders: isIn(head, group) ? [order(group, 0, "leave", reason)] : [], reason };
     }
-    const isOver = view.nowMs - group.sinceMs > view.stallMs + stallMarginMs;
-    return { group: isOver ? undefined : group, orders: [] };
+    return releaseMembers(group, members, view, reason);
+}
+
+/**
+ * Ends a group whose head can't be asked. It may serve on, cut off from this leader alone, so each member has to leave before it is free;
+ * one that is out of reach as well stays bound until it is heard again or its life is over.
+ */
+function releaseMembers(group: PlannedGroup, members: Members, view: GroupsView, reason: string): Followed {
+    const orders: OrderTo[] = [];
+    const memberIds = group.memberIds.map((id, rank) => {
+        if (rank === 0 || id === "") {
+            return id;
+        }
+        const member = members[rank];
+        if (isIn(member, group) && !view.isLost(id)) {
+            orders.push(order(group, rank, "leave", reason));
+        }
+        return isOut(group, rank, member, view) ? "" : id;
+    });
+    const isOver = memberIds.every(id => id === "");
+    return { group: isOver ? undefined : { ...group, memberIds }, orders, reason };
 }
 
 function followForming(group: PlannedGroup, members: Members, view: GroupsView): Followed {
     const isReady = members.every((member, rank) => isIn(member, group) && member!.group!.rank === rank && member!.group!.state === "ready");
     if (isReady) {
-        return { group: { ...group, phase: "open", sinceMs: view.nowMs }, orders: [order(group, 0, "open", "every member is ready")] };
+        return { group: { ...group, phase: "open", sinceMs: view.nowMs }, orders: [order(group, 0, "open", "every member is ready")], reason: "every member is ready" };
     }
     const { models } = view.engine;
     const loadMs = Math.max(0, ...models.map(model => model.loadMs));
@@ -118,7 +134,7 @@
                 order: { kind: "join", group: group.name, epoch: group.epoch, model: group.model, memberIds: group.memberIds },
                 reason: "forming",
             }]);
-    return { group, orders };
+    return { group, orders, reason: "forming" };
 }
 
 /** One step of one group. */
@@ -140,5 +156,5 @@
     }
     const head = members[0]!;
     const isServing = isIn(head, group) && head.group!.state === "open";
-    return { group, orders: isServing ? [] : [order(group, 0, "open", "the head has not opened yet")] };
+    return { group, orders: isServing ? [] : [order(group, 0, "open", "the head has not opened yet")], reason: "open" };
 }
--- a/src/groups/form.ts
+++ b/src/groups/form.ts
@@ -42,7 +42,7 @@
 
 /** VMs that may be put into a group, by domain. */
 export function freeByDomain(draft: Draft): Map<string, Upstream[]> {
-    const taken = new Set([...draft.groups.values()].flatMap(group => group.memberIds));
+    const taken = new Set([...draft.groups.values()].flatMap(group => group.memberIds).filter(id => id !== ""));
     const free = new Map<string, Upstream[]>();
     for (const upstream of draft.view.upstreams) {
         if (upstream.domain !== undefined && !taken.has(upstream.id) && isUsable(upstream, draft.view)) {
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -11,7 +11,7 @@
 import { adoptGroups } from "./adopt.js";
 import { followGroup } from "./follow.js";
 import { type Draft, formGroups, stageSpares } from "./form.js";
-import type { GroupsState, GroupsView, OrderTo, SentOrder, Staging } from "./types.js";
+import type { GroupPhase, GroupsState, GroupsView, OrderTo, SentOrder, Staging } from "./types.js";
 
 /** A new leader hears every VM at least once before it decides: heartbeats come about every 1.2 s. */
 const settleMs = 1_500;
@@ -20,9 +20,19 @@
 /** Epochs that one term of the log may use. */
 const epochsPerTerm = 1 << 20;
 
+/** A group that went on to another phase, for the log. */
+export interface GroupNote {
+    readonly group: string;
+    readonly memberIds: readonly string[];
+    readonly from: GroupPhase;
+    readonly to: GroupPhase | "over";
+    readonly reason: string;
+}
+
 export interface GroupsPlan {
     readonly state: GroupsState;
     readonly orders: readonly OrderTo[];
+    readonly notes: readonly GroupNote[];
 }
 
 /** The epoch after which a leader of `term` counts. */
@@ -78,6 +88,7 @@
 
 /** Plans one step. */
 export function planGroups(state: GroupsState, view: GroupsView): GroupsPlan {
+    const notes: GroupNote[] = [];
     const draft: Draft = {
         view,
         groups: new Map(state.groups),
@@ -91,6 +102,9 @@
         for (const group of [...draft.groups.values()]) {
             const followed = followGroup(group, view);
             draft.orders.push(...followed.orders);
+            if (followed.group?.phase !== group.phase) {
+                notes.push({ group: group.name, memberIds: group.memberIds, from: group.phase, to: followed.group?.phase ?? "over", reason: followed.reason });
+            }
             if (followed.group === undefined) {
                 draft.groups.delete(group.name);
             }
@@ -107,5 +121,6 @@
             groups: draft.groups, lastEpoch: draft.lastEpoch, sent, lastModels: draft.lastModels, staging: draft.staging,
         },
         orders: due,
+        notes,
     };
 }
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -12,10 +12,10 @@
 import {
     announce, type Announcement, carry, depart, type DirectoryState, forgetGone, isNews, refresh, takeCarried, type Upstream,
 } from "../fleet/index.js";
-import { type EngineOrder, firstEpochOf, type GroupsState, noGroups, type OrderTo, planGroups } from "../groups/index.js";
+import { type EngineOrder, firstEpochOf, type GroupPhase, type GroupsState, noGroups, type OrderTo, planGroups } from "../groups/index.js";
 import { ConsensusService, type PeerConnections } from "../rpc/index.js";
 import { createSiteTable, type DecodedSite, type SiteDialect, type SiteFinding, type SiteTable } from "../site/index.js";
-import type { Logger } from "../telemetry/index.js";
+import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createDemand } from "./demand.js";
 import { createProber, type ProbeResult } from "./prober.js";
 
@@ -35,6 +35,7 @@
     readonly engines: Engines;
     readonly connections: PeerConnections;
     readonly logger: Logger;
+    readonly metrics: SiteMetrics;
     /** How long a head goes on without a member before it notices. */
     readonly stallMs: number;
     /** Whether the site starts for the first time: until requests come, loads are quick. */
@@ -69,6 +70,8 @@
 /** Entries report that often or more; older evidence of progress proves nothing. */
 const movingMs = 700;
 const forgetIntervalMs = 10_000;
+/** Upstreams that crash under one request before it is refused: a request that was merely there is hardly there three times. */
+const barringCrashes = 3;
 
 /** Creates the role; `start` begins to plan and to tell. */
 export function createSiteControl(options: SiteControlOptions): SiteControl {
@@ -136,6 +139,23 @@
         }
         taken.movingIds.forEach(id => movingAtMs.set(id, nowMs()));
         prober.suspect(membersOf(taken.suspectIds));
+        void noteCrashes(taken.crashes);
+    }
+
+    /** Writes crashes down that the log does not hold yet, so that the next leader counts on. */
+    async function noteCrashes(crashes: Report["crashes"]) {
+        const known = log.state.suspects.byFingerprint;
+        const fresh = crashes.filter(crash => known[crash.fingerprint]?.engineBootIds.includes(crash.upstream) !== true);
+        for (const upstream of new Set(fresh.map(crash => crash.upstream))) {
+            const fingerprints = fresh.filter(crash => crash.upstream === upstream).map(crash => crash.fingerprint);
+            await log.propose({ kind: "report-crash", engineBootId: upstream, fingerprints, atMs: Date.now() }, operatorTimeoutMs);
+        }
+    }
+
+    /** Requests under which so many upstreams have crashed that they are the likely cause. */
+    function barred(): string[] {
+        const { byFingerprint } = log.state.suspects;
+        return Object.keys(byFingerprint).filter(fingerprint => byFingerprint[fingerprint]!.crashes >= barringCrashes);
     }
 
     /** The suspected upstreams with all members of the groups that they head. */
@@ -166,7 +186,7 @@
     }
 
     function judged(): Frame {
-        return { kind: "judged", lostIds: [...prober.lostIds], barred: [] };
+        return { kind: "judged", lostIds: [...prober.lostIds], barred: barred() };
     }
 
     function table(): SiteTable | undefined {
@@ -216,7 +236,7 @@
     }
 
     function tellJudged() {
-        const lost = prober.lostIds.join(",");
+        const lost = [...prober.lostIds, ...barred()].join(",");
         if (lost !== told.lost) {
             feed.publish(judged());
             told = { ...told, lost };
@@ -246,8 +266,14 @@
         const sentAtMs = nowMs();
         const facts = { upstream: upstream.id, order, reason };
         engines.order(upstream, order).then(
-            outcome => logger.info("order answered", { ...facts, outcome, tookMs: Math.round(nowMs() - sentAtMs) }),
-            (error: Error) => logger.warn("order without an answer", { ...facts, error: error.message }),
+            (outcome) => {
+                options.metrics.order(order.kind, outcome.slice(0, 3));
+                logger.info("order answered", { ...facts, outcome, tookMs: Math.round(nowMs() - sentAtMs) });
+            },
+            (error: Error) => {
+                options.metrics.order(order.kind, "none");
+                logger.warn("order without an answer", { ...facts, error: error.message });
+            },
         );
     }
 
@@ -277,6 +303,7 @@
                 stallMs: options.stallMs,
             });
             groups = [...groups.filter(item => item.service !== service.name), { service: service.name, state: planned.state }];
+            planned.notes.forEach(note => logger.info("group changed", { ...note }));
             planned.orders.forEach(item => send(directory.get(item.upstreamId)!, item));
         }
         tellJudged();
@@ -319,6 +346,19 @@
         return log.role === "leader" ? leads() : log.leaderAddress !== undefined;
     }
 
+    function observe() {
+        const { metrics } = options;
+        const count = (phase: GroupPhase) => groups.flatMap(({ state }) => [...state.groups.values()]).filter(group => group.phase === phase).length;
+        metrics.observe("zinnialanding_term", () => log.term);
+        metrics.observe("zinnialanding_leads", () => Number(leads()));
+        metrics.observe("zinnialanding_site_version", () => log.state.published.site?.version ?? 0);
+        metrics.observe("zinnialanding_upstreams_known", () => [...directory.values()].filter(upstream => !upstream.isGone).length);
+        metrics.observe("zinnialanding_upstreams_lost", () => prober.lostIds.length);
+        metrics.observe("zinnialanding_groups_open", () => count("open"));
+        metrics.observe("zinnialanding_groups_forming", () => count("forming"));
+        metrics.observe("zinnialanding_groups_ending", () => count("ending"));
+    }
+
     return {
         feed,
         async publish(text) {
@@ -344,6 +384,11 @@
             if (announcement.state === "draining" && !inTouch()) {
                 return false;
             }
+            const known = table();
+            if (known !== undefined && known.service(announcement.service) === undefined) {
+                logger.warn("announcement of an unknown service", { upstream: announcement.id, service: announcement.service });
+                return true;
+            }
             update(announce(directory, announcement, nowMs()));
             return true;
         },
@@ -355,6 +400,7 @@
             return true;
         },
         start() {
+            observe();
             log.subscribe(() => tellApplied());
             timers = [setInterval(plan, planIntervalMs), setInterval(tellAlive, aliveMs)];
             tellApplied();
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -4,14 +4,15 @@
  * @module
  */
 
+import { createServer } from "node:http";
 import { asFunction, asValue, createContainer, InjectionMode } from "awilix";
 import type { SiteSettings } from "./config/index.js";
 import { type ConsensusNode, createReplicatedLog } from "./consensus/index.js";
 import { createGateway, type Gateway, type HeaderNames } from "./gateway/index.js";
-import { createPeerConnections, createRpcServer, type RpcServer } from "./rpc/index.js";
+import { createPeerConnections, createRpcServer, type RpcServer, splitAddress } from "./rpc/index.js";
 import type { SiteDialect } from "./site/index.js";
 import { createSiteControl, type Engines, type SiteControl } from "./siteControl/index.js";
-import { createLogger, type Logger } from "./telemetry/index.js";
+import { type BoundedOutput, createBoundedOutput, createLogger, createSiteMetrics, type Logger, type SiteMetrics } from "./telemetry/index.js";
 
 /** What a platform's adapter gives: translations and calls. */
 export interface Platform {
@@ -36,9 +37,14 @@
 /** What a stop leaves of its time for the last writes. */
 const stopMarginMs = 700;
 
+/** How long the last log lines may take. */
+const lastLinesMs = 200;
+
 interface Parts {
     settings: SiteSettings;
+    output: BoundedOutput;
     logger: Logger;
+    metrics: SiteMetrics;
     gateway: Promise<Gateway>;
     log: Promise<ConsensusNode>;
 }
@@ -49,10 +55,17 @@
     const container = createContainer<Parts>({ injectionMode: InjectionMode.PROXY, strict: true });
     container.register({
         settings: asValue(settings),
-        logger: asFunction(() => createLogger(daemon.logLevel, daemon.id, process.stdout)).singleton(),
-        gateway: asFunction(({ logger }: Parts) => createGateway({
+        output: asFunction(() => createBoundedOutput(1, count =>
+            `${JSON.stringify({ daemonId: daemon.id, level: "warn", message: "log lines left out", count })}\n`)).singleton(),
+        logger: asFunction(({ output }: Parts) => createLogger(daemon.logLevel, daemon.id, output.stream)).singleton(),
+        metrics: asFunction(({ output }: Parts) => {
+            const metrics = createSiteMetrics();
+            metrics.observe("zinnialanding_log_lines_left_out", () => output.leftOut);
+            return metrics;
+        }).singleton(),
+        gateway: asFunction(({ logger, metrics }: Parts) => createGateway({
             daemonId: daemon.id, dataCentre: daemon.dataCentre, callers: listen.callers!, controls: peerAddresses(settings),
-            dialect: platform.dialect, names: platform.names, repeats: settings.repeats, logger,
+            dialect: platform.dialect, names: platform.names, repeats: settings.repeats, logger, metrics,
         })).singleton(),
         log: asFunction(({ logger }: Parts) => createReplicatedLog({
             voterId: hostOf(listen.rpc!), address: listen.rpc!, dataFolder: daemon.dataFolder!,
@@ -62,7 +75,7 @@
             logger: line => logger.info(line),
         })).singleton(),
     });
-    const { logger } = container.cradle;
+    const { logger, metrics, output } = container.cradle;
     const stops: (() => Promise<void>)[] = [];
     const isEntry = daemon.roles.includes("entry");
     logger.info("starting", { roles: daemon.roles, dataCentre: daemon.dataCentre });
@@ -78,13 +91,16 @@
             await stopReady();
         });
     }
+    if (listen.metrics !== undefined) {
+        stops.push(await serveText(listen.metrics, () => metrics.text(), metrics.contentType));
+    }
     logger.info("started", { tookMs: Math.round(performance.now()) });
 
     async function startControl(): Promise<() => Promise<void>> {
         const log = await container.cradle.log;
         const connections = createPeerConnections();
         const control = createSiteControl({
-            daemonId: daemon.id, address: listen.rpc!, log, dialect: platform.dialect, engines: platform.createEngines(), connections, logger,
+            daemonId: daemon.id, address: listen.rpc!, log, dialect: platform.dialect, engines: platform.createEngines(), connections, logger, metrics,
             stallMs: engines.stallMs, isFirstStart: controlSettings.firstStart,
         });
         const rpc: RpcServer = await createRpcServer(listen.rpc!, router => {
@@ -111,6 +127,7 @@
             logger.info("stopping on request");
             await Promise.all(stops.map(stop => stop()));
             logger.info("stopped");
+            await output.flush(lastLinesMs);
         },
     };
 }
@@ -123,3 +140,19 @@
 function peerAddresses(settings: SiteSettings): string[] {
     return settings.control.seeds.map(address => `${hostOf(address)}:${settings.control.rpcPort}`);
 }
+
+/** Serves one text at every path. */
+async function serveText(address: string, text: () => Promise<string>, contentType: string): Promise<() => Promise<void>> {
+    const server = createServer((_request, response) => {
+        text().then(
+            body => response.writeHead(200, { "content-type": contentType }).end(body),
+            (error: Error) => response.writeHead(500).end(error.message),
+        );
+    });
+    const { host, port } = splitAddress(address);
+    await new Promise<void>((resolve, reject) => server.once("error", reject).listen(port, host, resolve));
+    return () => new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+    });
+}
--- /dev/null
+++ b/src/telemetry/exposition.ts
@@ -0,0 +1,74 @@
+/**
+ * Counters and histograms of a site's daemons, as text for whoever fetches them. Every name stands here once.
+ *
+ * @module
+ */
+
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+export interface SiteMetrics {
+    /** Requests that ended, by route and outcome. */
+    request(route: string, outcome: string, tookMs: number, firstMs: number | undefined): void;
+    /** Attempts that brought no answer, by what that says of the request. */
+    attemptEnded(ending: string): void;
+    /** Requests refused before an upstream was chosen, by status. */
+    refused(status: number): void;
+    order(kind: string, outcome: string): void;
+    /** Sets a value that is read at each fetch. */
+    observe(name: GaugeName, read: () => number): void;
+    text(): Promise<string>;
+    readonly contentType: string;
+}
+
+const gauges = {
+    zinnialanding_requests_running: "Requests of callers that have no final answer yet.",
+    zinnialanding_upstream_connections: "Open connections to upstreams.",
+    zinnialanding_site_version: "Version of the site in force here.",
+    zinnialanding_control_daemons_heard: "Control daemons from which something has come lately.",
+    zinnialanding_log_lines_left_out: "Log lines left out because nobody read them.",
+    zinnialanding_term: "Term of the replicated log.",
+    zinnialanding_leads: "1 while this daemon leads, else 0.",
+    zinnialanding_upstreams_known: "Upstreams that have announced themselves and have not left.",
+    zinnialanding_upstreams_lost: "Upstreams that answer nobody.",
+    zinnialanding_groups_open: "Groups of engines that serve, by the control leader's plan.",
+    zinnialanding_groups_forming: "Groups of engines that are coming together.",
+    zinnialanding_groups_ending: "Groups of engines that are being ended.",
+} as const;
+export type GaugeName = keyof typeof gauges;
+
+/** Bounds in seconds: targets lie between 0.15 and 0.5, deadlines between 1 and 8. */
+const bucketsS = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8];
+
+/** Creates the set of one daemon. */
+export function createSiteMetrics(): SiteMetrics {
+    const registry = new Registry();
+    const registers = [registry];
+    const requests = new Counter({ name: "zinnialanding_requests_total", help: "Requests of callers that ended.", labelNames: ["route", "outcome"], registers });
+    const took = new Histogram({ name: "zinnialanding_request_seconds", help: "From arrival to the end of the answer.", labelNames: ["outcome"], buckets: bucketsS, registers });
+    const first = new Histogram({ name: "zinnialanding_first_event_seconds", help: "From arrival to a stream's first event.", buckets: bucketsS, registers });
+    const attempts = new Counter({ name: "zinnialanding_attempts_without_answer_total", help: "Attempts that brought no answer.", labelNames: ["ending"], registers });
+    const refusals = new Counter({ name: "zinnialanding_refused_early_total", help: "Requests refused before an upstream was chosen.", labelNames: ["status"], registers });
+    const orders = new Counter({ name: "zinnialanding_orders_total", help: "Orders to engines.", labelNames: ["kind", "outcome"], registers });
+    return {
+        request(route, outcome, tookMs, firstMs) {
+            requests.inc({ route, outcome });
+            took.observe({ outcome }, tookMs / 1_000);
+            if (firstMs !== undefined) {
+                first.observe(firstMs / 1_000);
+            }
+        },
+        attemptEnded: ending => attempts.inc({ ending }),
+        refused: status => refusals.inc({ status: String(status) }),
+        order: (kind, outcome) => orders.inc({ kind, outcome }),
+        observe(name, read) {
+            new Gauge({
+                name, help: gauges[name], registers,
+                collect() {
+                    this.set(read());
+                },
+            });
+        },
+        text: () => registry.metrics(),
+        contentType: registry.contentType,
+    };
+}
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -3,3 +3,5 @@
 export { redact, redactText } from "./redact.js";
 export { type SpanRecord, spanRecordSchema } from "./spanRecord.js";
 export { createTracing, type Hop, type HopAttributes, type HopName, type Tracing } from "./tracing.js";
+export { type BoundedOutput, createBoundedOutput } from "./boundedOutput.js";
+export { createSiteMetrics, type SiteMetrics } from "./exposition.js";
--- /dev/null
+++ b/test/groups/builders.ts
@@ -0,0 +1,105 @@
+import type { Upstream } from "../../src/fleet/index.js";
+import { type GroupsState, type GroupsView, noGroups, type OrderTo, planGroups } from "../../src/groups/index.js";
+import { type EngineSpec, siteServiceSchema } from "../../src/site/index.js";
+
+export const engine: EngineSpec = siteServiceSchema.parse({
+    name: "pool", maxConnections: 10, coldMs: 0, coldRequestsPerSecond: 0,
+    engine: {
+        slots: 4, stepMs: 10, stepPerRequestMs: 0, stepPerThousandTokensMs: 0, promptTokensPerSecond: 1_000, usualPromptTokens: 1, usualAnswerTokens: 1,
+        loadsPerSecond: 3, loadsAtOnce: 6, formMs: 300,
+        models: [
+            { name: "big", size: 4, share: 0.5, pace: 1, loadMs: 16_000, warmMs: 1_600 },
+            { name: "small", size: 2, share: 0.5, pace: 1, loadMs: 12_000, warmMs: 1_100 },
+        ],
+    },
+}).engine!;
+
+/** Engines that do what they are told at once, unless they are told not to answer. */
+export interface Fleet {
+    nowMs: number;
+    state: GroupsState;
+    readonly upstreams: Map<string, Upstream>;
+    readonly lost: Set<string>;
+    readonly ended: Set<string>;
+    /** Engines that hear the leader but carry nothing out. */
+    readonly deaf: Set<string>;
+    readonly moving: Set<string>;
+    hasTraffic: boolean;
+    /** Every order carried out, in order. */
+    readonly done: OrderTo[];
+}
+
+export function fleetOf(domains: Record<string, number>): Fleet {
+    const upstreams = new Map<string, Upstream>();
+    for (const [domain, count] of Object.entries(domains)) {
+        for (let place = 0; place < count; place++) {
+            const id = `${domain}${place}`;
+            upstreams.set(id, {
+                id, service: "pool", address: `10.0.0.1:${8000 + upstreams.size}`, dataCentre: domain, bornMs: 1, sequence: 1, state: "ready",
+                coldRemainingMs: 0, slots: 4, domain, stagedModels: [], heardAtMs: 0, coldUntilMs: 0, isGone: false,
+            });
+        }
+    }
+    return {
+        nowMs: 10_000, state: noGroups, upstreams, lost: new Set(), ended: new Set(), deaf: new Set(), moving: new Set(), hasTraffic: false, done: [],
+    };
+}
+
+function viewOf(fleet: Fleet): GroupsView {
+    return {
+        nowMs: fleet.nowMs, leadsSinceMs: 0, engine, upstreams: [...fleet.upstreams.values()], evacuated: [], demand: new Map(),
+        hasTraffic: fleet.hasTraffic, stallMs: 5_000,
+        isLost: id => fleet.lost.has(id), isEnded: id => fleet.ended.has(id), isMoving: id => fleet.moving.has(id),
+    };
+}
+
+function carryOut(fleet: Fleet, item: OrderTo) {
+    const upstream = fleet.upstreams.get(item.upstreamId)!;
+    const { order } = item;
+    fleet.done.push(item);
+    const set = (change: Partial<Upstream>) => fleet.upstreams.set(upstream.id, { ...upstream, ...change });
+    switch (order.kind) {
+        case "stage":
+            set({ stagedModels: [order.model] });
+            break;
+        case "join":
+            set({ stagedModels: [order.model], group: { name: order.group, epoch: order.epoch, rank: order.memberIds.indexOf(upstream.id), state: "ready" } });
+            break;
+        default: {
+            if (upstream.group?.name !== order.group || upstream.group.epoch !== order.epoch) {
+                return;
+            }
+            set({ group: order.kind === "leave" ? undefined : { ...upstream.group, state: order.kind === "open" ? "open" : "ready" } });
+        }
+    }
+}
+
+/** Plans and carries out for `ms`; engines that are not lost report each step. */
+export function run(fleet: Fleet, ms: number): void {
+    const untilMs = fleet.nowMs + ms;
+    while (fleet.nowMs < untilMs) {
+        fleet.nowMs += 150;
+        for (const [id, upstream] of fleet.upstreams) {
+            if (!fleet.lost.has(id)) {
+                fleet.upstreams.set(id, { ...upstream, heardAtMs: fleet.nowMs });
+            }
+        }
+        const plan = planGroups(fleet.state, viewOf(fleet));
+        fleet.state = plan.state;
+        plan.orders.filter(item => !fleet.lost.has(item.upstreamId) && !fleet.deaf.has(item.upstreamId)).forEach(item => carryOut(fleet, item));
+    }
+}
+
+/** Heads that are open, by group name. */
+export function openGroups(fleet: Fleet): string[] {
+    return [...fleet.upstreams.values()].filter(upstream => upstream.group?.state === "open").map(upstream => upstream.group!.name).sort();
+}
+
+export function modelsOpen(fleet: Fleet): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const name of openGroups(fleet)) {
+        const model = name.slice(0, name.lastIndexOf("/"));
+        counts[model] = (counts[model] ?? 0) + 1;
+    }
+    return counts;
+}
--- a/test/support/consensusWorld.ts
+++ b/test/support/consensusWorld.ts
@@ -80,7 +80,7 @@
         const own = { id: node.voterId, address: `${node.voterId}:1` };
         const options = {
             self: { voterId: node.voterId, diskId: node.diskId }, address: own.address, timings, limits,
-            peers: ids.includes(node.voterId) ? peers : [...peers, own],
+            peers: ids.includes(node.voterId) ? peers : [...peers, own], mayForm: true, isOpen: false,
         };
         node.state = startedState(options, machine, node.disk, clockOf(node), random());
     }
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -72,6 +72,10 @@
         mayRepeat: () => left-- > 0,
         mostAt: () => 100,
         count: outcome => outcomes.push(outcome),
+        attemptEnded: () => undefined,
+        crashed: () => undefined,
+        isBarred: () => false,
+        refusedEarly: () => undefined,
     });
     return {
         port, view, outcomes, server,
