Count an engine that said goodbye as draining, not as ended, when its group is planned

Change: a life is over only when nothing listens there or another stands in its place. The new test fails without the change.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -29,10 +29,10 @@
     if (!upstream.isGone) {
         // Addresses are used again: whoever held this one before is there no more.
         for (const other of state.values()) {
-            if (other.id !== upstream.id && other.address === upstream.address && !other.isGone) {
+            if (other.id !== upstream.id && other.address === upstream.address && (!other.isGone || other.hasLeft)) {
                 const isOlder = other.bornMs <= upstream.bornMs;
                 const loser = isOlder ? other : upstream;
-                next.set(loser.id, { ...loser, isGone: true });
+                next.set(loser.id, { ...loser, isGone: true, hasLeft: false });
             }
         }
     }
@@ -45,29 +45,46 @@
     if (known !== undefined && !supersedes(announcement, known)) {
         return state;
     }
-    const isGone = known !== undefined && known.bornMs === announcement.bornMs && known.isGone;
+    const isSameLife = known?.bornMs === announcement.bornMs;
     const coldUntilMs = nowMs + announcement.coldRemainingMs;
-    return withUpstream(state, { ...announcement, heardAtMs: nowMs, coldUntilMs, isGone });
+    const fate = isSameLife ? { isGone: known.isGone, hasLeft: known.hasLeft } : { isGone: false, hasLeft: false };
+    return withUpstream(state, { ...announcement, heardAtMs: nowMs, coldUntilMs, ...fate });
 }
 
 /** Takes in an upstream that another process carries here. */
 export function takeCarried(state: DirectoryState, carried: CarriedUpstream, nowMs: number): DirectoryState {
-    const { heardAgoMs, isGone, ...announcement } = carried;
+    const { heardAgoMs, isGone, hasLeft, ...announcement } = carried;
     const known = state.get(carried.id);
     const isSameLife = known !== undefined && known.bornMs === carried.bornMs;
     const goneHere = isSameLife && known.isGone;
+    const leftHere = isSameLife && known.hasLeft;
     if (known !== undefined && !supersedes(announcement, known)) {
-        return isGone && isSameLife && !known.isGone ? withUpstream(state, { ...known, isGone: true }) : state;
+        return isGone && isSameLife && !known.isGone ? withUpstream(state, { ...known, isGone, hasLeft }) : state;
     }
     const heardAtMs = nowMs - heardAgoMs;
     const coldUntilMs = heardAtMs + announcement.coldRemainingMs;
-    return withUpstream(state, { ...announcement, heardAtMs, coldUntilMs, isGone: isGone || goneHere });
+    return withUpstream(state, { ...announcement, heardAtMs, coldUntilMs, isGone: isGone || goneHere, hasLeft: hasLeft || leftHere });
 }
 
 /** An upstream's goodbye. */
 export function depart(state: DirectoryState, id: string): DirectoryState {
     const known = state.get(id);
-    return known === undefined || known.isGone ? state : withUpstream(state, { ...known, isGone: true });
+    return known === undefined || known.isGone ? state : withUpstream(state, { ...known, isGone: true, hasLeft: true });
+}
+
+/**
+ * Whether an upstream's life is over for certain: nobody has announced it, or another life or upstream stands in its place. One that said
+ * goodbye may serve on, and the head of a group that does still has its members.
+ */
+export function isLifeOver(state: DirectoryState, id: string): boolean {
+    const upstream = state.get(id);
+    return upstream === undefined || (upstream.isGone && !upstream.hasLeft);
+}
+
+/** The upstreams that may still run, those that said goodbye as draining ones. */
+export function mayRun(state: DirectoryState): Upstream[] {
+    return [...state.values()].flatMap((upstream): Upstream[] =>
+        !upstream.isGone ? [upstream] : upstream.hasLeft ? [{ ...upstream, state: "draining" }] : []);
 }
 
 /** Notes that upstreams were heard elsewhere `agoMs` ago, without anything new from them. */
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -51,6 +51,8 @@
     readonly coldUntilMs: number;
     /** It said goodbye, or another life or upstream has taken its place: it gets no work. */
     readonly isGone: boolean;
+    /** It is gone because it said goodbye: its process may serve on for some seconds. */
+    readonly hasLeft: boolean;
 }
 
 /** An upstream on its way to another process. */
@@ -58,5 +60,6 @@
     ...announcementSchema.shape,
     heardAgoMs: z.number().min(0),
     isGone: z.boolean(),
+    hasLeft: z.boolean(),
 });
 export type CarriedUpstream = z.infer<typeof carriedUpstreamSchema>;
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -126,7 +126,7 @@
         noteGone(upstream) {
             const known = directory.get(upstream.id);
             if (known?.bornMs === upstream.bornMs && !known.isGone) {
-                directory = new Map(directory).set(upstream.id, { ...known, isGone: true });
+                directory = new Map(directory).set(upstream.id, { ...known, isGone: true, hasLeft: false });
                 lists = undefined;
                 logger.info("upstream is not there", { upstream: upstream.id, address: upstream.address });
             }
--- a/src/siteControl/prober.ts
+++ b/src/siteControl/prober.ts
@@ -92,7 +92,7 @@
                 const isOverdue = nowMs - upstream.heardAtMs > overdueMs;
                 const isDoubted = suspects.has(upstream.id) || (memory.silent > 0 && memory.result === undefined);
                 const isDue = isDoubted || (isOverdue && nowMs - memory.atMs > againMs);
-                if (isDue && !memory.isAsking && !upstream.isGone) {
+                if (isDue && !memory.isAsking) {
                     void ask(upstream, memory);
                 }
             }
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -10,7 +10,7 @@
 import type { ConsensusNode } from "../consensus/index.js";
 import { createFeedServer, createFeedWatcher, type FeedServer, type FeedWatcher, type Frame, type Report, aliveMs } from "../feed/index.js";
 import {
-    announce, type Announcement, carry, depart, type DirectoryState, forgetGone, isNews, refresh, takeCarried, type Upstream,
+    announce, type Announcement, carry, depart, type DirectoryState, forgetGone, isLifeOver, isNews, mayRun, refresh, takeCarried, type Upstream,
 } from "../fleet/index.js";
 import { type EngineOrder, firstEpochOf, type GroupPhase, type GroupsState, noGroups, type OrderTo, planGroups } from "../groups/index.js";
 import { ConsensusService, type PeerConnections } from "../rpc/index.js";
@@ -277,8 +277,8 @@
         if (!noteLeading() || current === undefined) {
             return;
         }
-        const living = [...directory.values()].filter(upstream => !upstream.isGone);
-        prober.look(living.filter(upstream => current.service(upstream.service) !== undefined));
+        const living = mayRun(directory).filter(upstream => !prober.isEnded(upstream.id));
+        prober.look(mayRun(directory).filter(upstream => current.service(upstream.service) !== undefined));
         for (const service of current.site.services) {
             if (service.engine === undefined || service.engine.models.length === 0) {
                 continue;
@@ -290,7 +290,7 @@
                 engine: service.engine,
                 upstreams: living.filter(upstream => upstream.service === service.name),
                 isLost: id => prober.isLost(id),
-                isEnded: id => prober.isEnded(id) || directory.get(id)?.isGone !== false,
+                isEnded: id => prober.isEnded(id) || isLifeOver(directory, id),
                 isMoving: id => nowMs() - (movingAtMs.get(id) ?? Number.NEGATIVE_INFINITY) < movingMs,
                 evacuated: log.state.published.evacuated,
                 demand: demand.read(nowMs()),
--- a/test/fleet/directory.test.ts
+++ b/test/fleet/directory.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
-import { announce, type Announcement, carry, depart, type DirectoryState, takeCarried } from "../../src/fleet/index.js";
+import { announce, type Announcement, carry, depart, type DirectoryState, isLifeOver, mayRun, takeCarried } from "../../src/fleet/index.js";
 
 function said(change: Partial<Announcement> = {}): Announcement {
     return {
@@ -32,6 +32,15 @@
         expect([taken.get("u1")!.isGone, taken.get("u2")!.isGone]).to.deep.equal([true, false]);
     });
 
+    // An engine says goodbye without having drained and serves on for seconds: its group is still open. Taken for a life that is over,
+    // its members would be joined to another group while the first one serves.
+    it("does not take a goodbye for the end of a life", () => {
+        const left = depart(announce(nobody, said(), 10), "u1");
+        expect([isLifeOver(left, "u1"), mayRun(left).map(upstream => upstream.state)]).to.deep.equal([false, ["draining"]]);
+        const replaced = announce(left, said({ id: "u2", bornMs: 9 }), 20);
+        expect([isLifeOver(replaced, "u1"), mayRun(replaced).map(upstream => upstream.id)]).to.deep.equal([true, ["u2"]]);
+    });
+
     it("ends the same in whichever order announcements reach a process", () => {
         const announcement = fc.record({
             bornMs: fc.integer({ min: 1, max: 3 }), sequence: fc.integer({ min: 1, max: 5 }), state: fc.constantFrom("ready" as const, "draining" as const),
