--- a/src/cluster/published.ts
+++ b/src/cluster/published.ts
@@ -39,7 +39,9 @@
 export const nothingPublished: PublishedState = { site: undefined, evacuated: [] };
 
 /** Applies one command. The highest version wins, so a publication that was overtaken is accepted and has no effect. */
-export function applyPublishedCommand(state: PublishedState, command: PublishedCommand): { state: PublishedState; result: PublishedResult } {
+export function applyPublishedCommand(
+    state: PublishedState, command: PublishedCommand,
+): { state: PublishedState; result: PublishedResult } {
     if (command.kind === "publish-site") {
         const isNewer = state.site === undefined || command.version > state.site.version;
         const next = isNewer ? { ...state, site: { version: command.version, text: command.text } } : state;
--- a/src/config/checkText.ts
+++ b/src/config/checkText.ts
@@ -67,6 +67,7 @@
 ): CheckedText<z.infer<Schema>> {
     const ini = readIni(file, text);
     const { raw, findings } = readSections<Extract<keyof Schema["shape"], string>>(ini, schema);
-    const all = [...ini.findings, ...findings, ...absentSections(ini, schema), ...schemaFindings(ini, raw, schema), ...ruleFindings(ini, raw, rules)];
+    const inValues = [...schemaFindings(ini, raw, schema), ...ruleFindings(ini, raw, rules)];
+    const all = [...ini.findings, ...findings, ...absentSections(ini, schema), ...inValues];
     return all.length > 0 ? { findings: sortFindings(all) } : { settings: schema.parse(raw) };
 }
--- a/src/consensus/bootstrap.ts
+++ b/src/consensus/bootstrap.ts
@@ -27,7 +27,7 @@
 
 /** Announces this process to the voters of the settings for as long as its disk has no vote. */
 export function sayHello(state: ConsensusState, random: number): ConsensusStep {
-    if (isVoter(state) && !isForgotten(state) || state.nowMs < state.helloDueMs) {
+    if ((isVoter(state) && !isForgotten(state)) || state.nowMs < state.helloDueMs) {
         return { state, effects: [] };
     }
     const voterIds = settingsIds(state);
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -87,8 +87,14 @@
         !upstream.isGone ? [upstream] : upstream.hasLeft ? [{ ...upstream, state: "draining" }] : []);
 }
 
+/** An upstream that another process has heard, and how long ago. */
+export interface Heard {
+    readonly id: string;
+    readonly agoMs: number;
+}
+
 /** Notes that upstreams were heard elsewhere `agoMs` ago, without anything new from them. */
-export function refresh(state: DirectoryState, heard: readonly { readonly id: string; readonly agoMs: number }[], nowMs: number): DirectoryState {
+export function refresh(state: DirectoryState, heard: readonly Heard[], nowMs: number): DirectoryState {
     const next = new Map(state);
     for (const { id, agoMs } of heard) {
         const known = next.get(id);
@@ -107,8 +113,9 @@
 
 /** An upstream as it is carried to another process. */
 export function carry(upstream: Upstream, nowMs: number): CarriedUpstream {
-    const { heardAtMs, coldUntilMs: _coldUntilMs, ...rest } = upstream;
-    return { ...rest, heardAgoMs: Math.max(0, nowMs - heardAtMs) };
+    const { heardAtMs, coldUntilMs, ...rest } = upstream;
+    const coldRemainingMs = Math.max(0, Math.min(rest.coldRemainingMs, coldUntilMs - heardAtMs));
+    return { ...rest, coldRemainingMs, heardAgoMs: Math.max(0, nowMs - heardAtMs) };
 }
 
 /** Whether anything but the time of hearing and the sequence number differs: what others need to be told. */
@@ -116,5 +123,9 @@
     return before === undefined || before.bornMs !== after.bornMs || before.isGone !== after.isGone || before.state !== after.state ||
         before.address !== after.address || before.service !== after.service ||
         (before.coldUntilMs > after.heardAtMs) !== (after.coldUntilMs > after.heardAtMs) ||
-        JSON.stringify([before.group, before.stagedModels, before.slots]) !== JSON.stringify([after.group, after.stagedModels, after.slots]);
+        JSON.stringify(holdingsOf(before)) !== JSON.stringify(holdingsOf(after));
+}
+
+function holdingsOf({ group, stagedModels, slots }: Upstream) {
+    return [group, stagedModels, slots];
 }
--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -81,8 +81,8 @@
             return known;
         }
         const fresh: Standing = {
-            bornMs: upstream.bornMs, running: 0, streaming: 0, lastEventAtMs: 0, stillSinceMs: 0, load: 0, loadAtMs: Number.NEGATIVE_INFINITY,
-            avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [],
+            bornMs: upstream.bornMs, running: 0, streaming: 0, lastEventAtMs: 0, stillSinceMs: 0, load: 0,
+            loadAtMs: Number.NEGATIVE_INFINITY, avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [],
         };
         standings.set(upstream.id, fresh);
         return fresh;
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -56,6 +56,12 @@
     close(): void;
 }
 
+/** What the library's callback wants in the place of the argument that there isn't. */
+// eslint-disable-next-line no-restricted-syntax -- its type asks for this value
+const nothing = null;
+const noSocket = nothing as never;
+const noError = nothing;
+
 /** Creates an empty pool. */
 export function createConnections(): Connections {
     const held = new Map<string, Connection[]>();
@@ -86,7 +92,7 @@
                 const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`)), connectTimeoutMs);
                 const onFailed = (error: Error) => {
                     clearTimeout(timer);
-                    callback(error, null as never);
+                    callback(error, noSocket);
                 };
                 socket.once("error", onFailed);
                 socket.once("connect", () => {
@@ -101,7 +107,7 @@
                     socket.on("end", () => {
                         connection.wasReset ||= socket.remoteAddress === undefined;
                     });
-                    callback(null, socket);
+                    callback(noError, socket);
                 });
             },
         });
@@ -178,7 +184,7 @@
         try {
             connection.client.dispatch({
                 origin: `http://${address}`, path: exchange.path, method: exchange.method as Dispatcher.HttpMethod,
-                headers: exchange.headers, body: exchange.body ?? null,
+                headers: exchange.headers, ...exchange.body === undefined ? {} : { body: exchange.body },
             }, handler);
         }
         catch (error) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -44,7 +44,7 @@
 /** Short against the time in which a stalled group must be noticed. */
 const reportIntervalMs = 250;
 const sweepIntervalMs = 500;
-/** How long the balancer may still send new connections after readiness was withdrawn: two of its questions, a second apart, and one more. */
+/** How long the balancer may send new connections after readiness was withdrawn: two of its questions, a second apart, and one more. */
 const balancerNoticeMs = 3_000;
 /** The wait at a group, running requests aside, that still brings a first event before callers turn away, in ms. */
 const mostWaitMs = 900;
@@ -71,7 +71,8 @@
     const connections = createConnections();
     const crashes = createCrashes(nowMs);
     const { ratio, slack } = options.repeats;
-    const repeatPolicy: RetryBudgetPolicy = { perSuccess: ratio * repeatRatioShare, perSecond: 0, most: Math.max(1, slack / entriesSharingSlack) };
+    const most = Math.max(1, slack / entriesSharingSlack);
+    const repeatPolicy: RetryBudgetPolicy = { perSuccess: ratio * repeatRatioShare, perSecond: 0, most };
     const budgets = new Map<string, RetryBudget>();
     let work: Record<string, number> = {};
     let requests = 0;
@@ -136,7 +137,10 @@
 
     const timers = [
         setInterval(() => {
-            watcher.report({ workByModel: work, requests, suspectIds: [...balance.doubtfulIds], movingIds: [...balance.movingIds], crashes: [...crashes.recent] });
+            const { doubtfulIds, movingIds } = balance;
+            watcher.report({
+                workByModel: work, requests, suspectIds: [...doubtfulIds], movingIds: [...movingIds], crashes: [...crashes.recent],
+            });
             work = {};
             requests = 0;
         }, reportIntervalMs),
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -41,7 +41,7 @@
     drained(): void;
 }
 
-/** Retry-After of refusals, in ms: a repair takes some 2 s, a queue drains in tenths of a second; spread, so that callers don't return at once. */
+/** Retry-After of refusals, in ms: a repair takes some 2 s, a queue drains in tenths of a second; spread, lest callers return at once. */
 const retryAfterMinMs = 400;
 const retryAfterSpreadMs = 600;
 /** Under this much time left another attempt can't bring an answer. */
@@ -163,7 +163,8 @@
         const goesOn = mayTry && parts.mayRepeat(service);
         const reason = ending.kind === "ran-failed" ? `status ${ending.answer.status}` : ending.reason;
         logger.info("attempt ended without an answer", {
-            request: asked.attemptId, upstream: upstream.id, ending: ending.kind, reason, attempt: attempts, goesOn, lastEvent: splitter.lastId,
+            request: asked.attemptId, upstream: upstream.id, ending: ending.kind, reason, attempt: attempts, goesOn,
+            lastEvent: splitter.lastId,
         });
         if (goesOn) {
             tried.add(upstream.id);
--- /dev/null
+++ b/src/siteControl/groupLeader.ts
@@ -0,0 +1,155 @@
+/**
+ * What the control leader does about groups of engines: watches which upstreams still answer, has `groups` plan, and gives the orders.
+ * On a daemon that does not lead it does nothing; what an earlier time of leading knew is void.
+ *
+ * @module
+ */
+
+import type { ConsensusNode } from "../consensus/index.js";
+import type { Report } from "../feed/index.js";
+import { type DirectoryState, isLifeOver, mayRun, type Upstream } from "../fleet/index.js";
+import { type EngineOrder, firstEpochOf, type GroupPhase, type GroupsState, type GroupsView, noGroups, type OrderTo, planGroups } from "../groups/index.js";
+import type { EngineSpec, SiteTable } from "../site/index.js";
+import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import { createDemand } from "./demand.js";
+import { createProber, type ProbeResult } from "./prober.js";
+
+/** How engines are reached. */
+export interface Engines {
+    /** Resolves to what the engine answered, in a word for the log; rejects where no answer came. */
+    order(upstream: Upstream, order: EngineOrder): Promise<string>;
+    probe(upstream: Upstream): Promise<ProbeResult>;
+}
+
+export interface GroupLeaderOptions {
+    readonly log: ConsensusNode;
+    readonly engines: Engines;
+    readonly logger: Logger;
+    readonly metrics: SiteMetrics;
+    /** How long a head goes on without a member before it notices. */
+    readonly stallMs: number;
+    /** Whether the site starts for the first time: until requests come, loads are quick. */
+    readonly isFirstStart: boolean;
+    nowMs(): number;
+    directory(): DirectoryState;
+}
+
+export interface GroupLeader {
+    /** One step of planning, for the site in force. */
+    step(table: SiteTable): void;
+    /** Takes what an entry has seen. */
+    report(report: Report): void;
+    /** Upstreams that answer nobody. */
+    readonly lostIds: readonly string[];
+    countOf(phase: GroupPhase): number;
+}
+
+/** Entries report several times in this long; older evidence of progress proves nothing. */
+const movingMs = 700;
+
+/** Creates the part of the role that acts only while it leads. */
+export function createGroupLeader(options: GroupLeaderOptions): GroupLeader {
+    const { log, logger, engines, metrics, nowMs } = options;
+    const demand = createDemand();
+    const movingAtMs = new Map<string, number>();
+    const states = new Map<string, GroupsState>();
+    let leadsSinceMs: number | undefined;
+    let planTerm = 0;
+    let hasTraffic = !options.isFirstStart;
+
+    const prober = createProber({
+        nowMs,
+        probe: upstream => engines.probe(upstream),
+        judged(upstream, result) {
+            if (result !== "answered") {
+                logger.info("upstream gave no answer", { upstream: upstream.id, result, heardAgoMs: Math.round(nowMs() - upstream.heardAtMs) });
+            }
+        },
+    });
+
+    function noteLeading(): boolean {
+        if (!log.leaseHeld) {
+            if (leadsSinceMs !== undefined) {
+                logger.info("leads no more", { term: log.term });
+                leadsSinceMs = undefined;
+            }
+            return false;
+        }
+        if (leadsSinceMs === undefined || planTerm !== log.term) {
+            leadsSinceMs = nowMs();
+            planTerm = log.term;
+            states.clear();
+            prober.forget();
+            logger.info("leads", { term: log.term });
+        }
+        return true;
+    }
+
+    function send(upstream: Upstream, { order, reason }: OrderTo) {
+        const sentAtMs = nowMs();
+        const facts = { upstream: upstream.id, order, reason };
+        engines.order(upstream, order).then(outcome => {
+            metrics.order(order.kind, outcome.slice(0, 3));
+            logger.info("order answered", { ...facts, outcome, tookMs: Math.round(nowMs() - sentAtMs) });
+        }, (error: Error) => {
+            metrics.order(order.kind, "none");
+            logger.warn("order without an answer", { ...facts, error: error.message });
+        });
+    }
+
+    function viewOf(engine: EngineSpec, upstreams: readonly Upstream[]): GroupsView {
+        const directory = options.directory();
+        return {
+            nowMs: nowMs(),
+            leadsSinceMs: leadsSinceMs!,
+            engine,
+            upstreams,
+            isLost: id => prober.isLost(id),
+            isEnded: id => prober.isEnded(id) || isLifeOver(directory, id),
+            isMoving: id => nowMs() - (movingAtMs.get(id) ?? Number.NEGATIVE_INFINITY) < movingMs,
+            evacuated: log.state.published.evacuated,
+            demand: demand.read(nowMs()),
+            hasTraffic,
+            stallMs: options.stallMs,
+        };
+    }
+
+    function planService(service: string, engine: EngineSpec, upstreams: readonly Upstream[]) {
+        const known = states.get(service) ?? { ...noGroups, lastEpoch: firstEpochOf(planTerm) };
+        const planned = planGroups(known, viewOf(engine, upstreams));
+        states.set(service, planned.state);
+        planned.notes.forEach(note => logger.info("group changed", { ...note }));
+        planned.orders.forEach(item => send(options.directory().get(item.upstreamId)!, item));
+    }
+
+    return {
+        step(table) {
+            if (!noteLeading()) {
+                return;
+            }
+            const running = mayRun(options.directory());
+            prober.look(running.filter(upstream => table.service(upstream.service) !== undefined));
+            const living = running.filter(upstream => !prober.isEnded(upstream.id));
+            for (const { name, engine } of table.site.services) {
+                if (engine !== undefined && engine.models.length > 0) {
+                    planService(name, engine, living.filter(upstream => upstream.service === name));
+                }
+            }
+        },
+        report(taken) {
+            demand.add(taken.workByModel, nowMs());
+            if (taken.requests > 0 && !hasTraffic) {
+                hasTraffic = true;
+                logger.info("first requests of callers were reported");
+            }
+            taken.movingIds.forEach(id => movingAtMs.set(id, nowMs()));
+            const groups = [...states.values()].flatMap(state => [...state.groups.values()]);
+            const members = groups.filter(group => taken.suspectIds.includes(group.memberIds[0]!)).flatMap(group => group.memberIds);
+            prober.suspect([...taken.suspectIds, ...members]);
+        },
+        get lostIds() {
+            return prober.lostIds;
+        },
+        countOf: phase => [...states.values()].flatMap(state => [...state.groups.values()]).filter(group => group.phase === phase).length,
+    };
+}
--- a/src/siteControl/index.ts
+++ b/src/siteControl/index.ts
@@ -1,2 +1,3 @@
+export { type Engines } from "./groupLeader.js";
 export { type ProbeResult } from "./prober.js";
-export { createSiteControl, type Engines, type PublishOutcome, type SiteControl, type SiteControlOptions } from "./siteControl.js";
+export { createSiteControl, type PublishOutcome, type SiteControl, type SiteControlOptions } from "./siteControl.js";
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -5,26 +5,16 @@
  * @module
  */
 
-import { createClient } from "@connectrpc/connect";
-import type { Command, Proposal } from "../cluster/index.js";
 import type { ConsensusNode } from "../consensus/index.js";
 import { createFeedServer, createFeedWatcher, type FeedServer, type FeedWatcher, type Frame, type Report, aliveMs } from "../feed/index.js";
 import {
-    announce, type Announcement, carry, depart, type DirectoryState, forgetGone, isLifeOver, isNews, mayRun, refresh, takeCarried, type Upstream,
+    announce, type Announcement, carry, depart, type DirectoryState, forgetGone, isNews, refresh, takeCarried,
 } from "../fleet/index.js";
-import { type EngineOrder, firstEpochOf, type GroupPhase, type GroupsState, noGroups, type OrderTo, planGroups } from "../groups/index.js";
-import { ConsensusService, type PeerConnections } from "../rpc/index.js";
+import type { PeerConnections } from "../rpc/index.js";
 import { createSiteTable, type DecodedSite, type SiteDialect, type SiteFinding, type SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
-import { createDemand } from "./demand.js";
-import { createProber, type ProbeResult } from "./prober.js";
-
-/** How engines are reached. */
-export interface Engines {
-    /** Resolves to what the engine answered, in a word for the log; rejects where no answer came. */
-    order(upstream: Upstream, order: EngineOrder): Promise<string>;
-    probe(upstream: Upstream): Promise<ProbeResult>;
-}
+import { createGroupLeader, type Engines } from "./groupLeader.js";
+import { createProposer, operatorTimeoutMs } from "./proposals.js";
 
 export interface SiteControlOptions {
     readonly daemonId: string;
@@ -61,43 +51,24 @@
     stop(): void;
 }
 
-/** Operators call another daemon after a second without an answer. */
-const operatorTimeoutMs = 900;
-/** Between two tries to find the leader. */
-const leaderRetryMs = 60;
 /** How often groups are planned: repair waits for it, and a step takes some tenths of a millisecond. */
 const planIntervalMs = 150;
-/** Entries report that often or more; older evidence of progress proves nothing. */
-const movingMs = 700;
 const forgetIntervalMs = 10_000;
 /** Upstreams that crash under one request before it is refused: a request that was merely there is hardly there three times. */
 const barringCrashes = 3;
 
 /** Creates the role; `start` begins to plan and to tell. */
 export function createSiteControl(options: SiteControlOptions): SiteControl {
-    const { log, logger, connections, dialect, engines } = options;
+    const { log, logger, dialect } = options;
     const nowMs = () => performance.now();
-    const demand = createDemand();
-    const movingAtMs = new Map<string, number>();
+    const propose = createProposer({ ...options, nowMs });
     let directory: DirectoryState = new Map();
     let decoded: { readonly text: string; readonly table: SiteTable } | undefined;
-    let groups: { service: string; state: GroupsState }[] = [];
-    let leadsSinceMs: number | undefined;
-    let planTerm = 0;
-    let hasTraffic = !options.isFirstStart;
     let told: { version: number; evacuated: string; lost: string; controls: string } = { version: -1, evacuated: "", lost: "", controls: "" };
     let timers: NodeJS.Timeout[] = [];
     let forgetAtMs = 0;
 
-    const prober = createProber({
-        nowMs,
-        probe: upstream => engines.probe(upstream),
-        judged(upstream, result) {
-            if (result !== "answered") {
-                logger.info("upstream gave no answer", { upstream: upstream.id, result, heardAgoMs: Math.round(nowMs() - upstream.heardAtMs) });
-            }
-        },
-    });
+    const groupLeader = createGroupLeader({ ...options, nowMs, directory: () => directory });
 
     /** Takes a new directory and tells watchers what is new in it. */
     function update(next: DirectoryState) {
@@ -108,7 +79,7 @@
         directory = next;
         if (news.length > 0) {
             feed.publish({ kind: "upstreams", upstreams: news.map(upstream => carry(upstream, nowMs())) });
-            news.forEach(upstream => logger.debug("upstream changed", { upstream: upstream.id, state: upstream.state, gone: upstream.isGone, group: upstream.group }));
+            news.forEach(({ id, state, isGone, group }) => logger.debug("upstream changed", { upstream: id, state, isGone, group }));
         }
     }
 
@@ -127,13 +98,7 @@
     const feed = createFeedServer({ greeting, report });
 
     function report(_daemonId: string, taken: Report) {
-        demand.add(taken.workByModel, nowMs());
-        if (taken.requests > 0 && !hasTraffic) {
-            hasTraffic = true;
-            logger.info("first requests of callers were reported");
-        }
-        taken.movingIds.forEach(id => movingAtMs.set(id, nowMs()));
-        prober.suspect(membersOf(taken.suspectIds));
+        groupLeader.report(taken);
         void noteCrashes(taken.crashes);
     }
 
@@ -153,12 +118,6 @@
         return Object.keys(byFingerprint).filter(fingerprint => byFingerprint[fingerprint]!.crashes >= barringCrashes);
     }
 
-    /** The suspected upstreams with all members of the groups that they head. */
-    function membersOf(headIds: readonly string[]): string[] {
-        const found = groups.flatMap(({ state }) => [...state.groups.values()]).filter(group => headIds.includes(group.memberIds[0]!));
-        return [...headIds, ...found.flatMap(group => group.memberIds)];
-    }
-
     const watcher: FeedWatcher = createFeedWatcher({
         daemonId: options.daemonId,
         take(frame) {
@@ -181,7 +140,7 @@
     }
 
     function judged(): Frame {
-        return { kind: "judged", lostIds: [...prober.lostIds], barred: barred() };
+        return { kind: "judged", lostIds: [...groupLeader.lostIds], barred: barred() };
     }
 
     function table(): SiteTable | undefined {
@@ -225,133 +184,49 @@
     }
 
     function tellAlive() {
-        const heard = [...directory.values()].filter(upstream => !upstream.isGone).map(upstream => ({ id: upstream.id, agoMs: Math.round(nowMs() - upstream.heardAtMs) }));
+        const heard = [...directory.values()]
+            .filter(upstream => !upstream.isGone)
+            .map(upstream => ({ id: upstream.id, agoMs: Math.round(nowMs() - upstream.heardAtMs) }));
         feed.publish({ kind: "alive", heard, leads: leads() });
         tellApplied();
     }
 
     function tellJudged() {
-        const lost = [...prober.lostIds, ...barred()].join(",");
+        const lost = [...groupLeader.lostIds, ...barred()].join(",");
         if (lost !== told.lost) {
             feed.publish(judged());
             told = { ...told, lost };
         }
     }
 
-    /** Follows whether this daemon leads; what an earlier time of leading knew is void. */
-    function noteLeading(): boolean {
-        if (!leads()) {
-            if (leadsSinceMs !== undefined) {
-                logger.info("leads no more", { term: log.term });
-                leadsSinceMs = undefined;
-            }
-            return false;
-        }
-        if (leadsSinceMs === undefined || planTerm !== log.term) {
-            leadsSinceMs = nowMs();
-            planTerm = log.term;
-            groups = [];
-            prober.forget();
-            logger.info("leads", { term: log.term });
-        }
-        return true;
-    }
-
-    function send(upstream: Upstream, { order, reason }: OrderTo) {
-        const sentAtMs = nowMs();
-        const facts = { upstream: upstream.id, order, reason };
-        engines.order(upstream, order).then(
-            (outcome) => {
-                options.metrics.order(order.kind, outcome.slice(0, 3));
-                logger.info("order answered", { ...facts, outcome, tookMs: Math.round(nowMs() - sentAtMs) });
-            },
-            (error: Error) => {
-                options.metrics.order(order.kind, "none");
-                logger.warn("order without an answer", { ...facts, error: error.message });
-            },
-        );
-    }
-
     function plan() {
         const current = table();
-        if (!noteLeading() || current === undefined) {
-            return;
+        if (current !== undefined) {
+            groupLeader.step(current);
         }
-        const living = mayRun(directory).filter(upstream => !prober.isEnded(upstream.id));
-        prober.look(mayRun(directory).filter(upstream => current.service(upstream.service) !== undefined));
-        for (const service of current.site.services) {
-            if (service.engine === undefined || service.engine.models.length === 0) {
-                continue;
-            }
-            const known = groups.find(item => item.service === service.name) ?? { service: service.name, state: { ...noGroups, lastEpoch: firstEpochOf(planTerm) } };
-            const planned = planGroups(known.state, {
-                nowMs: nowMs(),
-                leadsSinceMs: leadsSinceMs!,
-                engine: service.engine,
-                upstreams: living.filter(upstream => upstream.service === service.name),
-                isLost: id => prober.isLost(id),
-                isEnded: id => prober.isEnded(id) || isLifeOver(directory, id),
-                isMoving: id => nowMs() - (movingAtMs.get(id) ?? Number.NEGATIVE_INFINITY) < movingMs,
-                evacuated: log.state.published.evacuated,
-                demand: demand.read(nowMs()),
-                hasTraffic,
-                stallMs: options.stallMs,
-            });
-            groups = [...groups.filter(item => item.service !== service.name), { service: service.name, state: planned.state }];
-            planned.notes.forEach(note => logger.info("group changed", { ...note }));
-            planned.orders.forEach(item => send(directory.get(item.upstreamId)!, item));
+        if (leads()) {
+            tellJudged();
         }
-        tellJudged();
         if (nowMs() > forgetAtMs) {
             directory = forgetGone(directory, nowMs());
             forgetAtMs = nowMs() + forgetIntervalMs;
         }
     }
 
-    async function forward(address: string, command: Command, timeoutMs: number): Promise<Proposal> {
-        const client = createClient(ConsensusService, connections.get(address).transport);
-        const answer = await client.propose({ command: Buffer.from(JSON.stringify(command)), timeoutMs }, { timeoutMs });
-        return answer.outcome === "applied"
-            ? { outcome: "applied", result: JSON.parse(Buffer.from(answer.result).toString("utf8")), index: 0 }
-            : answer.outcome === "not-leader" ? { outcome: "not-leader", leaderAddress: answer.leaderAddress || undefined } : { outcome: "unknown" };
-    }
-
-    /** Proposes here or at the leader until it is accepted or the operator will have gone elsewhere. */
-    async function propose(command: Command): Promise<Proposal> {
-        const untilMs = nowMs() + operatorTimeoutMs;
-        let last: Proposal = { outcome: "unknown" };
-        while (nowMs() < untilMs) {
-            const leftMs = Math.max(1, Math.round(untilMs - nowMs()));
-            last = await log.propose(command, leftMs);
-            if (last.outcome === "not-leader" && last.leaderAddress !== undefined && last.leaderAddress !== options.address) {
-                last = await forward(last.leaderAddress, command, leftMs).catch((error: Error): Proposal => {
-                    logger.warn("the leader could not be asked", { error: error.message });
-                    return { outcome: "unknown" };
-                });
-            }
-            if (last.outcome !== "not-leader") {
-                return last;
-            }
-            await new Promise(resolve => setTimeout(resolve, leaderRetryMs));
-        }
-        return last;
-    }
-
     function inTouch(): boolean {
         return log.role === "leader" ? leads() : log.leaderAddress !== undefined;
     }
 
     function observe() {
         const { metrics } = options;
-        const count = (phase: GroupPhase) => groups.flatMap(({ state }) => [...state.groups.values()]).filter(group => group.phase === phase).length;
         metrics.observe("zinnialanding_term", () => log.term);
         metrics.observe("zinnialanding_leads", () => Number(leads()));
         metrics.observe("zinnialanding_site_version", () => log.state.published.site?.version ?? 0);
         metrics.observe("zinnialanding_upstreams_known", () => [...directory.values()].filter(upstream => !upstream.isGone).length);
-        metrics.observe("zinnialanding_upstreams_lost", () => prober.lostIds.length);
-        metrics.observe("zinnialanding_groups_open", () => count("open"));
-        metrics.observe("zinnialanding_groups_forming", () => count("forming"));
-        metrics.observe("zinnialanding_groups_ending", () => count("ending"));
+        metrics.observe("zinnialanding_upstreams_lost", () => groupLeader.lostIds.length);
+        metrics.observe("zinnialanding_groups_open", () => groupLeader.countOf("open"));
+        metrics.observe("zinnialanding_groups_forming", () => groupLeader.countOf("forming"));
+        metrics.observe("zinnialanding_groups_ending", () => groupLeader.countOf("ending"));
     }
 
     return {
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -100,7 +100,8 @@
         const log = await container.cradle.log;
         const connections = createPeerConnections();
         const control = createSiteControl({
-            daemonId: daemon.id, address: listen.rpc!, log, dialect: platform.dialect, engines: platform.createEngines(), connections, logger, metrics,
+            daemonId: daemon.id, address: listen.rpc!, log, dialect: platform.dialect, engines: platform.createEngines(),
+            connections, logger, metrics,
             stallMs: engines.stallMs, isFirstStart: controlSettings.firstStart,
         });
         const rpc: RpcServer = await createRpcServer(listen.rpc!, router => {
--- a/src/telemetry/boundedOutput.ts
+++ b/src/telemetry/boundedOutput.ts
@@ -44,13 +44,13 @@
     }
 
     function put(bytes: Buffer, from: number) {
-        write(fd, bytes, from, bytes.length - from, null, (error, written) => {
+        write(fd, bytes, from, bytes.length - from, undefined, (error, written) => {
             if (error?.code === "EAGAIN") {
                 setTimeout(() => put(bytes, from), 50);
                 return;
             }
             // With no one to read them there is nowhere to report that lines can't be written.
-            const done = error === null ? from + written : bytes.length;
+            const done = error ? bytes.length : from + written;
             if (done < bytes.length) {
                 put(bytes, done);
                 return;
--- a/standin/platform/callers.ts
+++ b/standin/platform/callers.ts
@@ -37,7 +37,7 @@
         const message = request({
             host, port, method: asked.method, path: asked.path, agent: false, timeout: deadlineMs + 1_000,
             headers: {
-                "host": "shop.example", "api-key": "key-1", "zinnialanding-attempt-id": asked.id, "zinnialanding-deadline-ms": String(deadlineMs),
+                host: "shop.example", "api-key": "key-1", "zinnialanding-attempt-id": asked.id, "zinnialanding-deadline-ms": String(deadlineMs),
                 ...asked.body === undefined ? {} : { "content-length": Buffer.byteLength(asked.body) }, ...asked.headers,
             },
         }, response => {
--- a/test/fleet/directory.test.ts
+++ b/test/fleet/directory.test.ts
@@ -48,9 +48,11 @@
         // Of one life and number there is one announcement.
         const list = fc.uniqueArray(announcement, { selector: item => `${item.bornMs} ${item.sequence}`, minLength: 1 });
         fc.assert(fc.property(list, fc.integer(), (items, seed) => {
-            const shuffled = [...items].sort((a, b) => (a.sequence * 31 + a.bornMs * 17 + seed) % 7 - (b.sequence * 31 + b.bornMs * 17 + seed) % 7);
+            const rankOf = (item: { sequence: number; bornMs: number }) => (item.sequence * 31 + item.bornMs * 17 + seed) % 7;
+            const shuffled = [...items].sort((a, b) => rankOf(a) - rankOf(b));
             const direct = items.reduce((state, item) => announce(state, said(item), 0), nobody);
-            const carried = shuffled.reduce((state, item) => takeCarried(state, carry([...announce(nobody, said(item), 0).values()][0]!, 0), 0), nobody);
+            const carriedOf = (item: Partial<Announcement>) => carry(announce(nobody, said(item), 0).get("u1")!, 0);
+            const carried = shuffled.reduce((state, item) => takeCarried(state, carriedOf(item), 0), nobody);
             expect(carried.get("u1")).to.deep.equal(direct.get("u1"));
         }), { seed: 11 });
     });
--- a/test/groups/builders.ts
+++ b/test/groups/builders.ts
@@ -5,8 +5,8 @@
 export const engine: EngineSpec = siteServiceSchema.parse({
     name: "pool", maxConnections: 10, coldMs: 0, coldRequestsPerSecond: 0,
     engine: {
-        slots: 4, stepMs: 10, stepPerRequestMs: 0, stepPerThousandTokensMs: 0, promptTokensPerSecond: 1_000, usualPromptTokens: 1, usualAnswerTokens: 1,
-        loadsPerSecond: 3, loadsAtOnce: 6, formMs: 300,
+        slots: 4, stepMs: 10, stepPerRequestMs: 0, stepPerThousandTokensMs: 0, promptTokensPerSecond: 1_000,
+        usualPromptTokens: 1, usualAnswerTokens: 1, loadsPerSecond: 3, loadsAtOnce: 6, formMs: 300,
         models: [
             { name: "big", size: 4, share: 0.5, pace: 1, loadMs: 16_000, warmMs: 1_600 },
             { name: "small", size: 2, share: 0.5, pace: 1, loadMs: 12_000, warmMs: 1_100 },
@@ -41,7 +41,8 @@
         }
     }
     return {
-        nowMs: 10_000, state: noGroups, upstreams, lost: new Set(), ended: new Set(), deaf: new Set(), moving: new Set(), hasTraffic: false, done: [],
+        nowMs: 10_000, state: noGroups, upstreams, lost: new Set(), ended: new Set(), deaf: new Set(), moving: new Set(),
+        hasTraffic: false, done: [],
     };
 }
 
@@ -63,7 +64,10 @@
             set({ stagedModels: [order.model] });
             break;
         case "join":
-            set({ stagedModels: [order.model], group: { name: order.group, epoch: order.epoch, rank: order.memberIds.indexOf(upstream.id), state: "ready" } });
+            set({
+                stagedModels: [order.model],
+                group: { name: order.group, epoch: order.epoch, rank: order.memberIds.indexOf(upstream.id), state: "ready" },
+            });
             break;
         default: {
             if (upstream.group?.name !== order.group || upstream.group.epoch !== order.epoch) {
@@ -86,7 +90,8 @@
         }
         const plan = planGroups(fleet.state, viewOf(fleet));
         fleet.state = plan.state;
-        plan.orders.filter(item => !fleet.lost.has(item.upstreamId) && !fleet.deaf.has(item.upstreamId)).forEach(item => carryOut(fleet, item));
+        const isHeard = ({ upstreamId }: OrderTo) => !fleet.lost.has(upstreamId) && !fleet.deaf.has(upstreamId);
+        plan.orders.filter(isHeard).forEach(item => carryOut(fleet, item));
     }
 }
 
--- a/test/groups/plan.test.ts
+++ b/test/groups/plan.test.ts
@@ -1,5 +1,13 @@
 import { expect } from "chai";
-import { fleetOf, modelsOpen, openGroups, run } from "./builders.js";
+import { type Fleet, fleetOf, modelsOpen, openGroups, run } from "./builders.js";
+
+function headOf(fleet: Fleet, model: string) {
+    return [...fleet.upstreams.values()].find(upstream => upstream.group?.state === "open" && upstream.group.name.startsWith(model))!;
+}
+
+function memberOf(fleet: Fleet, group: string, rank: number) {
+    return [...fleet.upstreams.values()].find(upstream => upstream.group?.name === group && upstream.group.rank === rank)!;
+}
 
 describe("planning groups of engines", () => {
     it("fills domains of ten with large groups first and leaves spares with weights", () => {
@@ -17,8 +25,8 @@
         const fleet = fleetOf({ a: 10 });
         run(fleet, 4_000);
         fleet.hasTraffic = true;
-        const head = [...fleet.upstreams.values()].find(upstream => upstream.group?.state === "open" && upstream.group.name.startsWith("big"))!;
-        const member = [...fleet.upstreams.values()].find(upstream => upstream.group?.name === head.group!.name && upstream.group.rank === 2)!;
+        const head = headOf(fleet, "big");
+        const member = memberOf(fleet, head.group!.name, 2);
         fleet.lost.add(member.id);
         run(fleet, 2_000);
         expect(modelsOpen(fleet).big).to.equal(1);
@@ -31,9 +39,8 @@
         const fleet = fleetOf({ a: 10 });
         run(fleet, 4_000);
         fleet.hasTraffic = true;
-        const head = [...fleet.upstreams.values()].find(upstream => upstream.group?.state === "open" && upstream.group.name.startsWith("small"))!;
-        const group = head.group!.name;
-        const member = [...fleet.upstreams.values()].find(upstream => upstream.group?.name === group && upstream.group.rank === 1)!;
+        const head = headOf(fleet, "small");
+        const member = memberOf(fleet, head.group!.name, 1);
         fleet.lost.add(head.id);
         fleet.lost.add(member.id);
         run(fleet, 8_000);
@@ -50,8 +57,8 @@
         const fleet = fleetOf({ a: 10 });
         run(fleet, 4_000);
         const before = openGroups(fleet);
-        const head = [...fleet.upstreams.values()].find(upstream => upstream.group?.state === "open")!;
-        const member = [...fleet.upstreams.values()].find(upstream => upstream.group?.name === head.group!.name && upstream.group.rank === 1)!;
+        const head = headOf(fleet, "small");
+        const member = memberOf(fleet, head.group!.name, 1);
         fleet.moving.add(head.id);
         fleet.lost.add(member.id);
         run(fleet, 5_000);
--- a/test/platform/decoders.test.ts
+++ b/test/platform/decoders.test.ts
@@ -9,9 +9,15 @@
     staged: ["lm"], domain: "a-0", group: { name: "lm/7", epoch: 7, rank: 0, state: "open" },
 };
 
+/** A configuration as it is written, as far as the tests change it. */
+interface Written extends Record<string, unknown> {
+    routes: Record<string, unknown>[];
+    tenants: object[];
+}
+
 /** A configuration with one thing changed. */
-function changed(change: (raw: Record<string, any>) => void): string {
-    const raw = JSON.parse(configurationText(3)) as Record<string, any>;
+function changed(change: (raw: Written) => void): string {
+    const raw = JSON.parse(configurationText(3)) as Written;
     change(raw);
     return JSON.stringify(raw);
 }
@@ -31,16 +37,22 @@
     it("find each kind of invalid configuration, with its place", () => {
         expect({
             cutShort: places(configurationText(3).slice(0, -20)),
-            unknownService: places(changed(raw => raw.routes[1].service = "none")),
-            samePlace: places(changed(raw => raw.routes[1].pathPrefix = raw.routes[0].pathPrefix)),
+            unknownService: places(changed(raw => raw.routes[1]!.service = "none")),
+            samePlace: places(changed(raw => raw.routes[1]!.pathPrefix = raw.routes[0]!.pathPrefix)),
             noWeight: places(changed(raw => {
-                delete raw.routes[0].service;
-                raw.routes[0].backends = [{ service: "orders", weight: 0 }];
+                delete raw.routes[0]!.service;
+                raw.routes[0]!.backends = [{ service: "orders", weight: 0 }];
+            })),
+            noTimeout: places(changed(raw => raw.routes[2]!.timeoutMs = 0)),
+            sharedKey: places(changed(raw => {
+                raw.tenants.push({ name: "other", apiKeys: ["key-1"] });
+            })),
+            noTarget: places(changed(raw => {
+                delete raw.routes[0]!.service;
+            })),
+            noVersion: places(changed(raw => {
+                delete raw.version;
             })),
-            noTimeout: places(changed(raw => raw.routes[2].timeoutMs = 0)),
-            sharedKey: places(changed(raw => raw.tenants.push({ name: "other", apiKeys: ["key-1"] }))),
-            noTarget: places(changed(raw => delete raw.routes[0].service)),
-            noVersion: places(changed(raw => delete raw.version)),
         }).to.deep.equal({
             cutShort: ["the text"],
             unknownService: ["routes[1].targets[0]"],
@@ -56,7 +68,7 @@
     it("pass over fields that they don't know", () => {
         expect(places(changed(raw => {
             raw.later = { field: 1 };
-            raw.routes[0].later = "x";
+            raw.routes[0]!.later = "x";
         }))).to.deep.equal([]);
     });
 
--- a/test/platform/wholeSite.test.ts
+++ b/test/platform/wholeSite.test.ts
@@ -17,6 +17,8 @@
     }
 }
 
+const everyEvent = Array.from({ length: eventsPerAnswer }, (_, place) => place + 1);
+
 describe("a site of real daemons before runners of the platform", function () {
     this.timeout(60_000);
     let folder: string;
@@ -72,7 +74,7 @@
 
     it("serves streams whole and plain services once, with the caller's organisation", async () => {
         const answers = await Promise.all([caption(0), caption(1), caption(0)]);
-        answers.forEach(answer => expect(eventIds(answer.body)).to.deep.equal(Array.from({ length: eventsPerAnswer }, (_, place) => place + 1)));
+        answers.forEach(answer => expect(eventIds(answer.body)).to.deep.equal(everyEvent));
         const charge = await ask(1, "POST", "/charge/1", { body: "amount=1" });
         expect(charge.status).to.equal(200);
         const runs = runners.flatMap(runner => runner.runs).filter(run => run.id === charge.id);
@@ -80,21 +82,24 @@
     });
 
     it("refuses what no route, no key and no valid configuration allows", async () => {
+        const extra = { name: "r", host: "a", pathPrefix: "/x/", kind: "idempotent" };
         const statuses = [
             (await ask(0, "GET", "/nowhere/1")).status,
             (await ask(0, "GET", "/read/1", { headers: { "api-key": "unknown" } })).status,
             await publish("{\"version\": 9"),
-            await publish(configurationText(9, { routes: [{ name: "r", host: "a", pathPrefix: "/x/", kind: "idempotent", timeoutMs: 0, service: "orders" }] })),
-            await publish(configurationText(9, { routes: [{ name: "r", host: "a", pathPrefix: "/x/", kind: "idempotent", timeoutMs: 9, service: "none" }] })),
+            await publish(configurationText(9, { routes: [{ ...extra, timeoutMs: 0, service: "orders" }] })),
+            await publish(configurationText(9, { routes: [{ ...extra, timeoutMs: 9, service: "none" }] })),
         ];
         expect(statuses).to.deep.equal([404, 401, 400, 400, 400]);
     });
 
     // A configuration that has been acknowledged is in force at every entry soon after, and an older one that comes late changes nothing.
     it("puts a configuration in force at every entry and reads it back as it was sent", async () => {
-        const text = configurationText(5, { routes: [{ name: "new", host: "shop.example", pathPrefix: "/new/", kind: "idempotent", timeoutMs: 900, service: "orders" }] });
+        const route = { name: "new", host: "shop.example", pathPrefix: "/new/", kind: "idempotent", timeoutMs: 900, service: "orders" };
+        const text = configurationText(5, { routes: [route] });
         expect(await publish(text, 1)).to.equal(200);
-        await until("the new route serves at both entries", async () => (await ask(0, "GET", "/new/1")).status === 200 && (await ask(1, "GET", "/new/1")).status === 200, 2_000);
+        const isServed = async (entry: number) => (await ask(entry, "GET", "/new/1")).status === 200;
+        await until("the new route serves at both entries", async () => await isServed(0) && await isServed(1), 2_000);
         expect(await publish(configurationText(3), 2)).to.equal(200);
         for (const control of site.controls) {
             expect((await operate(site.controlAddress(control), "GET", "/api/config/get")).text).to.equal(text);
@@ -112,7 +117,7 @@
         lost.isDark = true;
         const answers = await Promise.all(asked);
         answers.filter(answer => answer.isWhole).forEach(answer =>
-            expect(eventIds(answer.body)).to.deep.equal(Array.from({ length: eventsPerAnswer }, (_, place) => place + 1)));
+            expect(eventIds(answer.body)).to.deep.equal(everyEvent));
         expect(answers.filter(answer => answer.isWhole).length).to.be.at.least(6);
         await until("two groups are open again", () => pool().filter(runner => !runner.isDark && runner.membership?.state === "open").length === 2);
         lost.isDark = false;
@@ -120,7 +125,8 @@
 
     // The control leader is killed. Entries go on by what they know; the others elect a leader, which takes the groups over as they are.
     it("serves on while the control leader is replaced, and accepts changes again", async () => {
-        const isLeader = async (index: number) => /^zinnialanding_leads 1$/m.test((await operate(site.metricsAddress(site.controls[index]!), "GET", "/")).text);
+        const metricsOf = (index: number) => operate(site.metricsAddress(site.controls[index]!), "GET", "/");
+        const isLeader = async (index: number) => /^zinnialanding_leads 1$/m.test((await metricsOf(index)).text);
         let leader = -1;
         await until("a leader tells so", async () => {
             const leading = await Promise.all(site.controls.map((_, index) => isLeader(index)));
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -13,8 +13,8 @@
 export function siteWith(change: Partial<Site> = {}): Site {
     const engine = {
         slots: 4, models: [{ name: "lm", size: 1, share: 1, pace: 1, loadMs: 1_000, warmMs: 100 }], stepMs: 10, stepPerRequestMs: 1,
-        stepPerThousandTokensMs: 0, promptTokensPerSecond: 10_000, usualPromptTokens: 100, usualAnswerTokens: 20, loadsPerSecond: 2, loadsAtOnce: 2,
-        formMs: 100,
+        stepPerThousandTokensMs: 0, promptTokensPerSecond: 10_000, usualPromptTokens: 100, usualAnswerTokens: 20,
+        loadsPerSecond: 2, loadsAtOnce: 2, formMs: 100,
     };
     const service = { healthPath: "/", maxConnections: 50, coldMs: 0, coldRequestsPerSecond: 0 };
     const route = { host: "shop.example", timeoutMs: 3_000, maxAttempts: 2 };
@@ -109,7 +109,9 @@
 }
 
 /** A caller's request with the platform's headers. */
-export function requestBytes(method: string, path: string, options: { id?: string; body?: string; headers?: Record<string, string> } = {}): string {
+export function requestBytes(
+    method: string, path: string, options: { id?: string; body?: string; headers?: Record<string, string> } = {},
+): string {
     const { id = "attempt-1", body } = options;
     const headers: Record<string, string> = {
         Host: "shop.example", "Zinnialanding-Attempt-Id": id, "Zinnialanding-Deadline-Ms": "2000", "Api-Key": "key-1", ...options.headers,
