--- /dev/null
+++ b/test/gateway/balance.test.ts
@@ -0,0 +1,65 @@
+import { expect } from "chai";
+import * as fc from "fast-check";
+import { createBalance } from "../../src/gateway/balance.js";
+import type { Candidate } from "../../src/gateway/siteView.js";
+import { upstreamAt } from "../support/gatewaySite.js";
+
+function candidate(id: string, change: { coldUntilMs?: number; dataCentre?: string; isDoubtful?: boolean } = {}): Candidate {
+    const { heardAgoMs, ...carried } = upstreamAt("127.0.0.1:1", id);
+    const { coldUntilMs = 0, dataCentre = "a", isDoubtful = false } = change;
+    return { upstream: { ...carried, heardAtMs: -heardAgoMs, coldUntilMs, dataCentre }, model: undefined, isDoubtful };
+}
+
+const options = { without: new Set<string>(), coldRequestsPerSecond: 0, dataCentre: "a" };
+
+describe("choosing an upstream", () => {
+    it("spreads a burst between two answers", () => {
+        let nowMs = 0;
+        const balance = createBalance(() => nowMs, () => 0);
+        const all = [candidate("u1"), candidate("u2"), candidate("u3")];
+        const counts: Record<string, number> = {};
+        for (let place = 0; place < 30; place++) {
+            nowMs++;
+            const { upstream } = balance.choose(all, options)!;
+            balance.sent(upstream, false);
+            counts[upstream.id] = (counts[upstream.id] ?? 0) + 1;
+        }
+        expect(counts).to.deep.equal({ u1: 10, u2: 10, u3: 10 });
+    });
+
+    // Nothing moves at a head whose group has lost a member. It gets nothing more while another one does move.
+    it("avoids a head at which streams stand still", () => {
+        let nowMs = 0;
+        const balance = createBalance(() => nowMs, () => 0);
+        const [still, moving] = [candidate("u1"), candidate("u2", { dataCentre: "b" })];
+        balance.sent(still.upstream, false);
+        balance.streamStarted(still.upstream);
+        nowMs = 400;
+        expect([balance.isStill(still.upstream), balance.isStill(still.upstream, true), [...balance.doubtfulIds]]).to.deep.equal([false, true, ["u1"]]);
+        nowMs = 800;
+        expect(balance.choose([still, moving], options)!.upstream.id).to.equal("u2");
+        balance.event(still.upstream);
+        expect(balance.isStill(still.upstream)).to.equal(false);
+    });
+
+    // A cold upstream bears 38 requests a second from all entries together. The entries can't talk to each other; whatever each of a
+    // dozen is asked for and whenever, they stay below what it bears.
+    it("keeps a dozen entries below what a cold upstream bears, in any second", () => {
+        fc.assert(fc.property(fc.array(fc.record({ entry: fc.integer({ min: 0, max: 11 }), stepMs: fc.integer({ min: 0, max: 20 }) }), { maxLength: 800 }), asks => {
+            let nowMs = 0;
+            const entries = Array.from({ length: 12 }, () => createBalance(() => nowMs, () => 0));
+            const cold = candidate("u1", { coldUntilMs: 1e9 });
+            const sentAtMs: number[] = [];
+            for (const { entry, stepMs } of asks) {
+                nowMs += stepMs;
+                const chosen = entries[entry]!.choose([cold], { ...options, coldRequestsPerSecond: 38 });
+                if (chosen !== undefined) {
+                    entries[entry]!.sent(chosen.upstream, true);
+                    sentAtMs.push(nowMs);
+                }
+            }
+            const most = Math.max(0, ...sentAtMs.map(fromMs => sentAtMs.filter(atMs => atMs >= fromMs && atMs < fromMs + 1_000).length));
+            expect(most).to.be.at.most(38);
+        }), { seed: 38, numRuns: 60 });
+    });
+});
