Keep spares hot: join each to a group of its own that never serves

Cause: after the loss of a member a group waited 1.1 to 1.6 s for the spare to bring its weights from the host onto the accelerator, on top of 1.1 s until the loss was noticed. A VM whose last group had the same model joins in 0.2 s. Ruled out: leaving spares in a closed group of full size (a spare is alone in its domain more often than not); loading by the join itself (one order less, but a repair that needs the VM meanwhile would wait behind the load). Change: src/groups/spares.ts (split from form.ts): a spare with weights joins a standby of one; a new leader leaves standbys as they are; what is left of a group still counts as worth a spare, standbys alone don't.

--- a/src/fleet/groups.ts
+++ b/src/fleet/groups.ts
@@ -20,6 +20,18 @@
     return `${model}/${epoch}`;
 }
 
+/** What stands between the model and the epoch in the name of a standby. */
+const standbyMark = "standby-";
+
+/** The name of a group of one VM that never serves: joining it keeps the model's weights on the accelerator of a spare. */
+export function standbyNameOf(model: string, epoch: number): string {
+    return `${model}/${standbyMark}${epoch}`;
+}
+
+export function isStandby(groupName: string): boolean {
+    return groupName.slice(groupName.lastIndexOf("/") + 1).startsWith(standbyMark);
+}
+
 export function modelOfGroup(name: string): string {
     return name.slice(0, Math.max(0, name.lastIndexOf("/")));
 }
--- a/src/groups/adopt.ts
+++ b/src/groups/adopt.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { type ReportedGroup, reportedGroups } from "../fleet/index.js";
+import { isStandby, type ReportedGroup, reportedGroups } from "../fleet/index.js";
 import type { GroupsView, PlannedGroup } from "./types.js";
 
 function adopted(reported: ReportedGroup, view: GroupsView): PlannedGroup {
@@ -34,7 +34,7 @@
     const taken = new Set([...groups.values()].flatMap(group => group.memberIds));
     const strays = view.upstreams.filter(upstream => !taken.has(upstream.id));
     return [...reportedGroups(strays).values()]
-        .filter(reported => !groups.has(reported.name))
+        .filter(reported => !groups.has(reported.name) && !isStandby(reported.name))
         .map(reported => adopted(reported, view))
         // A member alone, without the head, holds nobody back once this leader knows every group: its head can't be open unseen.
         .filter(group => group.memberIds[0] !== "" || view.nowMs - view.leadsSinceMs < view.stallMs);
--- a/src/groups/form.ts
+++ b/src/groups/form.ts
@@ -1,5 +1,5 @@
 /**
- * Decides which groups to form from the free VMs and which weights to bring onto those that stay spare.
+ * Decides which groups to form from the free VMs.
  *
  * The pattern it answers: VMs are lost for good every few seconds, one of a group each time, and empty ones arrive about as often. A
  * group that lost a member serves again as soon as a spare with its weights joins, some 2 s; without such a spare it waits for a
@@ -8,9 +8,9 @@
  * @module
  */
 
-import { groupNameOf, type Upstream } from "../fleet/index.js";
+import { groupNameOf, isStandby, type Upstream } from "../fleet/index.js";
 import type { EngineModel } from "../site/index.js";
-import type { GroupsState, GroupsView, OrderTo, PlannedGroup, Staging } from "./types.js";
+import type { GroupsState, GroupsView, Heating, OrderTo, PlannedGroup, Staging } from "./types.js";
 
 /** One spare for this many VMs of a domain: over a repair's 15 s about one VM in eight is lost on the heaviest days seen. */
 const vmsPerSpare = 8;
@@ -25,10 +25,11 @@
     readonly orders: OrderTo[];
     readonly lastModels: GroupsState["lastModels"];
     readonly staging: Map<string, Staging>;
+    readonly heating: Map<string, Heating>;
     lastEpoch: number;
 }
 
-function readinessOf(upstream: Upstream, model: EngineModel, draft: Draft): Readiness {
+export function readinessOf(upstream: Upstream, model: EngineModel, draft: Draft): Readiness {
     const last = draft.lastModels.get(upstream.id);
     if (last?.bornMs === upstream.bornMs && last.model === model.name) {
         return "hot";
@@ -53,7 +54,7 @@
 }
 
 /** VMs in living groups of each model, for each part of the demand: the model with the least is helped first. */
-function coverage(model: EngineModel, draft: Draft): number {
+export function coverage(model: EngineModel, draft: Draft): number {
     const { view } = draft;
     const demand = view.demand.get(model.name) ?? model.share;
     const vms = [...draft.groups.values()]
@@ -96,7 +97,8 @@
         return true;
     }
     const spares = Math.floor(domainSize(choice.domain, draft) / vmsPerSpare);
-    const isRepair = choice.members.some(member => readinessOf(member, model, draft) === "hot");
+    // What is left of a group is worth a spare; spares alone are not, though they may be hot.
+    const isRepair = choice.members.some(member => readinessOf(member, model, draft) === "hot" && !isStandby(member.group?.name ?? ""));
     if (!isRepair && choice.left < spares) {
         return false;
     }
@@ -158,55 +160,3 @@
         form(choice, model, draft);
     }
 }
-
-/** The window over which the store's rate is kept, in ms, and the part of it that is used: another leader's loads may overlap. */
-const loadWindowMs = 5_000;
-const loadRateShare = 0.8;
-
-function mayLoad(draft: Draft): boolean {
-    const { engine, nowMs, hasTraffic } = draft.view;
-    if (!hasTraffic) {
-        return true;
-    }
-    const recent = [...draft.staging.values()].filter(({ atMs }) => nowMs - atMs < loadWindowMs).length;
-    return recent < engine.loadsPerSecond * loadWindowMs / 1_000 * loadRateShare && draft.staging.size < engine.loadsAtOnce;
-}
-
-function order(upstream: Upstream, model: string, reason: string, draft: Draft) {
-    draft.staging.set(upstream.id, { model, bornMs: upstream.bornMs, atMs: draft.view.nowMs });
-    draft.orders.push({ upstreamId: upstream.id, order: { kind: "stage", model }, reason });
-}
-
-/** A model with less than this part of the coverage of another gets spares whose weights are for the other. */
-const starvedShare = 0.6;
-
-/**
- * Brings weights onto spares. An empty one gets those of the model with the least coverage, spares counted; where a model is starved, a
- * spare of the best covered one is loaded anew, since it would repair groups of which there are enough.
- */
-export function stageSpares(draft: Draft): void {
-    const { view } = draft;
-    for (const [domain, upstreams] of freeByDomain(draft)) {
-        for (const upstream of upstreams) {
-            if (draft.staging.has(upstream.id) || !mayLoad(draft)) {
-                continue;
-            }
-            const covered = view.engine.models.map(model => ({ model, coverage: coverageWithSpares(model, draft) }));
-            const least = covered.reduce((a, b) => b.coverage < a.coverage ? b : a);
-            const most = covered.reduce((a, b) => b.coverage > a.coverage ? b : a);
-            const isStarved = least.coverage < starvedShare * most.coverage;
-            const holdsMost = upstream.stagedModels.includes(most.model.name) && !upstream.stagedModels.includes(least.model.name);
-            if (upstream.stagedModels.length === 0 || (isStarved && holdsMost)) {
-                order(upstream, least.model.name, `a spare of domain ${domain}`, draft);
-            }
-        }
-    }
-}
-
-/** Coverage with the spares that hold the model's weights, or will soon. */
-function coverageWithSpares(model: EngineModel, draft: Draft): number {
-    const demand = draft.view.demand.get(model.name) ?? model.share;
-    const spares = [...freeByDomain(draft).values()].flat().filter(upstream =>
-        (draft.staging.get(upstream.id)?.model ?? upstream.stagedModels[0]) === model.name).length;
-    return coverage(model, draft) + spares / Math.max(demand, 1e-6);
-}
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -8,9 +8,11 @@
  * @module
  */
 
+import { modelOfGroup } from "../fleet/index.js";
 import { adoptGroups } from "./adopt.js";
 import { followGroup } from "./follow.js";
-import { type Draft, formGroups, stageSpares } from "./form.js";
+import { type Draft, formGroups } from "./form.js";
+import { heatSpares, stageSpares } from "./spares.js";
 import type { GroupPhase, GroupsState, GroupsView, OrderTo, SentOrder, Staging } from "./types.js";
 
 /** A new leader hears every VM at least once before it decides: heartbeats come about every 1.2 s. */
@@ -61,7 +63,7 @@
     const next = new Map<string, { bornMs: number; model: string }>();
     for (const { id, bornMs, group } of view.upstreams) {
         const known = state.lastModels.get(id);
-        const reached = group !== undefined && group.state !== "joining" ? group.name.slice(0, group.name.lastIndexOf("/")) : undefined;
+        const reached = group !== undefined && group.state !== "joining" ? modelOfGroup(group.name) : undefined;
         if (reached !== undefined) {
             next.set(id, { bornMs, model: reached });
         }
@@ -95,6 +97,7 @@
         orders: [],
         lastModels: noteLastModels(state, view),
         staging: stillStaging(state, view),
+        heating: new Map([...state.heating].filter(([id]) => view.upstreams.some(upstream => upstream.id === id))),
         lastEpoch: state.lastEpoch,
     };
     if (view.nowMs - view.leadsSinceMs >= settleMs) {
@@ -114,11 +117,13 @@
         }
         formGroups(draft);
         stageSpares(draft);
+        heatSpares(draft);
     }
     const { due, sent } = unsent(draft.orders, state, view);
     return {
         state: {
             groups: draft.groups, lastEpoch: draft.lastEpoch, sent, lastModels: draft.lastModels, staging: draft.staging,
+            heating: draft.heating,
         },
         orders: due,
         notes,
--- a/src/groups/types.ts
+++ b/src/groups/types.ts
@@ -51,6 +51,13 @@
     readonly atMs: number;
 }
 
+/** A spare that was told to join a group of its own, so that its model's weights stay on the accelerator. */
+export interface Heating {
+    readonly model: string;
+    readonly bornMs: number;
+    readonly atMs: number;
+}
+
 export interface GroupsState {
     readonly groups: ReadonlyMap<string, PlannedGroup>;
     /** The epoch of the last group formed. */
@@ -61,6 +68,8 @@
     readonly lastModels: ReadonlyMap<string, { readonly bornMs: number; readonly model: string }>;
     /** Loads from the weight store that are under way beside whatever the VM does, by its id. */
     readonly staging: ReadonlyMap<string, Staging>;
+    /** Spares that were told to take their weights onto the accelerator, by id. */
+    readonly heating: ReadonlyMap<string, Heating>;
 }
 
 export interface GroupsView {
@@ -91,4 +100,6 @@
     readonly reason: string;
 }
 
-export const noGroups: GroupsState = { groups: new Map(), lastEpoch: 0, sent: new Map(), lastModels: new Map(), staging: new Map() };
+export const noGroups: GroupsState = {
+    groups: new Map(), lastEpoch: 0, sent: new Map(), lastModels: new Map(), staging: new Map(), heating: new Map(),
+};
