Let requests that can't be on time wait behind the others, at a lower priority

Change: beyond what can be on time, up to a second of the group's work is sent at a lower priority; the entry counts those apart.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -48,6 +48,8 @@
     readonly headers: string[];
     /** Whether another upstream would do better, should nothing move at this one. */
     hasElsewhere(): boolean;
+    /** It is over, however it ended; called before anything else is told of the end. */
+    ended(): void;
     delivered(facts: { readonly status: number }): void;
     /** The first event has come. */
     begun(): void;
@@ -92,6 +94,7 @@
     function leave() {
         isOver = true;
         clearInterval(stillTimer);
+        options.ended();
         balance.ended(upstream);
         if (isStream) {
             balance.streamEnded(upstream);
--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -33,6 +33,8 @@
 interface Standing {
     readonly bornMs: number;
     running: number;
+    /** Of those, the ones that were sent to wait behind what is on time and have not begun. */
+    lateWaiting: number;
     /** Requests with a stream under way. */
     streaming: number;
     lastEventAtMs: number;
@@ -50,7 +52,13 @@
     choose(candidates: readonly Candidate[], options: ChooseOptions): Candidate | undefined;
     /** Requests at an upstream, running and waiting, as far as is known here. */
     estimate(upstream: Upstream): number;
+    /** Of those, the ones that can be on time, and the ones that wait behind them; other entries' are taken to be split like this one's. */
+    onTimeEstimate(upstream: Upstream): number;
+    lateEstimate(upstream: Upstream): number;
     sent(upstream: Upstream, isCold: boolean): void;
+    /** One more request waits behind those that can be on time, or no longer does. */
+    lateSent(upstream: Upstream): void;
+    lateBegun(upstream: Upstream): void;
     ended(upstream: Upstream): void;
     streamStarted(upstream: Upstream): void;
     streamEnded(upstream: Upstream): void;
@@ -85,7 +93,7 @@
             return known;
         }
         const fresh: Standing = {
-            bornMs: upstream.bornMs, running: 0, streaming: 0, lastEventAtMs: 0, stillSinceMs: 0, load: 0,
+            bornMs: upstream.bornMs, running: 0, lateWaiting: 0, streaming: 0, lastEventAtMs: 0, stillSinceMs: 0, load: 0,
             loadAtMs: Number.NEGATIVE_INFINITY, avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [],
         };
         standings.set(upstream.id, fresh);
@@ -97,6 +105,10 @@
         return Math.max(state.running, isFresh ? state.load : 0);
     }
 
+    function lateShare(state: Standing): number {
+        return state.running === 0 ? 0 : state.lateWaiting / state.running;
+    }
+
     function failuresNow(state: Standing): number {
         return state.failures * 0.5 ** ((nowMs() - state.failedAtMs) / failureHalfLifeMs);
     }
@@ -136,6 +148,21 @@
             return best;
         },
         estimate: upstream => estimateOf(standing(upstream)),
+        onTimeEstimate(upstream) {
+            const state = standing(upstream);
+            return estimateOf(state) * (1 - lateShare(state));
+        },
+        lateEstimate(upstream) {
+            const state = standing(upstream);
+            return estimateOf(state) * lateShare(state);
+        },
+        lateSent(upstream) {
+            standing(upstream).lateWaiting++;
+        },
+        lateBegun(upstream) {
+            const state = standing(upstream);
+            state.lateWaiting = Math.max(0, state.lateWaiting - 1);
+        },
         sent(upstream, isCold) {
             const state = standing(upstream);
             state.running++;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,7 +14,7 @@
 import type { HeaderNames } from "./headers.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSiteView } from "./siteView.js";
-import { mostAt, usualAnswer, workOf } from "./work.js";
+import { roomAt, usualAnswer, workOf } from "./work.js";
 
 export interface GatewayOptions {
     readonly daemonId: string;
@@ -100,7 +100,7 @@
     watcher.watch(options.controls);
 
     const server: GatewayServer = await listenForCallers(options.callers, {
-        names: options.names, view, balance, connections, logger, dataCentre: options.dataCentre, nowMs, random: Math.random, mostAt,
+        names: options.names, view, balance, connections, logger, dataCentre: options.dataCentre, nowMs, random: Math.random, roomAt,
         mayRepeat: service => budgetOf(service).tryRetry(nowMs()) === undefined,
         crashed: (asked, upstream) => crashes.note(asked, upstream),
         isBarred: asked => view.barred.size > 0 && view.barred.has(fingerprintOf(asked)),
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -16,6 +16,7 @@
 import { createEventSplitter } from "./events.js";
 import { passedOn, valueOf } from "./headers.js";
 import type { Candidate } from "./siteView.js";
+import type { Room } from "./work.js";
 
 export interface RequestParts extends AttemptParts {
     readonly logger: Logger;
@@ -23,8 +24,8 @@
     random(): number;
     /** Whether one more request may be sent again now. */
     mayRepeat(service: string): boolean;
-    /** How many requests an upstream may have, running and waiting, before more are turned away. */
-    mostAt(candidate: Candidate, asked: Asked): number;
+    /** How much an upstream may be given before more is turned away. */
+    roomAt(candidate: Candidate, asked: Asked): Room;
     count(outcome: Outcome, asked: Asked, tookMs: number, firstMs: number | undefined): void;
     attemptEnded(ending: Ending["kind"]): void;
     /** Notes that an upstream broke off while it ran the request. */
@@ -48,6 +49,8 @@
 const leastAttemptMs = 40;
 /** The least urgent priority that engines know. */
 const leastUrgent = 9;
+/** What a request that can't be on time any more is set back by: behind every route's own priority in use. */
+const lateSetback = 5;
 
 /** Starts to serve a request. */
 export function startRequest(asked: Asked, answer: CallerAnswer, parts: RequestParts): RunningRequest {
@@ -133,11 +136,17 @@
             giveUp(all.length === 0 ? "no upstream serves this now" : "no other upstream may take it now");
             return;
         }
-        if (attempts === 0 && balance.estimate(candidate.upstream) >= parts.mostAt(candidate, asked)) {
+        const isLate = attempts === 0 && isFull(candidate);
+        if (isLate && balance.lateEstimate(candidate.upstream) >= parts.roomAt(candidate, asked).late) {
             refuse("every upstream has as much as it can finish in time");
             return;
         }
-        attempt(candidate.upstream);
+        attempt(candidate.upstream, isLate);
+    }
+
+    /** Whether what can be on time at an upstream leaves no place for one more. */
+    function isFull(candidate: Candidate): boolean {
+        return balance.onTimeEstimate(candidate.upstream) >= parts.roomAt(candidate, asked).onTime;
     }
 
     /** No further attempt: the final answer, which promises "not run" only where that is certain. */
@@ -180,7 +189,7 @@
         giveUp(reason);
     }
 
-    function headersTo(upstream: Upstream): string[] {
+    function headersTo(upstream: Upstream, isLate: boolean): string[] {
         const set = new Set([
             names.key, names.deadlineMs, names.organisation, names.upstreamId, names.priority, names.lastEventId, "content-length",
         ]);
@@ -194,7 +203,7 @@
             headers.push(names.lastEventId, lastEventId);
         }
         if (engine !== undefined) {
-            headers.push(names.priority, String(Math.min(leastUrgent, asked.priority)));
+            headers.push(names.priority, String(Math.min(leastUrgent, asked.priority + (isLate ? lateSetback : 0))));
         }
         return headers;
     }
@@ -204,12 +213,24 @@
             upstream.id !== current?.upstream.id && !tried.has(upstream.id) && !isDoubtful && !balance.isStill(upstream));
     }
 
-    function attempt(upstream: Upstream) {
+    function attempt(upstream: Upstream, isLate: boolean) {
         attempts++;
+        let isWaitingLate = isLate;
+        if (isLate) {
+            balance.lateSent(upstream);
+        }
+        const noMoreWaiting = () => {
+            if (isWaitingLate) {
+                isWaitingLate = false;
+                balance.lateBegun(upstream);
+            }
+        };
         current = startAttempt({
-            asked, upstream, answer, splitter, mayRunAgain, headers: headersTo(upstream), hasElsewhere,
+            asked, upstream, answer, splitter, mayRunAgain, headers: headersTo(upstream, isLate), hasElsewhere,
+            ended: noMoreWaiting,
             delivered: facts => finish("delivered", { upstream: upstream.id, ...facts }),
             begun() {
+                noMoreWaiting();
                 firstMs ??= Math.round(parts.nowMs() - asked.arrivedAtMs);
             },
             over: ending => after(ending, upstream),
--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -1,9 +1,10 @@
 /**
  * How much work a request is for a group of engines, and how many requests a group may have before more are turned away.
  *
- * The pattern it answers: runners are lost all day, and for seconds at a time more is asked of a model than its groups can do. A queue then
- * grows until every request in it is late, and no more of them are served for it. Bounded by the time in which a first event is on time,
- * those that are let in are on time, and the others learn at once when to come back.
+ * The pattern it answers: VMs are lost all day, and for seconds at a time more is asked of a model than its groups can do. In one queue
+ * every request would be late then. So the queue is bounded by the time in which a first event is on time; behind it, at a lower priority,
+ * some more wait for what is left over, and are served late where a refusal would make them come back later still. Beyond that
+ * callers learn at once when to come back.
  *
  * @module
  */
@@ -14,6 +15,8 @@
 
 /** The wait for a place, as a part of the time to a first event that is on time: reading the prompt and the first step take the rest. */
 const waitShare = 0.5;
+/** Work that may wait behind what is on time, in ms of the group: callers leave a stream without an event after two seconds. */
+const lateWaitMs = 1_000;
 /** Requests waiting at a plain service for each of its places: its answers take some 40 ms, and deadlines allow for several. */
 const plainQueue = 3;
 
@@ -35,13 +38,22 @@
     return Math.min(asked.answerTokens || engine.usualAnswerTokens, engine.usualAnswerTokens || asked.answerTokens);
 }
 
-/** How many requests, running and waiting, an upstream may have before one more is turned away. */
-export function mostAt(candidate: Candidate, asked: Asked): number {
+/** How much an upstream may be given before one more request is turned away. */
+export interface Room {
+    /** Requests, running and waiting, up to which one more can still be on time. */
+    readonly onTime: number;
+    /** Requests beyond those that may wait behind them, to be served late. */
+    readonly late: number;
+}
+
+/** The room that an upstream has for a request like this one. */
+export function roomAt(candidate: Candidate, asked: Asked): Room {
     const engine = asked.table.service(candidate.upstream.service)?.engine;
     if (engine === undefined || candidate.model === undefined) {
-        return Math.max(1, candidate.upstream.slots) * (1 + plainQueue);
+        return { onTime: Math.max(1, candidate.upstream.slots) * (1 + plainQueue), late: 0 };
     }
     const { groupMs } = workOf(engine, candidate.model, engine.usualPromptTokens, engine.usualAnswerTokens);
+    const perRequestMs = Math.max(1, groupMs);
     const mostWaitMs = (asked.route.latenessMs ?? asked.route.timeoutMs) * waitShare;
-    return engine.slots + mostWaitMs / Math.max(1, groupMs);
+    return { onTime: engine.slots + mostWaitMs / perRequestMs, late: lateWaitMs / perRequestMs };
 }
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import type { RawUpstream } from "../support/rawUpstream.js";
 import { startRawUpstream } from "../support/rawUpstream.js";
-import { exchangeRaw, type GatewaySite, headAt, requestBytes, startGateway, statusOf, upstreamAt } from "../support/gatewaySite.js";
+import { exchangeRaw, type GatewaySite, headAt, requestBytes, siteWith, startGateway, statusOf, upstreamAt } from "../support/gatewaySite.js";
 
 const signed = "Zinnialanding-Upstream-Signature: s1\r\n";
 
@@ -142,4 +142,23 @@
         expect(answer).to.contain("id: 1").and.not.to.match(/\r\n0\r\n\r\n$/);
         expect(site.outcomes).to.deep.equal(["failed"]);
     });
+
+    // The only group has as many requests as can be on time. One more waits behind them, so that it delays none; the next is refused
+    // at once and told when to come back, and has not run.
+    it("that can't be on time any more come after the others, as many as callers wait for", async () => {
+        upstream = await startRawUpstream(() => undefined);
+        site = await startGateway([headAt(upstream.address, "h1", 1)], siteWith(), Infinity, { onTime: 1, late: 1 });
+        const ask = (id: string) => exchangeRaw(site.port, requestBytes("POST", "/caption/1", {
+            id, body: "x", headers: { "Zinnialanding-Model": "lm" },
+        }));
+        const waiting = [ask("a1")];
+        await new Promise(resolve => setTimeout(resolve, 50));
+        waiting.push(ask("a2"));
+        await new Promise(resolve => setTimeout(resolve, 50));
+        const refused = await ask("a3");
+        expect(statusOf(refused)).to.equal(503);
+        expect(refused).to.match(/Retry-After: /);
+        await Promise.all(waiting);
+        expect(upstream.requests.map(request => request.header("Zinnialanding-Request-Priority"))).to.deep.equal(["0", "5"]);
+    });
 });
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -2,6 +2,7 @@
 import { createBalance } from "../../src/gateway/balance.js";
 import { createConnections } from "../../src/gateway/connections.js";
 import { type GatewayServer, listenForCallers } from "../../src/gateway/server.js";
+import type { Room } from "../../src/gateway/work.js";
 import { createSiteView, type SiteView } from "../../src/gateway/siteView.js";
 import { headerNames } from "../../platform/headers.js";
 import type { CarriedUpstream } from "../../src/fleet/index.js";
@@ -56,7 +57,9 @@
 let nextPort = 21_300;
 
 /** An entry's listener over the given upstreams, without control daemons. */
-export async function startGateway(upstreams: CarriedUpstream[], site: Site = siteWith(), repeats = Infinity): Promise<GatewaySite> {
+export async function startGateway(
+    upstreams: CarriedUpstream[], site: Site = siteWith(), repeats = Infinity, room: Room = { onTime: 100, late: 0 },
+): Promise<GatewaySite> {
     const logger = createLogger("error", "test", new PassThrough().resume());
     const view = createSiteView({ decodeSite: () => ({ site }) }, logger);
     view.take({ kind: "site", version: site.version, text: "" });
@@ -70,7 +73,7 @@
         names: headerNames, view, logger, connections, dataCentre: "a", nowMs, random: () => 0.5,
         balance: createBalance(nowMs, () => 0),
         mayRepeat: () => left-- > 0,
-        mostAt: () => 100,
+        roomAt: () => room,
         count: outcome => outcomes.push(outcome),
         attemptEnded: () => undefined,
         crashed: () => undefined,
