Answer an unknown model with 404; cut off callers that never finish their headers

Cause: the entry chose a class by its kind alone, so a model that no service has found no upstream and was refused with 503 as if it could come back; the callers' listener kept Node's defaults, headers within 60 s looked at every 30 s, so half a header held a connection for 45 s and more. Ruled out: the parser (it waits rightly), the proxy (there is none in the test). Change: models are checked against the services after the key; headers within 5 s, looked at every second.

--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -6,7 +6,7 @@
 
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import type { Server } from "node:tls";
-import type { Service } from "../cluster/index.js";
+import type { Organisation, Service } from "../cluster/index.js";
 import { splitAddress } from "../rpc/index.js";
 import type { Session } from "../session/index.js";
 import { authenticate, classOf } from "./caller.js";
@@ -16,6 +16,10 @@
 import type { Ask, Runner } from "./runner.js";
 
 const maxHeaderBytes = 16_384;
+/** A caller that has not sent its headers by then is cut off: held open, slow connections use up descriptors. Callers need some ms. */
+const defaultHeaderTimeoutMs = 5_000;
+/** How often the server looks for such callers, in parts of the timeout. */
+const headerChecks = 5;
 /** Answers name the request by it, for `zinnia trace`. */
 const requestIdHeader = "zinnialanding-request-id";
 const passedHeaders = new Set(["content-type", "accept", "accept-language"]);
@@ -28,6 +32,8 @@
     readonly session: () => Session;
     readonly runner: Runner;
     readonly ready: () => boolean;
+    /** Bounds how long a caller may take to send its headers. */
+    readonly headerTimeoutMs?: number;
     readonly tls?: { readonly cert: string; readonly key: string };
 }
 
@@ -43,9 +49,14 @@
     return Array.isArray(value) ? value[0] : value;
 }
 
-function askOf(options: EntryHttpOptions, request: FastifyRequest, serves: (service: Service) => boolean): Omit<Ask, "method" | "path" | "body"> {
+function organisationOf(options: EntryHttpOptions, request: FastifyRequest): Organisation {
+    return authenticate(options.session().view.configuration, request.headers.authorization);
+}
+
+function askOf(
+    options: EntryHttpOptions, request: FastifyRequest, organisation: Organisation, serves: (service: Service) => boolean,
+): Omit<Ask, "method" | "path" | "body"> {
     const { configuration } = options.session().view;
-    const organisation = authenticate(configuration, request.headers.authorization);
     const { serviceClass, service } = classOf(configuration, header(request, "service-class"), serves);
     const headers = Object.entries(request.headers)
         .filter(([name, value]) => (passedHeaders.has(name) || name.startsWith(ownHeaderPrefix)) && typeof value === "string")
@@ -97,9 +108,20 @@
     return reply.code(answer.status).header(requestIdHeader, answer.requestId).send(whole);
 }
 
+/** Throws a 404 problem for a model that no service has. */
+function checkModel(services: readonly Service[], model: string, serves: (service: Service) => boolean) {
+    if (!services.some(serves)) {
+        const known = services.flatMap(service => service.model ?? []).join(", ");
+        throw badRequest("unknown-model", `No service has the model "${model}"`, `model: one of ${known}`, 404);
+    }
+}
+
 async function complete(options: EntryHttpOptions, request: FastifyRequest, reply: FastifyReply, isChat: boolean) {
-    const ask = askOf(options, request, service => service.kind === "model");
+    const organisation = organisationOf(options, request);
     const completion: Completion = parseCompletion(request.body, isChat);
+    const serves = (service: Service) => service.kind === "model" && (service.model === undefined || service.model === completion.model);
+    checkModel(options.session().view.configuration.services, completion.model, serves);
+    const ask = askOf(options, request, organisation, serves);
     const body = Buffer.from(JSON.stringify({ ...completion, stream: true }));
     const path = isChat ? "/v1/chat/completions" : "/v1/completions";
     const work = { model: completion.model, prompt: promptOf(completion), eventStream: completion.stream, ...maxTokensOf(completion) };
@@ -115,7 +137,8 @@
 }
 
 async function callService(options: EntryHttpOptions, request: FastifyRequest<{ Params: { name: string; "*": string } }>, reply: FastifyReply) {
-    const ask = askOf(options, request, service => service.kind === "plain" && service.name === request.params.name);
+    const organisation = organisationOf(options, request);
+    const ask = askOf(options, request, organisation, service => service.kind === "plain" && service.name === request.params.name);
     const body = request.body === undefined ? Buffer.alloc(0) : request.body as Buffer;
     const query = request.url.includes("?") ? request.url.slice(request.url.indexOf("?")) : "";
     const path = `/${request.params["*"]}${query}`;
@@ -149,10 +172,12 @@
 
 /** Starts the listener. */
 export async function createEntryHttp(options: EntryHttpOptions): Promise<EntryHttp> {
+    const headersTimeout = options.headerTimeoutMs ?? defaultHeaderTimeoutMs;
+    const http = { maxHeaderSize: maxHeaderBytes, headersTimeout, connectionsCheckingInterval: headersTimeout / headerChecks };
     const app = fastify({
         bodyLimit: options.maxBodyBytes,
-        http: { maxHeaderSize: maxHeaderBytes },
-        ...(options.tls === undefined ? {} : { https: { ...options.tls } }),
+        http,
+        ...(options.tls === undefined ? {} : { https: { ...http, ...options.tls } }),
     }) as FastifyInstance;
     app.setErrorHandler((error, _request, reply) => sendError(error, reply));
     app.setNotFoundHandler((_request, reply) => sendError(badRequest("unknown-path", "No such path", undefined, 404), reply));
@@ -160,7 +185,7 @@
     app.get("/readyz", (_request, reply) => reply.code(options.ready() ? 200 : 503).send({ ready: options.ready() }));
     app.get("/v1/models", request => {
         const { configuration } = options.session().view;
-        authenticate(configuration, request.headers.authorization);
+        organisationOf(options, request);
         const models = new Set(configuration.services.flatMap(service => service.model ?? []));
         return { object: "list", data: [...models].map(id => ({ id, object: "model" })) };
     });
--- a/test/promises/wholePath.test.ts
+++ b/test/promises/wholePath.test.ts
@@ -53,6 +53,7 @@
             await call("/v1/chat/completions", chat(false), { "service-class": "none" }),
             await call("/v1/services/orders/orders", "x".repeat(1_048_577), { "service-class": "print-order" }),
             await call("/v1/nowhere", "{}"),
+            await call("/v1/chat/completions", chat(false).replace("standin", "unknown")),
         ];
         const seen = await Promise.all(refusals.map(async ({ statusCode, body }) => {
             const { code, execution } = await body.json() as { code: string; execution: string };
