Count only what may have run against a route's limit of upstreams

Ruled out: counting crashed upstreams out as well (a broken connection does not prove that the upstream has ended). Change: a send that certainly did not run does not count; two sends beyond the limit at most, all of them from the shared budget. Before: test/gateway/answers.test.ts, new test: two sends, stream cut. After: three sends, whole.

--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -47,6 +47,8 @@
 const retryAfterSpreadMs = 600;
 /** Under this much time left another attempt can't bring an answer. */
 const leastAttemptMs = 40;
+/** Sends beyond a route's limit, for those that upstreams refused unrun: in a repair two stale heads may stand before the right one. */
+const mostNotRun = 2;
 /** The least urgent priority that engines know. */
 const leastUrgent = 9;
 /** What a request that can't be on time any more is set back by: behind every route's own priority in use. */
@@ -64,6 +66,8 @@
     const splitter = createEventSplitter();
     const tried = new Set<string>();
     let attempts = 0;
+    /** Attempts that may have run: the route's limit is on those. */
+    let runs = 0;
     let current: RunningAttempt | undefined;
     let isOver = false;
     /** False once an attempt may have run: from then on no refusal may promise that the request has not. */
@@ -163,12 +167,13 @@
     function after(ending: Ending, upstream: Upstream) {
         current = undefined;
         hasNotRun &&= ending.kind === "not-run";
+        runs += ending.kind === "not-run" ? 0 : 1;
         parts.attemptEnded(ending.kind);
         if (ending.kind === "unknown" && ending.isCrash) {
             parts.crashed(asked, upstream);
         }
-        const mayTry = (ending.kind === "not-run" || mayRunAgain) && attempts < route.maxAttempts &&
-            asked.giveUpAtMs - parts.nowMs() > leastAttemptMs;
+        const mayTry = (ending.kind === "not-run" || mayRunAgain) && runs < route.maxAttempts &&
+            attempts < route.maxAttempts + mostNotRun && asked.giveUpAtMs - parts.nowMs() > leastAttemptMs;
         const goesOn = mayTry && parts.mayRepeat(service);
         const reason = ending.kind === "ran-failed" ? `status ${ending.answer.status}` : ending.reason;
         logger.info("attempt ended without an answer", {
@@ -209,7 +214,7 @@
     }
 
     function hasElsewhere(): boolean {
-        return mayRunAgain && attempts < route.maxAttempts && choices().some(({ upstream, isDoubtful }) =>
+        return mayRunAgain && runs + 1 < route.maxAttempts && choices().some(({ upstream, isDoubtful }) =>
             upstream.id !== current?.upstream.id && !tried.has(upstream.id) && !isDoubtful && !balance.isStill(upstream));
     }
 
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
-import type { RawUpstream } from "../support/rawUpstream.js";
+import type { Socket } from "node:net";
+import type { RawRequest, RawUpstream } from "../support/rawUpstream.js";
 import { startRawUpstream } from "../support/rawUpstream.js";
 import { exchangeRaw, type GatewaySite, headAt, requestBytes, siteWith, startGateway, statusOf, upstreamAt } from "../support/gatewaySite.js";
 
@@ -161,4 +162,31 @@
         await Promise.all(waiting);
         expect(upstream.requests.map(request => request.header("Zinnialanding-Request-Priority"))).to.deep.equal(["0", "5"]);
     });
+
+    // The first upstream is gone from its address and says that it did not run the request, the second breaks off after an event. The
+    // route allows two upstreams to run it: the third one is the second to run it, and the caller gets the whole answer.
+    it("that say not run do not use up what the route allows to run it", async () => {
+        const event = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
+        let sends = 0;
+        const respond = (request: RawRequest, socket: Socket) => {
+            const place = sends++;
+            const echo = `Zinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}`;
+            if (place === 0) {
+                socket.write(`HTTP/1.1 503 Service Unavailable\r\n${echo}Zinnialanding-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`);
+                return;
+            }
+            const from = Number(request.header("Last-Event-Id") ?? 0);
+            socket.write(`HTTP/1.1 200 OK\r\n${echo}Content-Type: text/event-stream\r\n\r\n${event(from + 1)}`);
+            setTimeout(() => place === 1 ? socket.resetAndDestroy() : socket.end(event(from + 2)), 30);
+        };
+        upstream = await startRawUpstream(respond);
+        other = await startRawUpstream(respond);
+        const third = await startRawUpstream(respond);
+        site = await startGateway([upstream, other, third].map(({ address }, place) => headAt(address, `h${place}`, place)));
+        const answer = await exchangeRaw(site.port, requestBytes("POST", "/caption/1", { body: "x", headers: { "Zinnialanding-Model": "lm" } }));
+        await third.close();
+        expect(sends).to.equal(3);
+        expect([...answer.matchAll(/id: (\d)/g)].map(match => match[1])).to.deep.equal(["1", "2", "3"]);
+        expect(site.outcomes).to.deep.equal(["delivered"]);
+    });
 });
