Tell refused callers to come back by the time that they have left

Cause: Retry-After was 0.4 to 1.0 s for everyone: shorter than a repair, so that callers came back into the same shortage and were refused for good, and longer than a third of the patience of callers of the plain services. Ruled out: the time until the next group opens (entries don't know it). Change: a tenth to three tenths of the caller's remaining time, spread evenly.

--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -42,9 +42,12 @@
     drained(): void;
 }
 
-/** Retry-After of refusals, in ms: a repair takes some 2 s, a queue drains in tenths of a second; spread, lest callers return at once. */
-const retryAfterMinMs = 400;
-const retryAfterSpreadMs = 600;
+/**
+ * Retry-After of refusals, as a part of the time that the caller has left: callers come back once, within a third of it. A repair takes
+ * some 1.5 s and a queue drains meanwhile, so of 6 s left it is 0.6 to 1.8 s; spread, lest those refused together come back together.
+ */
+const retryAfterShare = 0.1;
+const retryAfterSpread = 0.2;
 /** Under this much time left another attempt can't bring an answer. */
 const leastAttemptMs = 40;
 /** Sends beyond a route's limit, for those that upstreams refused unrun: in a repair two stale heads may stand before the right one. */
@@ -98,7 +101,8 @@
     }
 
     function refuse(reason: string) {
-        answer.own(503, reason, retryAfterMinMs + parts.random() * retryAfterSpreadMs);
+        const leftMs = Math.max(0, asked.deadlineAtMs - parts.nowMs());
+        answer.own(503, reason, leftMs * (retryAfterShare + parts.random() * retryAfterSpread));
         finish("refused", { reason });
     }
 
