--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -14,8 +14,8 @@
 import type { Candidate } from "./siteView.js";
 
 /**
- * The wait for a place, as a part of the time to a first event that is on time. Reading prompts between the steps of a full group takes some
- * 0.2 s of the 0.3 to 0.5 s; with half of the time spent on the wait, half of the first events came late.
+ * The wait for a place, as a part of the time to a first event that is on time. Reading prompts between the steps of a full group takes
+ * some 0.2 s of the 0.3 to 0.5 s; with half of the time spent on the wait, half of the first events came late.
  */
 const waitShare = 0.3;
 /** Work that may wait behind what is on time, in ms of the group: callers leave a stream without an event after two seconds. */
