Send nothing more to wait behind others where nothing there has begun for 0.8 s

Ruled out: a shorter second queue alone (however short, it never moves under lasting overload). Change: each entry remembers since when its requests wait behind others at a head; one that is stuck is sent no more.

--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -17,6 +17,8 @@
 const doubtMs = 350;
 /** Three events' time without one is enough to have the members asked whether they are there: asking costs little and moves nothing. */
 const suspectMs = 200;
+/** A request that has waited so long behind others is a sign that no more should: callers leave a stream without an event after 2 s. */
+const lateStuckMs = 800;
 /** Two events' time: a head whose last event is older is not known to move, and each 0.1 s more would delay a repair by as much. */
 const movingMs = 120;
 /** A load told longer ago says nothing about now: about the length of a request. */
@@ -33,8 +35,8 @@
 interface Standing {
     readonly bornMs: number;
     running: number;
-    /** Of those, the ones that were sent to wait behind what is on time and have not begun. */
-    lateWaiting: number;
+    /** Of those, the ones that were sent to wait behind what is on time and have not begun: when they were sent, the oldest first. */
+    lateSentAtMs: number[];
     /** Requests with a stream under way. */
     streaming: number;
     lastEventAtMs: number;
@@ -56,9 +58,11 @@
     onTimeEstimate(upstream: Upstream): number;
     lateEstimate(upstream: Upstream): number;
     sent(upstream: Upstream, isCold: boolean): void;
-    /** One more request waits behind those that can be on time, or no longer does. */
-    lateSent(upstream: Upstream): void;
-    lateBegun(upstream: Upstream): void;
+    /** Whether what waits behind those that can be on time gets nothing: one more would wait in vain. */
+    isLateStuck(upstream: Upstream): boolean;
+    /** One more request waits behind those that can be on time; gives when, for `lateBegun`, which ends the wait. */
+    lateSent(upstream: Upstream): number;
+    lateBegun(upstream: Upstream, sentAtMs: number): void;
     ended(upstream: Upstream): void;
     streamStarted(upstream: Upstream): void;
     streamEnded(upstream: Upstream): void;
@@ -93,7 +97,7 @@
             return known;
         }
         const fresh: Standing = {
-            bornMs: upstream.bornMs, running: 0, lateWaiting: 0, streaming: 0, lastEventAtMs: 0, stillSinceMs: 0, load: 0,
+            bornMs: upstream.bornMs, running: 0, lateSentAtMs: [], streaming: 0, lastEventAtMs: 0, stillSinceMs: 0, load: 0,
             loadAtMs: Number.NEGATIVE_INFINITY, avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [],
         };
         standings.set(upstream.id, fresh);
@@ -106,7 +110,7 @@
     }
 
     function lateShare(state: Standing): number {
-        return state.running === 0 ? 0 : state.lateWaiting / state.running;
+        return state.running === 0 ? 0 : Math.min(1, state.lateSentAtMs.length / state.running);
     }
 
     function failuresNow(state: Standing): number {
@@ -156,12 +160,21 @@
             const state = standing(upstream);
             return estimateOf(state) * lateShare(state);
         },
+        isLateStuck(upstream) {
+            const [oldestMs] = standing(upstream).lateSentAtMs;
+            return oldestMs !== undefined && nowMs() - oldestMs > lateStuckMs;
+        },
         lateSent(upstream) {
-            standing(upstream).lateWaiting++;
+            const sentAtMs = nowMs();
+            standing(upstream).lateSentAtMs.push(sentAtMs);
+            return sentAtMs;
         },
-        lateBegun(upstream) {
+        lateBegun(upstream, sentAtMs) {
             const state = standing(upstream);
-            state.lateWaiting = Math.max(0, state.lateWaiting - 1);
+            const place = state.lateSentAtMs.indexOf(sentAtMs);
+            if (place >= 0) {
+                state.lateSentAtMs.splice(place, 1);
+            }
         },
         sent(upstream, isCold) {
             const state = standing(upstream);
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -145,7 +145,7 @@
             return;
         }
         const isLate = attempts === 0 && isFull(candidate);
-        if (isLate && balance.lateEstimate(candidate.upstream) >= parts.roomAt(candidate, asked).late) {
+        if (isLate && !mayWaitLate(candidate)) {
             refuse("every upstream has as much as it can finish in time");
             return;
         }
@@ -157,6 +157,12 @@
         return balance.onTimeEstimate(candidate.upstream) >= parts.roomAt(candidate, asked).onTime;
     }
 
+    /** Whether one more request may wait behind what can be on time there. */
+    function mayWaitLate(candidate: Candidate): boolean {
+        const { upstream } = candidate;
+        return balance.lateEstimate(upstream) < parts.roomAt(candidate, asked).late && !balance.isLateStuck(upstream);
+    }
+
     /** No further attempt: the final answer, which promises "not run" only where that is certain. */
     function giveUp(reason: string) {
         if (hasNotRun) {
@@ -224,14 +230,12 @@
 
     function attempt(upstream: Upstream, isLate: boolean) {
         attempts++;
+        const lateSentAtMs = isLate ? balance.lateSent(upstream) : undefined;
         let isWaitingLate = isLate;
-        if (isLate) {
-            balance.lateSent(upstream);
-        }
         const noMoreWaiting = () => {
             if (isWaitingLate) {
                 isWaitingLate = false;
-                balance.lateBegun(upstream);
+                balance.lateBegun(upstream, lateSentAtMs!);
             }
         };
         current = startAttempt({
--- a/test/gateway/balance.test.ts
+++ b/test/gateway/balance.test.ts
@@ -44,6 +44,23 @@
         expect(balance.isStill(still.upstream)).to.equal(false);
     });
 
+    // More that can be on time comes than a group can do, so what waits behind it gets nothing. One more would wait in vain until its
+    // caller leaves; it is refused instead, and told when to come back.
+    it("lets no more wait behind others once those that do have got nothing for long", () => {
+        let nowMs = 0;
+        const balance = createBalance(() => nowMs, () => 0);
+        const { upstream } = candidate("u1");
+        const sentAtMs = [0, 1].map(() => {
+            balance.sent(upstream, false);
+            return balance.lateSent(upstream);
+        });
+        expect([balance.onTimeEstimate(upstream), balance.lateEstimate(upstream), balance.isLateStuck(upstream)]).to.deep.equal([0, 2, false]);
+        nowMs = 900;
+        expect(balance.isLateStuck(upstream)).to.equal(true);
+        sentAtMs.forEach(atMs => balance.lateBegun(upstream, atMs));
+        expect([balance.onTimeEstimate(upstream), balance.lateEstimate(upstream), balance.isLateStuck(upstream)]).to.deep.equal([2, 0, false]);
+    });
+
     // A cold upstream bears 38 requests a second from all entries together. The entries can't talk to each other; whatever each of a
     // dozen is asked for and whenever, they stay below what it bears.
     it("keeps a dozen entries below what a cold upstream bears, in any second", () => {
