--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -218,11 +218,18 @@
     function stream(response: ServerResponse, echo: Record<string, string>, id: string, from: number) {
         response.writeHead(200, { ...echo, "content-type": "text/event-stream", "zinnialanding-upstream-signature": `${options.id}.${id}` });
         let next = from + 1;
+        const startedIn = membership;
         const ticker = setInterval(() => {
             if (response.destroyed) {
                 clearInterval(ticker);
                 return;
             }
+            if (membership !== startedIn) {
+                // A head that has left its group has cut off what ran in it.
+                clearInterval(ticker);
+                response.socket?.resetAndDestroy();
+                return;
+            }
             if (runner.isDark || !isWhole()) {
                 return;
             }
