Split the shared bounds among the entries that control daemons count

Cause: second sends and cold requests are bounded over all entries; each took a fixed sixteenth and a twelfth, so sites with more entries would go over, small ones used less than they might, and every restart of an entry brought a full sixteenth along. Ruled out: asking for each send (entries are cut off from each other), the number of VMs from settings (no process is told). Before: no test at the bound of second sends, the cold bound held for twelve.

--- a/src/admission/retryBudget.ts
+++ b/src/admission/retryBudget.ts
@@ -14,7 +14,7 @@
     readonly perSuccess: number;
     /** What a second adds, so that an entry with little traffic recovers. */
     readonly perSecond: number;
-    /** The most that can be saved up, and the start. */
+    /** The most that can be saved up. */
     readonly most: number;
 }
 
@@ -34,9 +34,9 @@
     | { readonly kind: "grant" }
     | { readonly kind: "deny"; readonly retryAfterMs: number };
 
-/** A full budget. */
-export function initialRetryBudget(policy: RetryBudgetPolicy, nowMs: number): RetryBudgetState {
-    return { policy, tokens: policy.most, atMs: nowMs };
+/** A budget that starts with `tokens`. */
+export function initialRetryBudget(policy: RetryBudgetPolicy, nowMs: number, tokens: number): RetryBudgetState {
+    return { policy, tokens, atMs: nowMs };
 }
 
 function add(state: RetryBudgetState, nowMs: number, tokens: number): RetryBudgetState {
@@ -62,8 +62,13 @@
 export class RetryBudget {
     private state: RetryBudgetState;
 
-    constructor(nowMs: number, policy: RetryBudgetPolicy = defaultRetryBudget) {
-        this.state = initialRetryBudget(policy, nowMs);
+    /** Full at the start unless `tokens` says otherwise. */
+    constructor(nowMs: number, policy: RetryBudgetPolicy = defaultRetryBudget, tokens = policy.most) {
+        this.state = initialRetryBudget(policy, nowMs, tokens);
+    }
+
+    get most(): number {
+        return this.state.policy.most;
     }
 
     succeeded(nowMs: number) {
--- a/src/feed/frames.ts
+++ b/src/feed/frames.ts
@@ -29,6 +29,8 @@
     heard: z.array(z.strictObject({ id: z.string(), agoMs: z.number() })),
     /** Whether the sender leads: reports go to it. */
     leads: z.boolean(),
+    /** Entries that watch the sender or did lately: bounds that hold for all entries together are split among so many. */
+    entries: z.number().int().min(0),
 });
 
 /** The control daemons that the sender knows, by the address of their listener for daemons. */
--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -6,9 +6,11 @@
 
 import { create } from "@bufbuild/protobuf";
 import type { ConnectRouter } from "@connectrpc/connect";
-import { SiteFrameSchema, SiteReportSummarySchema, SiteService } from "../rpc/index.js";
+import { SiteFrameSchema, SiteReportSummarySchema, SiteService, type WatchSiteRequest } from "../rpc/index.js";
 import { type Frame, type Report, reportSchema } from "./frames.js";
 
+/** How long an entry that is heard no more is counted, in ms: cut off, it serves on and spends its part of what entries share. */
+const countEntryMs = 600_000;
 /** A watcher that has not read this many frames is cut off: it comes back and is told everything afresh. */
 const mostWaitingFrames = 2_000;
 
@@ -22,6 +24,8 @@
     /** Sends a frame to every watcher. */
     publish(frame: Frame): void;
     readonly watchers: number;
+    /** Entries that watch or did lately. */
+    readonly entries: number;
     close(): void;
 }
 
@@ -29,13 +33,23 @@
     /** All that a new watcher has to be told. */
     greeting(): readonly Frame[];
     report(daemonId: string, report: Report): void;
+    nowMs(): number;
 }
 
 /** Creates the sending side. */
 export function createFeedServer(options: FeedServerOptions): FeedServer {
     const watchers = new Set<Watcher>();
+    /** Entries that have watched, and when they were last seen to. */
+    const entriesSeenAtMs = new Map<string, number>();
+    const watchingEntries = new Map<Watcher, string>();
 
-    async function* watch(signal: AbortSignal) {
+    function entryCount(): number {
+        watchingEntries.forEach(id => entriesSeenAtMs.set(id, options.nowMs()));
+        [...entriesSeenAtMs].filter(([, atMs]) => options.nowMs() - atMs > countEntryMs).forEach(([id]) => entriesSeenAtMs.delete(id));
+        return entriesSeenAtMs.size;
+    }
+
+    async function* watch({ daemonId, isEntry }: WatchSiteRequest, signal: AbortSignal) {
         const waiting: Frame[] = [...options.greeting()];
         let wake: (() => void) | undefined;
         let isEnded = false;
@@ -51,6 +65,10 @@
             },
         };
         watchers.add(watcher);
+        if (isEntry) {
+            watchingEntries.set(watcher, daemonId);
+            entriesSeenAtMs.set(daemonId, options.nowMs());
+        }
         const onAbort = () => watcher.end();
         signal.addEventListener("abort", onAbort);
         try {
@@ -68,12 +86,13 @@
         finally {
             signal.removeEventListener("abort", onAbort);
             watchers.delete(watcher);
+            watchingEntries.delete(watcher);
         }
     }
 
     return {
         routes: router => router.service(SiteService, {
-            watch: (_request, context) => watch(context.signal),
+            watch: (request, context) => watch(request, context.signal),
             async report(request) {
                 options.report(request.daemonId, reportSchema.parse(JSON.parse(Buffer.from(request.report).toString("utf8"))));
                 return create(SiteReportSummarySchema, {});
@@ -85,6 +104,9 @@
         get watchers() {
             return watchers.size;
         },
+        get entries() {
+            return entryCount();
+        },
         close() {
             watchers.forEach(watcher => watcher.end());
         },
--- a/src/feed/watcher.ts
+++ b/src/feed/watcher.ts
@@ -32,6 +32,7 @@
 
 export interface FeedWatcherOptions {
     readonly daemonId: string;
+    readonly isEntry: boolean;
     take(frame: Frame, address: string): void;
     changed(address: string, isHeard: boolean): void;
 }
@@ -70,7 +71,8 @@
         }, aliveMs / 2);
         try {
             const client = createClient(SiteService, connection.transport);
-            for await (const message of client.watch({ daemonId: options.daemonId }, { signal: line.abort.signal })) {
+            const { daemonId, isEntry } = options;
+            for await (const message of client.watch({ daemonId, isEntry }, { signal: line.abort.signal })) {
                 line.heardAtMs = performance.now();
                 line.waitMs = reopenMinMs;
                 const frame = frameSchema.parse(JSON.parse(Buffer.from(message.frame).toString("utf8")));
--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -9,6 +9,7 @@
  */
 
 import type { Upstream } from "../fleet/index.js";
+import { shareOfCold } from "./entryCount.js";
 import type { Candidate } from "./siteView.js";
 
 /** With streams on it and no event for this long, a head stands still: events come every 60 ms, on a slow one every 300 ms. */
@@ -26,8 +27,6 @@
 /** After failures an upstream is left alone for this long, doubled for each further one. */
 const avoidMs = 400;
 const mostAvoidMs = 5_000;
-/** The part of the cold limit that one entry may use: no more than twelve entries are known to serve one site. */
-const coldShare = 1 / 12;
 /** A failing upstream weighs as much as this many requests for each failure lately. */
 const failureWeight = 6;
 const failureHalfLifeMs = 3_000;
@@ -87,8 +86,8 @@
 /** Another data centre weighs as much as this many requests. */
 const farWeight = 0.5;
 
-/** Creates a balance that has seen nothing; `random` is uniform in [0, 1). */
-export function createBalance(nowMs: () => number, random: () => number): Balance {
+/** Creates a balance that has seen nothing; `random` is uniform in [0, 1), `entries` how many entries share what a cold upstream bears. */
+export function createBalance(nowMs: () => number, random: () => number, entries: () => number): Balance {
     const standings = new Map<string, Standing>();
 
     function standing(upstream: Upstream): Standing {
@@ -127,8 +126,9 @@
         if (perSecond <= 0 || upstream.coldUntilMs <= nowMs()) {
             return true;
         }
-        state.coldSentAtMs = state.coldSentAtMs.filter(atMs => nowMs() - atMs < 1_000);
-        return state.coldSentAtMs.length < Math.max(1, Math.floor(perSecond * coldShare));
+        const { count, windowMs } = shareOfCold(perSecond, entries());
+        state.coldSentAtMs = state.coldSentAtMs.filter(atMs => nowMs() - atMs < windowMs);
+        return state.coldSentAtMs.length < count;
     }
 
     return {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,13 +4,14 @@
  * @module
  */
 
-import { RetryBudget, type RetryBudgetPolicy } from "../admission/index.js";
+import { RetryBudget } from "../admission/index.js";
 import { createFeedWatcher } from "../feed/index.js";
 import type { SiteDialect } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createBalance } from "./balance.js";
 import { createConnections } from "./connections.js";
 import { createCrashes, fingerprintOf } from "./crashes.js";
+import { createEntryCount, shareOfSlack } from "./entryCount.js";
 import type { HeaderNames } from "./headers.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSiteView } from "./siteView.js";
@@ -39,8 +40,6 @@
 
 /** The part of the stated ratio of second sends that is used: requests are counted when they end, sends at once. */
 const repeatRatioShare = 0.85;
-/** The stated slack is split among this many entries, so that those that can't talk to each other stay within it together. */
-const entriesSharingSlack = 16;
 /** Work and progress are reported this often; a head that has come under suspicion at once. */
 const reportIntervalMs = 250;
 /** How often heads are looked at: short against the 0.5 s in which a lost member is noticed. */
@@ -53,12 +52,11 @@
     const { logger, metrics } = options;
     const nowMs = () => performance.now();
     const view = createSiteView(options.dialect, logger);
-    const balance = createBalance(nowMs, Math.random);
+    const entries = createEntryCount(nowMs);
+    const balance = createBalance(nowMs, Math.random, () => entries.most);
     const connections = createConnections();
     const crashes = createCrashes(nowMs);
     const { ratio, slack } = options.repeats;
-    const most = Math.max(1, slack / entriesSharingSlack);
-    const repeatPolicy: RetryBudgetPolicy = { perSuccess: ratio * repeatRatioShare, perSecond: 0, most };
     const budgets = new Map<string, RetryBudget>();
     let work: Record<string, number> = {};
     let requests = 0;
@@ -82,18 +80,29 @@
     }
 
     function budgetOf(service: string): RetryBudget {
-        const known = budgets.get(service) ?? new RetryBudget(nowMs(), repeatPolicy);
-        budgets.set(service, known);
-        return known;
+        const { most, start } = shareOfSlack(slack, entries.most);
+        const known = budgets.get(service);
+        if (known?.most === most) {
+            return known;
+        }
+        // Another count of entries: what was saved up under the old one may be more than this entry's part now.
+        const tokens = known === undefined ? start : 0;
+        const fresh = new RetryBudget(nowMs(), { perSuccess: ratio * repeatRatioShare, perSecond: 0, most }, tokens);
+        budgets.set(service, fresh);
+        return fresh;
     }
 
     const watcher = createFeedWatcher({
         daemonId: options.daemonId,
-        take(frame) {
+        isEntry: true,
+        take(frame, address) {
             view.take(frame);
             if (frame.kind === "controls") {
                 watcher.watch(frame.addresses);
             }
+            if (frame.kind === "alive") {
+                entries.told(address, frame.entries);
+            }
         },
         changed: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
     });
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -103,11 +103,11 @@
             { kind: "evacuated", index: log.appliedIndex, dataCentres: [...evacuated] },
             { kind: "upstreams", upstreams: [...directory.values()].map(upstream => carry(upstream, nowMs())) },
             ...leads() ? [judged()] : [],
-            { kind: "alive", heard: [], leads: leads() },
+            { kind: "alive", heard: [], leads: leads(), entries: feed.entries },
         ];
     }
 
-    const feed = createFeedServer({ greeting, report });
+    const feed: FeedServer = createFeedServer({ greeting, report, nowMs });
 
     function report(_daemonId: string, taken: Report) {
         groupLeader.report(taken);
@@ -132,6 +132,7 @@
 
     const watcher: FeedWatcher = createFeedWatcher({
         daemonId: options.daemonId,
+        isEntry: false,
         take(frame) {
             if (frame.kind === "upstreams") {
                 update(frame.upstreams.reduce((state, upstream) => takeCarried(state, upstream, nowMs()), directory));
@@ -199,7 +200,7 @@
         const heard = [...directory.values()]
             .filter(upstream => !upstream.isGone)
             .map(upstream => ({ id: upstream.id, agoMs: Math.round(nowMs() - upstream.heardAtMs) }));
-        feed.publish({ kind: "alive", heard, leads: leads() });
+        feed.publish({ kind: "alive", heard, leads: leads(), entries: feed.entries });
         tellApplied();
     }
 
--- a/test/gateway/balance.test.ts
+++ b/test/gateway/balance.test.ts
@@ -1,21 +1,14 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
 import { createBalance } from "../../src/gateway/balance.js";
-import type { Candidate } from "../../src/gateway/siteView.js";
-import { upstreamAt } from "../support/gatewaySite.js";
-
-function candidate(id: string, change: { coldUntilMs?: number; dataCentre?: string; isDoubtful?: boolean } = {}): Candidate {
-    const { heardAgoMs, ...carried } = upstreamAt("127.0.0.1:1", id);
-    const { coldUntilMs = 0, dataCentre = "a", isDoubtful = false } = change;
-    return { upstream: { ...carried, heardAtMs: -heardAgoMs, coldUntilMs, dataCentre }, model: undefined, isDoubtful };
-}
+import { candidate } from "./candidates.js";
 
 const options = { without: new Set<string>(), coldRequestsPerSecond: 0, dataCentre: "a" };
 
 describe("choosing an upstream", () => {
     it("spreads a burst between two answers", () => {
         let nowMs = 0;
-        const balance = createBalance(() => nowMs, () => 0);
+        const balance = createBalance(() => nowMs, () => 0, () => 1);
         const all = [candidate("u1"), candidate("u2"), candidate("u3")];
         const counts: Record<string, number> = {};
         for (let place = 0; place < 30; place++) {
@@ -30,7 +23,7 @@
     // Nothing moves at a head whose group has lost a member. It gets nothing more while another one does move.
     it("avoids a head at which streams stand still", () => {
         let nowMs = 0;
-        const balance = createBalance(() => nowMs, () => 0);
+        const balance = createBalance(() => nowMs, () => 0, () => 1);
         const [still, moving] = [candidate("u1"), candidate("u2", { dataCentre: "b" })];
         balance.sent(still.upstream, false);
         balance.streamStarted(still.upstream);
@@ -48,7 +41,7 @@
     // caller leaves; it is refused instead, and told when to come back.
     it("lets no more wait behind others once those that do have got nothing for long", () => {
         let nowMs = 0;
-        const balance = createBalance(() => nowMs, () => 0);
+        const balance = createBalance(() => nowMs, () => 0, () => 1);
         const { upstream } = candidate("u1");
         const seen = () => [balance.onTimeEstimate(upstream), balance.lateEstimate(upstream), balance.isLateStuck(upstream)];
         const sentAtMs = [0, 1].map(() => {
@@ -68,7 +61,7 @@
         const ask = fc.record({ entry: fc.integer({ min: 0, max: 11 }), stepMs: fc.integer({ min: 0, max: 20 }) });
         fc.assert(fc.property(fc.array(ask, { maxLength: 800 }), asks => {
             let nowMs = 0;
-            const entries = Array.from({ length: 12 }, () => createBalance(() => nowMs, () => 0));
+            const entries = Array.from({ length: 12 }, () => createBalance(() => nowMs, () => 0, () => 12));
             const cold = candidate("u1", { coldUntilMs: 1e9 });
             const sentAtMs: number[] = [];
             for (const { entry, stepMs } of asks) {
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -71,7 +71,7 @@
     let left = repeats;
     const server = await listenForCallers(`127.0.0.1:${port}`, {
         names: headerNames, view, logger, connections, dataCentre: "a", nowMs, random: () => 0.5,
-        balance: createBalance(nowMs, () => 0),
+        balance: createBalance(nowMs, () => 0, () => 1),
         mayRepeat: () => left-- > 0,
         roomAt: () => room,
         count: outcome => outcomes.push(outcome),
