Leave a head that stands still only with a second send in hand; take waiting streams for no sign of it

Change: the second send is taken before the attempt ends; streams that have brought no event yet count as a sign only after 0.7 s.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -46,8 +46,8 @@
     readonly mayRunAgain: boolean;
     /** Headers that every attempt of the request carries. */
     readonly headers: string[];
-    /** Whether another upstream would do better, should nothing move at this one. */
-    hasElsewhere(): boolean;
+    /** Asks to go on at another upstream, since nothing moves at this one. True: it may, and the attempt has to end. */
+    mayLeave(): boolean;
     /** It is over, however it ended; called before anything else is told of the end. */
     ended(): void;
     delivered(facts: { readonly status: number }): void;
@@ -83,6 +83,7 @@
     let held: Buffer[] = [];
     let heldLength = 0;
     let isPassingOn = false;
+    let hasBegun = false;
     let isOver = false;
 
     balance.sent(upstream, upstream.coldUntilMs > parts.nowMs());
@@ -97,7 +98,7 @@
         options.ended();
         balance.ended(upstream);
         if (isStream) {
-            balance.streamEnded(upstream);
+            balance.streamEnded(upstream, hasBegun);
         }
     }
 
@@ -119,7 +120,7 @@
 
     /** Of a group that has lost a member nothing comes until its head notices, seconds later: the caller is served elsewhere. */
     function checkStill() {
-        if (balance.isStill(upstream, splitter.lastId === undefined) && options.hasElsewhere()) {
+        if (balance.isStill(upstream, splitter.lastId === undefined) && options.mayLeave()) {
             abandon("nothing moves at this upstream");
         }
     }
@@ -168,7 +169,8 @@
         if (isPassingOn && isStream) {
             const events = splitter.take(chunk);
             if (events.length > 0) {
-                balance.event(upstream);
+                balance.event(upstream, !hasBegun);
+                hasBegun = true;
                 options.begun();
                 passOn(events);
             }
--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -36,8 +36,9 @@
     running: number;
     /** Of those, the ones that were sent to wait behind what is on time and have not begun: when they were sent, the oldest first. */
     lateSentAtMs: number[];
-    /** Requests with a stream under way. */
+    /** Requests whose answer is a stream, and those of them that have brought an event. */
     streaming: number;
+    begun: number;
     lastEventAtMs: number;
     stillSinceMs: number;
     load: number;
@@ -64,8 +65,10 @@
     lateBegun(upstream: Upstream, sentAtMs: number): void;
     ended(upstream: Upstream): void;
     streamStarted(upstream: Upstream): void;
-    streamEnded(upstream: Upstream): void;
-    event(upstream: Upstream): void;
+    /** `hasBegun`: it has brought an event. */
+    streamEnded(upstream: Upstream, hasBegun: boolean): void;
+    /** An event has come; `isFirst` of its stream. */
+    event(upstream: Upstream, isFirst: boolean): void;
     toldLoad(upstream: Upstream, running: number, waiting: number): void;
     failed(upstream: Upstream): void;
     succeeded(upstream: Upstream): void;
@@ -96,7 +99,7 @@
             return known;
         }
         const fresh: Standing = {
-            bornMs: upstream.bornMs, running: 0, lateSentAtMs: [], streaming: 0, lastEventAtMs: 0, stillSinceMs: 0, load: 0,
+            bornMs: upstream.bornMs, running: 0, lateSentAtMs: [], streaming: 0, begun: 0, lastEventAtMs: 0, stillSinceMs: 0, load: 0,
             loadAtMs: Number.NEGATIVE_INFINITY, avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [],
         };
         standings.set(upstream.id, fresh);
@@ -116,9 +119,11 @@
         return state.failures * 0.5 ** ((nowMs() - state.failedAtMs) / failureHalfLifeMs);
     }
 
-    function isStillNow(state: Standing, forMs = stillMs): boolean {
+    function isStillNow(state: Standing, forMs = stillMs, waitingForMs = stillMs): boolean {
         const sinceMs = Math.max(state.lastEventAtMs, state.stillSinceMs);
-        return state.streaming > 0 && nowMs() - sinceMs > forMs;
+        // Streams that only wait bring no events while others' run: their silence says little about the head.
+        const enoughMs = state.begun === 0 ? waitingForMs : forMs;
+        return state.streaming > 0 && nowMs() - sinceMs > enoughMs;
     }
 
     /** Whether one more request now stays within this entry's part of what a cold upstream bears. */
@@ -196,12 +201,15 @@
             }
             state.streaming++;
         },
-        streamEnded(upstream) {
+        streamEnded(upstream, hasBegun) {
             const state = standing(upstream);
             state.streaming = Math.max(0, state.streaming - 1);
+            state.begun = Math.max(0, state.begun - (hasBegun ? 1 : 0));
         },
-        event(upstream) {
-            standing(upstream).lastEventAtMs = nowMs();
+        event(upstream, isFirst) {
+            const state = standing(upstream);
+            state.lastEventAtMs = nowMs();
+            state.begun += isFirst ? 1 : 0;
         },
         toldLoad(upstream, running, waiting) {
             const state = standing(upstream);
@@ -220,7 +228,7 @@
         },
         isStill: (upstream, isWaiting = false) => isStillNow(standing(upstream), isWaiting ? doubtMs : stillMs),
         get suspectIds() {
-            return [...standings].filter(([, state]) => isStillNow(state, suspectMs)).map(([id]) => id);
+            return [...standings].filter(([, state]) => isStillNow(state, suspectMs, doubtMs)).map(([id]) => id);
         },
         get movingIds() {
             return [...standings].filter(([, state]) => nowMs() - state.lastEventAtMs < movingMs).map(([id]) => id);
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -73,6 +73,8 @@
     let runs = 0;
     let current: RunningAttempt | undefined;
     let isOver = false;
+    /** A second send has been taken from the budget and is not used yet. */
+    let hasSecondSend = false;
     /** False once an attempt may have run: from then on no refusal may promise that the request has not. */
     let hasNotRun = true;
     /** From arrival to the first event. */
@@ -184,7 +186,8 @@
         }
         const mayTry = (ending.kind === "not-run" || mayRunAgain) && runs < route.maxAttempts &&
             attempts < route.maxAttempts + mostNotRun && asked.giveUpAtMs - parts.nowMs() > leastAttemptMs;
-        const goesOn = mayTry && parts.mayRepeat(service);
+        const goesOn = mayTry && (hasSecondSend || parts.mayRepeat(service));
+        hasSecondSend = false;
         const reason = ending.kind === "ran-failed" ? `status ${ending.answer.status}` : ending.reason;
         logger.info("attempt ended without an answer", {
             request: asked.attemptId, upstream: upstream.id, ending: ending.kind, reason, attempt: attempts, goesOn,
@@ -223,9 +226,12 @@
         return headers;
     }
 
-    function hasElsewhere(): boolean {
-        return mayRunAgain && runs + 1 < route.maxAttempts && choices().some(({ upstream, isDoubtful }) =>
+    /** Whether to leave an upstream at which nothing moves; takes the second send from the budget, lest it be refused afterwards. */
+    function mayLeave(): boolean {
+        const hasElsewhere = mayRunAgain && runs + 1 < route.maxAttempts && choices().some(({ upstream, isDoubtful }) =>
             upstream.id !== current?.upstream.id && !tried.has(upstream.id) && !isDoubtful && !balance.isStill(upstream));
+        hasSecondSend = hasElsewhere && parts.mayRepeat(service);
+        return hasSecondSend;
     }
 
     function attempt(upstream: Upstream, isLate: boolean) {
@@ -239,7 +245,7 @@
             }
         };
         current = startAttempt({
-            asked, upstream, answer, splitter, mayRunAgain, headers: headersTo(upstream, isLate), hasElsewhere,
+            asked, upstream, answer, splitter, mayRunAgain, headers: headersTo(upstream, isLate), mayLeave,
             ended: noMoreWaiting,
             delivered: facts => finish("delivered", { upstream: upstream.id, ...facts }),
             begun() {
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -189,4 +189,21 @@
         expect([...answer.matchAll(/id: (\d)/g)].map(match => match[1])).to.deep.equal(["1", "2", "3"]);
         expect(site.outcomes).to.deep.equal(["delivered"]);
     });
+
+    // The only events of an upstream stop, and another one could go on; but no second send is left in the budget. Left, the stream would
+    // end there and then with a failure. It stays, and the caller gets the rest as soon as the upstream moves again.
+    it("that stand still are not left while no second send is left", async () => {
+        const event = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
+        upstream = await startRawUpstream((request, socket) => {
+            const echo = `Zinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}`;
+            socket.write(`HTTP/1.1 200 OK\r\n${echo}Content-Type: text/event-stream\r\n\r\n${event(1)}`);
+            setTimeout(() => socket.end(event(2)), 1_200);
+        });
+        other = await startRawUpstream(() => undefined);
+        site = await startGateway([headAt(upstream.address, "h1", 1), headAt(other.address, "h2", 2)], siteWith(), 0);
+        const bytes = requestBytes("POST", "/caption/1", { body: "x", headers: { "Zinnialanding-Model": "lm" } });
+        const answer = await exchangeRaw(site.port, bytes, 1_500);
+        expect([...answer.matchAll(/id: (\d)/g)].map(match => match[1])).to.deep.equal(["1", "2"]);
+        expect(site.outcomes).to.deep.equal(["delivered"]);
+    });
 });
--- a/test/gateway/balance.test.ts
+++ b/test/gateway/balance.test.ts
@@ -27,16 +27,31 @@
         const [still, moving] = [candidate("u1"), candidate("u2", { dataCentre: "b" })];
         balance.sent(still.upstream, false);
         balance.streamStarted(still.upstream);
+        balance.event(still.upstream, true);
         nowMs = 250;
         expect([balance.isStill(still.upstream, true), [...balance.suspectIds]]).to.deep.equal([false, ["u1"]]);
         nowMs = 400;
         expect([balance.isStill(still.upstream), balance.isStill(still.upstream, true), [...balance.suspectIds]]).to.deep.equal([false, true, ["u1"]]);
         nowMs = 800;
         expect(balance.choose([still, moving], options)!.upstream.id).to.equal("u2");
-        balance.event(still.upstream);
+        balance.event(still.upstream, false);
         expect(balance.isStill(still.upstream)).to.equal(false);
     });
 
+    // Callers of this entry only wait at a head, while streams of other entries run there. That nothing comes for them within a third of a
+    // second is no sign that the head stands still; sent elsewhere, each would be read a second time and wait behind others there.
+    it("doesn't take streams that only wait for a head that stands still", () => {
+        let nowMs = 0;
+        const balance = createBalance(() => nowMs, () => 0, () => 1);
+        const { upstream } = candidate("u1");
+        balance.sent(upstream, false);
+        balance.streamStarted(upstream);
+        nowMs = 600;
+        expect(balance.isStill(upstream, true)).to.equal(false);
+        nowMs = 800;
+        expect(balance.isStill(upstream, true)).to.equal(true);
+    });
+
     // More that can be on time comes than a group can do, so what waits behind it gets nothing. One more would wait in vain until its
     // caller leaves; it is refused instead, and told when to come back.
     it("lets no more wait behind others once those that do have got nothing for long", () => {
