Ask elsewhere when nothing comes for a request; never join two answers

Read on the way: an answer larger than what is held that breaks off on a route whose requests may be repeated was followed by another upstream's, in one body or without an end. Ruled out: the head's stillness (it moved), the caller's deadline (2.4 s later). Change: a stream that brings nothing for a second, or a plain request that may be repeated and takes twice its time, goes on elsewhere within the budget; what is no stream goes nowhere once a part has been passed on.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -44,6 +44,8 @@
     readonly splitter: EventSplitter;
     /** The request may be sent again, if need be. */
     readonly mayRunAgain: boolean;
+    /** How long nothing may come for this request before another upstream is tried, in ms. */
+    readonly patienceMs: number;
     /** Headers that every attempt of the request carries. */
     readonly headers: string[];
     /** Asks to go on at another upstream, since nothing moves at this one. True: it may, and the attempt has to end. */
@@ -65,7 +67,7 @@
 
 /** An answer larger than this is passed on as it comes, and then can't be replaced by another attempt's. */
 const heldBytes = 262_144;
-/** How often a stream looks whether anything moves at its head. */
+/** How often an attempt looks whether anything comes for it. */
 const stillCheckMs = 100;
 
 /** Headers of an upstream's answer as the caller gets them. */
@@ -90,7 +92,8 @@
     if (isStream) {
         balance.streamStarted(upstream);
     }
-    const stillTimer = isStream ? setInterval(checkStill, stillCheckMs) : undefined;
+    let ownSinceMs = parts.nowMs();
+    const stillTimer = options.mayRunAgain ? setInterval(checkStill, stillCheckMs) : undefined;
 
     function leave() {
         isOver = true;
@@ -118,10 +121,18 @@
         over({ kind: "unknown", reason, isCrash: false });
     }
 
-    /** Of a group that has lost a member nothing comes until its head notices, seconds later: the caller is served elsewhere. */
+    /** Why to go on elsewhere: of a group that has lost a member nothing comes until its head notices, seconds later. */
+    function whyStill(): string | undefined {
+        if (isStream && balance.isStill(upstream, splitter.lastId === undefined)) {
+            return "nothing moves at this upstream";
+        }
+        return parts.nowMs() - ownSinceMs > options.patienceMs ? "nothing comes for this request" : undefined;
+    }
+
     function checkStill() {
-        if (balance.isStill(upstream, splitter.lastId === undefined) && options.mayLeave()) {
-            abandon("nothing moves at this upstream");
+        const reason = whyStill();
+        if (reason !== undefined && options.mayLeave()) {
+            abandon(reason);
         }
     }
 
@@ -171,6 +182,7 @@
             if (events.length > 0) {
                 balance.event(upstream, !hasBegun);
                 hasBegun = true;
+                ownSinceMs = parts.nowMs();
                 options.begun();
                 passOn(events);
             }
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -52,6 +52,10 @@
 const leastAttemptMs = 40;
 /** Sends beyond a route's limit, for those that upstreams refused unrun: in a repair two stale heads may stand before the right one. */
 const mostNotRun = 2;
+/** Half of the two seconds after which callers leave a silent stream; what waits for a place in time gets its first event well before. */
+const streamPatienceMs = 1_000;
+/** Of an answer's time, for requests to plain services that may be repeated: one in a hundred takes longer than twice that. */
+const plainPatience = 2;
 /** The least urgent priority that engines know. */
 const leastUrgent = 9;
 /** What a request that can't be on time any more is set back by: behind every route's own priority in use. */
@@ -184,7 +188,9 @@
         if (ending.kind === "unknown" && ending.isCrash) {
             parts.crashed(asked, upstream);
         }
-        const mayTry = (ending.kind === "not-run" || mayRunAgain) && runs < route.maxAttempts &&
+        // Of a stream the rest may come from elsewhere; of any other answer what has been passed on can't be taken back.
+        const canGoOn = isStream || !answer.isStarted;
+        const mayTry = canGoOn && (ending.kind === "not-run" || mayRunAgain) && runs < route.maxAttempts &&
             attempts < route.maxAttempts + mostNotRun && asked.giveUpAtMs - parts.nowMs() > leastAttemptMs;
         const goesOn = mayTry && (hasSecondSend || parts.mayRepeat(service));
         hasSecondSend = false;
@@ -228,12 +234,18 @@
 
     /** Whether to leave an upstream at which nothing moves; takes the second send from the budget, lest it be refused afterwards. */
     function mayLeave(): boolean {
-        const hasElsewhere = mayRunAgain && runs + 1 < route.maxAttempts && choices().some(({ upstream, isDoubtful }) =>
+        const mayGoOn = mayRunAgain && (isStream || !answer.isStarted) && runs + 1 < route.maxAttempts;
+        const hasElsewhere = mayGoOn && choices().some(({ upstream, isDoubtful }) =>
             upstream.id !== current?.upstream.id && !tried.has(upstream.id) && !isDoubtful && !balance.isStill(upstream));
         hasSecondSend = hasElsewhere && parts.mayRepeat(service);
         return hasSecondSend;
     }
 
+    /** How long nothing may come for this request while others move: an upstream that hangs on some requests answers the rest. */
+    function patienceMs(): number {
+        return isStream ? streamPatienceMs : plainPatience * (route.latenessMs ?? route.timeoutMs);
+    }
+
     function attempt(upstream: Upstream, isLate: boolean) {
         attempts++;
         const lateSentAtMs = isLate ? balance.lateSent(upstream) : undefined;
@@ -246,6 +258,7 @@
         };
         current = startAttempt({
             asked, upstream, answer, splitter, mayRunAgain, headers: headersTo(upstream, isLate), mayLeave,
+            patienceMs: isLate ? Infinity : patienceMs(),
             ended: noMoreWaiting,
             delivered: facts => finish("delivered", { upstream: upstream.id, ...facts }),
             begun() {
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -206,4 +206,37 @@
         expect([...answer.matchAll(/id: (\d)/g)].map(match => match[1])).to.deep.equal(["1", "2"]);
         expect(site.outcomes).to.deep.equal(["delivered"]);
     });
+
+    // An upstream takes requests and never answers some of them, while it looks healthy and serves others. Its caller would wait until it
+    // leaves; another upstream answers well before.
+    it("that never come, from an upstream that serves others, are asked for elsewhere where a request may be repeated", async () => {
+        upstream = await startRawUpstream(() => undefined);
+        other = await startRawUpstream((request, socket) => socket.write(ok(request.header("Zinnialanding-Attempt-Id"), "done")));
+        const site1 = siteWith();
+        const routes = site1.routes.map(route => ({ ...route, latenessMs: 100 }));
+        site = await startGateway([upstreamAt(upstream.address, "u1"), upstreamAt(other.address, "u2")], { ...site1, routes });
+        const read = await exchangeRaw(site.port, requestBytes("GET", "/read/1"), 800);
+        expect(read).to.match(/^HTTP.1.1 200 [^]*done$/);
+        const charge = await exchangeRaw(site.port, requestBytes("POST", "/charge/1", { id: "a2", body: "x" }), 800);
+        expect(charge === "" || statusOf(charge) === 200).to.equal(true);
+        expect(upstream.requests.length + other.requests.length).to.equal(3);
+    });
+
+    // A large answer is passed on as it comes and breaks off. The request may be repeated, but a second answer can't follow the first half
+    // of another: the caller must see that it is incomplete.
+    it("that break off after a part of them was passed on are not joined with another's", async () => {
+        const part = "x".repeat(300_000);
+        let sends = 0;
+        upstream = await startRawUpstream((request, socket) => {
+            sends++;
+            const echo = `Zinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}`;
+            socket.write(`HTTP/1.1 200 OK\r\n${echo}Content-Length: 600000\r\n\r\n${part}`);
+            setTimeout(() => socket.resetAndDestroy(), 200);
+        });
+        site = await startGateway([upstreamAt(upstream.address, "u1"), upstreamAt(upstream.address.replace("127.0.0.1", "localhost"), "u2")]);
+        const answer = await exchangeRaw(site.port, requestBytes("GET", "/read/1"), 900);
+        expect(sends).to.equal(1);
+        expect(answer.length).to.be.below(400_000);
+        expect(site.outcomes).to.deep.equal(["failed"]);
+    });
 });
