Send nobody to wait where a caller has left before its turn

Ruled out: no second queue at all (overloads of two seconds lose callers who could be served, test/gateway/work.test.ts). Change: three seconds without sending there after such an end; half a second's work, not a whole one, may wait; stuck after 0.5 s.

--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -19,7 +19,9 @@
 /** Three events' time without one is enough to have the members asked whether they are there: asking costs little and moves nothing. */
 const suspectMs = 200;
 /** A request that has waited so long behind others is a sign that no more should: callers leave a stream without an event after 2 s. */
-const lateStuckMs = 800;
+const lateStuckMs = 500;
+/** How long nothing more is sent to wait where a caller left before its turn: overloads that outlast a caller last for seconds more. */
+const lateBlockMs = 3_000;
 /** Two events' time: a head whose last event is older is not known to move, and each 0.1 s more would delay a repair by as much. */
 const movingMs = 120;
 /** A load told longer ago says nothing about now: about the length of a request. */
@@ -36,6 +38,8 @@
     running: number;
     /** Of those, the ones that were sent to wait behind what is on time and have not begun: when they were sent, the oldest first. */
     lateSentAtMs: number[];
+    /** Until then nothing more is sent to wait there. */
+    lateBlockedUntilMs: number;
     /** Requests whose answer is a stream, and those of them that have brought an event. */
     streaming: number;
     begun: number;
@@ -60,9 +64,10 @@
     sent(upstream: Upstream, isCold: boolean): void;
     /** Whether what waits behind those that can be on time gets nothing: one more would wait in vain. */
     isLateStuck(upstream: Upstream): boolean;
-    /** One more request waits behind those that can be on time; gives when, for `lateBegun`, which ends the wait. */
+    /** One more request waits behind those that can be on time; gives when, for `lateEnded`, which ends the wait. */
     lateSent(upstream: Upstream): number;
-    lateBegun(upstream: Upstream, sentAtMs: number): void;
+    /** `hasBegun` false: its turn had not come. */
+    lateEnded(upstream: Upstream, sentAtMs: number, hasBegun: boolean): void;
     ended(upstream: Upstream): void;
     streamStarted(upstream: Upstream): void;
     /** `hasBegun`: it has brought an event. */
@@ -99,7 +104,7 @@
             return known;
         }
         const fresh: Standing = {
-            bornMs: upstream.bornMs, running: 0, lateSentAtMs: [], streaming: 0, begun: 0, lastEventAtMs: 0, stillSinceMs: 0, load: 0,
+            bornMs: upstream.bornMs, running: 0, lateSentAtMs: [], lateBlockedUntilMs: 0, streaming: 0, begun: 0, lastEventAtMs: 0, stillSinceMs: 0, load: 0,
             loadAtMs: Number.NEGATIVE_INFINITY, avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [],
         };
         standings.set(upstream.id, fresh);
@@ -166,16 +171,19 @@
             return estimateOf(state) * lateShare(state);
         },
         isLateStuck(upstream) {
-            const [oldestMs] = standing(upstream).lateSentAtMs;
-            return oldestMs !== undefined && nowMs() - oldestMs > lateStuckMs;
+            const { lateSentAtMs: [oldestMs], lateBlockedUntilMs } = standing(upstream);
+            return nowMs() < lateBlockedUntilMs || (oldestMs !== undefined && nowMs() - oldestMs > lateStuckMs);
         },
         lateSent(upstream) {
             const sentAtMs = nowMs();
             standing(upstream).lateSentAtMs.push(sentAtMs);
             return sentAtMs;
         },
-        lateBegun(upstream, sentAtMs) {
+        lateEnded(upstream, sentAtMs, hasBegun) {
             const state = standing(upstream);
+            if (!hasBegun) {
+                state.lateBlockedUntilMs = nowMs() + lateBlockMs;
+            }
             const place = state.lateSentAtMs.indexOf(sentAtMs);
             if (place >= 0) {
                 state.lateSentAtMs.splice(place, 1);
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -250,19 +250,19 @@
         attempts++;
         const lateSentAtMs = isLate ? balance.lateSent(upstream) : undefined;
         let isWaitingLate = isLate;
-        const noMoreWaiting = () => {
+        const noMoreWaiting = (hasBegun: boolean) => {
             if (isWaitingLate) {
                 isWaitingLate = false;
-                balance.lateBegun(upstream, lateSentAtMs!);
+                balance.lateEnded(upstream, lateSentAtMs!, hasBegun);
             }
         };
         current = startAttempt({
             asked, upstream, answer, splitter, mayRunAgain, headers: headersTo(upstream, isLate), mayLeave,
             patienceMs: isLate ? Infinity : patienceMs(),
-            ended: noMoreWaiting,
+            ended: () => noMoreWaiting(false),
             delivered: facts => finish("delivered", { upstream: upstream.id, ...facts }),
             begun() {
-                noMoreWaiting();
+                noMoreWaiting(true);
                 firstMs ??= Math.round(parts.nowMs() - asked.arrivedAtMs);
             },
             over: ending => after(ending, upstream),
--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -18,8 +18,8 @@
  * some 0.2 s of the 0.3 to 0.5 s; with half of the time spent on the wait, half of the first events came late.
  */
 const waitShare = 0.3;
-/** Work that may wait behind what is on time, in ms of the group: callers leave a stream without an event after two seconds. */
-const lateWaitMs = 1_000;
+/** Work that may wait behind what is on time, in ms of the group: a quarter of the two seconds after which callers leave. */
+const lateWaitMs = 500;
 /** Requests waiting at a plain service for each of its places: its answers take some 40 ms, and deadlines allow for several. */
 const plainQueue = 3;
 
--- a/test/gateway/balance.test.ts
+++ b/test/gateway/balance.test.ts
@@ -66,10 +66,25 @@
         expect(seen()).to.deep.equal([0, 2, false]);
         nowMs = 900;
         expect(balance.isLateStuck(upstream)).to.equal(true);
-        sentAtMs.forEach(atMs => balance.lateBegun(upstream, atMs));
+        sentAtMs.forEach(atMs => balance.lateEnded(upstream, atMs, true));
         expect(seen()).to.deep.equal([2, 0, false]);
     });
 
+    // The overload outlasts the patience of those that wait. Once the first of them has left unserved, the place would be free for others
+    // who leave unserved as well; for some seconds nobody is sent to wait there.
+    it("lets nobody wait behind others for a while after a caller left before its turn", () => {
+        let nowMs = 0;
+        const balance = createBalance(() => nowMs, () => 0, () => 1);
+        const { upstream } = candidate("u1");
+        balance.sent(upstream, false);
+        const sentAtMs = balance.lateSent(upstream);
+        nowMs = 2_000;
+        balance.lateEnded(upstream, sentAtMs, false);
+        expect(balance.isLateStuck(upstream)).to.equal(true);
+        nowMs = 5_100;
+        expect(balance.isLateStuck(upstream)).to.equal(false);
+    });
+
     // A cold upstream bears 38 requests a second from all entries together. The entries can't talk to each other; whatever each of a
     // dozen is asked for and whenever, they stay below what it bears.
     it("keeps a dozen entries below what a cold upstream bears, in any second", () => {
