--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -104,8 +104,9 @@
             return known;
         }
         const fresh: Standing = {
-            bornMs: upstream.bornMs, running: 0, lateSentAtMs: [], lateBlockedUntilMs: 0, streaming: 0, begun: 0, lastEventAtMs: 0, stillSinceMs: 0, load: 0,
-            loadAtMs: Number.NEGATIVE_INFINITY, avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [],
+            bornMs: upstream.bornMs, running: 0, lateSentAtMs: [], lateBlockedUntilMs: 0, streaming: 0, begun: 0,
+            lastEventAtMs: 0, stillSinceMs: 0, load: 0, loadAtMs: Number.NEGATIVE_INFINITY,
+            avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [],
         };
         standings.set(upstream.id, fresh);
         return fresh;
