Part four pairs of files that imported each other

Cause: queue and queueOrder, registry and registryAdmission, election and replication, runner and its observer each imported the other, so that none could be read or tested by itself. Change: what both need stands in a third file: queueState, registryState, roles, ask. Moves only; no behaviour changes, nothing measured.

--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -4,8 +4,9 @@
 } from "./coldStart.js";
 export { FixedLimiter, SlowStartLimiter, type StartDecision, type StartLimiter } from "./startLimiter.js";
 export {
-    initialQueue, type QueuedRequest, type QueueEffect, type QueueEvent, type QueuePolicy, type QueueRefusal, queueReducer, type QueueState,
+    initialQueue, type QueueEffect, type QueueEvent, type QueueRefusal, queueReducer,
 } from "./queue.js";
+export { type QueuedRequest, type QueuePolicy, type QueueState } from "./queueState.js";
 export { FairDeadlineQueue, FifoQueue, type RequestQueue } from "./requestQueue.js";
 export { spreadRetryAfterMs } from "./retryAfter.js";
 export {
--- a/src/admission/queueOrder.ts
+++ b/src/admission/queueOrder.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { QueuedRequest, QueueState } from "./queue.js";
+import type { QueuedRequest, QueueState } from "./queueState.js";
 
 /** The first request that is due at `firstTokenMs` or later and so can be on time; without one, the earliest of the late. */
 export function nextIndex(waiting: readonly QueuedRequest[], firstTokenMs: number): number {
--- a/src/admission/requestQueue.ts
+++ b/src/admission/requestQueue.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import { initialQueue, type QueuedRequest, type QueueEffect, type QueueEvent, type QueuePolicy, queueReducer, type QueueState } from "./queue.js";
+import { initialQueue, type QueueEffect, type QueueEvent, queueReducer } from "./queue.js";
+import type { QueuedRequest, QueuePolicy, QueueState } from "./queueState.js";
 import { spreadRetryAfterMs } from "./retryAfter.js";
 
 /** Takes one event at a time; what it asks for is to be performed in order. */
--- a/src/attempt/index.ts
+++ b/src/attempt/index.ts
@@ -5,3 +5,4 @@
 export { newRequest, reduceRequest } from "./request.js";
 export * from "./eventLog.js";
 export * from "./registry.js";
+export * from "./registryState.js";
--- a/src/attempt/registry.ts
+++ b/src/attempt/registry.ts
@@ -6,35 +6,14 @@
  * @module
  */
 
-import { emptyMap, mapGet, mapSet, type PersistentMap, type Step, step, unchanged } from "../runtime/index.js";
+import { emptyMap, mapGet, mapSet, type Step, step, unchanged } from "../runtime/index.js";
 import { admissionRefusal, type AdmissionFacts, type DispatchFacts } from "./registryAdmission.js";
 import type { Execution, RefusalCode } from "./refusals.js";
+import type { PastAttempt, RegistryState } from "./registryState.js";
 import type { TombstoneState } from "./requestTypes.js";
 
 export type { AdmissionFacts, DispatchFacts } from "./registryAdmission.js";
 
-/** An attempt that the start limiter was asked about, or that runs. */
-export interface LiveAttempt {
-    readonly state: "asking" | "running";
-    readonly idempotent: boolean;
-    readonly fingerprint: string;
-    readonly suspect: boolean;
-}
-
-/** What is remembered of an attempt that is over, or never began. */
-export type PastAttempt = "ended" | "refused" | "barred";
-
-export interface RegistryState {
-    readonly bootId: string;
-    readonly live: ReadonlyMap<string, LiveAttempt>;
-    /** Two generations of past ids: the older is dropped whole, so that remembering costs the same at any number of ids. */
-    readonly newer: PersistentMap<PastAttempt>;
-    readonly older: PersistentMap<PastAttempt>;
-    readonly newerSinceMs: number;
-    /** When ids were last forgotten before their time; unset if never. */
-    readonly forgotAtMs?: number | undefined;
-}
-
 /** The start limiter's word on one attempt. */
 export type StartAnswer =
     | { readonly admitted: true }
--- a/src/attempt/registryAdmission.ts
+++ b/src/attempt/registryAdmission.ts
@@ -6,7 +6,7 @@
  */
 
 import type { RefusalCode } from "./refusals.js";
-import type { RegistryState } from "./registry.js";
+import type { RegistryState } from "./registryState.js";
 
 /** What a dispatch says of itself. */
 export interface DispatchFacts {
--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -8,36 +8,10 @@
 import { lastIndexOf, lastTermOf } from "./entries.js";
 import type { Identity, MessageOf } from "./messages.js";
 import { broadcast, freshProgress } from "./replication.js";
-import type { ConsensusState, ConsensusStep, Effect, LeaderRole, Progress } from "./state.js";
+import { becomeFollower, nextElectionDeadline, transferWhenCaughtUp } from "./roles.js";
+import type { ConsensusState, ConsensusStep, LeaderRole, Progress } from "./state.js";
 import { andThen, appendOwn, chain, isQuorum, mayCampaign, persistVote, send, sendWhenDurable, set } from "./steps.js";
 
-export function nextElectionDeadline(state: ConsensusState, random: number): number {
-    const { electionTimeoutMinMs, electionTimeoutMaxMs } = state.options.timings;
-    return state.nowMs + electionTimeoutMinMs + random * (electionTimeoutMaxMs - electionTimeoutMinMs);
-}
-
-/** Ends leadership and candidacy here. What was proposed here may yet commit, so its fate is answered as unknown. */
-export function becomeFollower(state: ConsensusState, term: number, leader: Identity | undefined): ConsensusStep {
-    const effects: Effect[] = [];
-    if (state.role.kind === "leader") {
-        for (const proposalId of state.role.proposals.values()) {
-            effects.push({ kind: "answer", proposalId, answer: { outcome: "unknown" } });
-        }
-        for (const read of state.role.reads.filter(item => item.from === undefined)) {
-            effects.push({ kind: "answer-read", readId: read.readId, confirmed: false });
-        }
-        effects.push({ kind: "log", line: `consensus: no longer leader of term ${state.term}` });
-    }
-    if (leader !== undefined && leader.diskId !== state.leader?.diskId) {
-        effects.push({ kind: "log", line: `consensus: ${leader.voterId} leads term ${term}` });
-    }
-    const next: ConsensusState = { ...state, role: { kind: "follower" }, leader };
-    if (term === state.term) {
-        return { state: next, effects };
-    }
-    return andThen({ state: { ...next, term, votedFor: undefined }, effects }, persistVote);
-}
-
 /** Whether this voter has reason to think that a leader is at work: then it helps nobody to replace it. */
 function hearsLeader(state: ConsensusState): boolean {
     return state.role.kind === "leader" ||
@@ -191,18 +165,6 @@
     return transferWhenCaughtUp({ ...state, role });
 }
 
-/**
- * Tells the chosen voter to campaign, once it holds the whole log. It is chosen once: two that are told would split the votes,
- * and the region would wait for an election timeout in the midst of a planned stop.
- */
-export function transferWhenCaughtUp(state: ConsensusState): ConsensusStep {
-    const target = state.role.kind === "leader" ? state.role.progress[state.role.transferTo ?? ""] : undefined;
-    if (target?.matchIndex !== lastIndexOf(state.log)) {
-        return { state, effects: [] };
-    }
-    return { state, effects: [send(target.voter, { kind: "timeout-now", term: state.term })] };
-}
-
 export function onTimeoutNow(state: ConsensusState, message: MessageOf<"timeout-now">, random: number): ConsensusStep {
     if (message.term !== state.term || state.role.kind === "leader" || !mayCampaign(state) || state.storageFault !== undefined) {
         return { state, effects: [] };
--- a/src/consensus/lease.ts
+++ b/src/consensus/lease.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { becomeFollower } from "./election.js";
+import { becomeFollower } from "./roles.js";
 import type { Identity, MessageOf } from "./messages.js";
 import { broadcast } from "./replication.js";
 import type { ConsensusState, ConsensusStep, Effect, LeaderRole } from "./state.js";
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -7,7 +7,7 @@
 
 import { lastIndexOf } from "./entries.js";
 import type { Identity, Membership, Voter } from "./messages.js";
-import { becomeFollower } from "./election.js";
+import { becomeFollower } from "./roles.js";
 import { freshProgress, replicate } from "./replication.js";
 import type { Answer, ConsensusState, ConsensusStep, LeaderRole, Progress } from "./state.js";
 import { appendOwn, chain, isVoter, withRole } from "./steps.js";
--- a/src/consensus/reducer.ts
+++ b/src/consensus/reducer.ts
@@ -7,8 +7,9 @@
 import type { Reducer } from "../runtime/index.js";
 import { onHello, onHelloResponse, sayHello } from "./bootstrap.js";
 import {
-    becomeFollower, onPreVote, onPreVoteResponse, onTimeoutNow, onVote, onVoteResponse, startPreVote, startTransfer,
+    onPreVote, onPreVoteResponse, onTimeoutNow, onVote, onVoteResponse, startPreVote, startTransfer,
 } from "./election.js";
+import { becomeFollower } from "./roles.js";
 import { lastIndexOf } from "./entries.js";
 import { answerReads, checkQuorum, onRead, onReadIndex, onReadIndexResponse } from "./lease.js";
 import { maintainMembership, onAddVoter, onRemoveVoter } from "./membership.js";
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { becomeFollower, nextElectionDeadline, transferWhenCaughtUp } from "./election.js";
+import { becomeFollower, nextElectionDeadline, transferWhenCaughtUp } from "./roles.js";
 import { entriesFrom, lastIndexOf, lastTermOf, newestMembership, termAt, withEntries } from "./entries.js";
 import type { Entry, Identity, MessageOf, Voter } from "./messages.js";
 import type { ConsensusState, ConsensusStep, LeaderRole, Progress } from "./state.js";
--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -13,7 +13,8 @@
 import { type Completion, joinParts, parseCompletion, promptOf } from "./completion.js";
 import { badRequest, problemDocument, ProblemError } from "./problem.js";
 import type { Answer } from "./answer.js";
-import type { Ask, Runner } from "./runner.js";
+import type { Ask } from "./ask.js";
+import type { Runner } from "./runner.js";
 
 const maxHeaderBytes = 16_384;
 /** A caller that has not sent its headers by then is cut off: held open, slow connections use up descriptors. Callers need some ms. */
--- a/src/entry/requestObserver.ts
+++ b/src/entry/requestObserver.ts
@@ -8,7 +8,7 @@
 import type { RequestEffect } from "../attempt/index.js";
 import type { CounterName, Hop, Metrics, Tracing } from "../telemetry/index.js";
 import type { Problem } from "./problem.js";
-import type { Ask } from "./runner.js";
+import type { Ask } from "./ask.js";
 
 export interface ObserverOptions {
     readonly tracing: Tracing;
--- a/src/entry/runner.ts
+++ b/src/entry/runner.ts
@@ -6,7 +6,6 @@
 
 import { createHash } from "node:crypto";
 import { defaultLimits, type RequestFacts } from "../attempt/index.js";
-import type { Organisation, Service, ServiceClass } from "../cluster/index.js";
 import { prefixKeyOf } from "../routing/index.js";
 import type { PeerConnections } from "../rpc/index.js";
 import type { Session } from "../session/index.js";
@@ -16,6 +15,7 @@
 import { createRequestClaim, type Propose, type RequestClaim } from "./claims.js";
 import { createAttemptLink } from "./links.js";
 import type { Problem } from "./problem.js";
+import type { Ask } from "./ask.js";
 import { observeRequest } from "./requestObserver.js";
 import { type DispatchEffect, startRequest } from "./requestShell.js";
 import { createTrial } from "./trial.js";
@@ -29,26 +29,6 @@
 const callerGone: Problem = { status: 499, code: "caller-gone", title: "The caller has gone", execution: "unknown" };
 const repeatableMethods = new Set(["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]);
 
-/** What a caller asks for, checked. */
-export interface Ask {
-    readonly organisation: Organisation;
-    readonly serviceClass: ServiceClass;
-    readonly service: Service;
-    readonly model?: string;
-    readonly prompt?: string;
-    readonly maxTokens?: number;
-    /** The caller reads the answer as a stream of events. */
-    readonly eventStream?: boolean;
-    readonly method: string;
-    readonly path: string;
-    readonly headers: readonly { readonly name: string; readonly value: string }[];
-    readonly body: Buffer;
-    readonly idempotencyKey: string | undefined;
-    /** The `Idempotent` header as sent. */
-    readonly idempotent: string | undefined;
-    readonly traceparent: string | undefined;
-}
-
 export interface Runner {
     /** Rejects with a `ProblemError` when no answer begins. */
     run(ask: Ask, signal: AbortSignal): Promise<Answer>;
