--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -6,7 +6,7 @@
  */
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 
 interface Membership {
     readonly name: string;
@@ -51,6 +51,10 @@
     lateOrdersMs: number;
     /** Ends each answer after this many events, with a reset. */
     breakAfter: number | undefined;
+    /** Ends the process whenever a request with this path begins to run; it is back under the same id after a moment. */
+    crashPath: string | undefined;
+    /** How often it has crashed. */
+    readonly crashes: number;
     drain(): Promise<void>;
     close(): Promise<void>;
 }
@@ -58,6 +62,8 @@
 /** Five tokens make an event; a test's answers have this many events. */
 export const eventsPerAnswer = 6;
 const eventMs = 30;
+/** How long a runner that crashed is down. */
+const restartMs = 300;
 
 async function bodyOf(message: IncomingMessage): Promise<string> {
     let text = "";
@@ -69,7 +75,9 @@
 
 /** Starts a runner on a loopback port. */
 export async function startRunner(options: RunnerOptions): Promise<Runner> {
-    const born = Date.now();
+    let born = Date.now();
+    let crashes = 0;
+    let isDown = false;
     const runs: Run[] = [];
     let heartbeats = 0;
     let orders = 0;
@@ -79,6 +87,8 @@
     let state: "ready" | "draining" = "ready";
     let refusedJoins = 0;
     let address = "";
+    let isClosed = false;
+    const sockets = new Set<Socket>();
 
     const runner: Runner = {
         id: options.id,
@@ -95,12 +105,17 @@
         isDark: false,
         lateOrdersMs: 0,
         breakAfter: undefined,
+        crashPath: undefined,
+        get crashes() {
+            return crashes;
+        },
         async drain() {
             state = "draining";
             await announce();
         },
         async close() {
             clearInterval(timer);
+            isClosed = true;
             server.closeAllConnections();
             await new Promise<void>(resolve => server.close(() => resolve()));
         },
@@ -114,7 +129,7 @@
     }
 
     async function announce() {
-        if (runner.isDark) {
+        if (runner.isDark || isDown) {
             return;
         }
         const body = JSON.stringify({
@@ -212,6 +227,10 @@
             return;
         }
         runs.push({ id, runner: options.id, tenant });
+        if (message.url === runner.crashPath) {
+            crash();
+            return;
+        }
         stream(response, echo, id, Number(message.headers["last-event-id"] ?? 0));
     }
 
@@ -247,6 +266,25 @@
         }, eventMs);
     }
 
+    /** Ends and, after a moment, starts again under the same id and address, with nothing of before but what is on the VM's disk. */
+    function crash() {
+        crashes++;
+        isDown = true;
+        sockets.forEach(socket => socket.resetAndDestroy());
+        server.close();
+        setTimeout(() => {
+            if (isClosed) {
+                return;
+            }
+            born = Date.now();
+            [heartbeats, orders, highestEpoch, membership] = [0, 0, 0, undefined];
+            server.listen(Number(address.split(":")[1]), "127.0.0.1", () => {
+                isDown = false;
+                void announce();
+            });
+        }, restartMs);
+    }
+
     async function onOrder(message: IncomingMessage, response: ServerResponse) {
         const order = JSON.parse(await bodyOf(message)) as Record<string, unknown>;
         if (runner.lateOrdersMs > 0) {
@@ -270,6 +308,10 @@
             void serve(message, response);
         }
     });
+    server.on("connection", socket => {
+        sockets.add(socket);
+        socket.on("close", () => sockets.delete(socket));
+    });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
     const timer = setInterval(() => void announce(), options.heartbeatMs);
--- a/test/platform/wholeSite.test.ts
+++ b/test/platform/wholeSite.test.ts
@@ -1,83 +1,31 @@
 import { expect } from "chai";
-import { mkdtempSync, rmSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import {
-    configurationText, createSiteProcesses, eventIds, eventsPerAnswer, operate, type Runner, send, type SiteProcesses, startRunner,
-} from "../../standin/platform/index.js";
-
-/** Waits until `holds`, or fails with what the daemons wrote. */
-async function until(what: string, holds: () => Promise<boolean> | boolean, withinMs = 15_000): Promise<void> {
-    const untilMs = performance.now() + withinMs;
-    while (!await holds()) {
-        if (performance.now() > untilMs) {
-            throw new Error(`not within ${withinMs} ms: ${what}`);
-        }
-        await new Promise(resolve => setTimeout(resolve, 50));
-    }
-}
+import { configurationText, eventIds, eventsPerAnswer, operate, type SiteProcesses } from "../../standin/platform/index.js";
+import { type PlatformSite, startPlatformSite, until } from "../support/platformSite.js";
 
 const everyEvent = Array.from({ length: eventsPerAnswer }, (_, place) => place + 1);
 
 describe("a site of real daemons before runners of the platform", function () {
     this.timeout(60_000);
-    let folder: string;
+    let started: PlatformSite;
     let site: SiteProcesses;
-    const runners: Runner[] = [];
-    let requests = 0;
-
-    async function run(count: number, service: string, domain?: string) {
-        for (let place = 0; place < count; place++) {
-            runners.push(await startRunner({
-                id: `i-${service}-${runners.length}`, service, zone: `dc-${place % 3}`, heartbeatMs: 400, joinMs: 150,
-                ...domain === undefined ? {} : { domain },
-                controls: () => site.controls.map(site.controlAddress),
-                peer: id => runners.find(runner => runner.id === id),
-            }));
-        }
-    }
-
-    function ask(entry: number, method: string, path: string, more: { body?: string; headers?: Record<string, string> } = {}) {
-        return send(site.callersAddress(site.entries[entry]!), { id: `r${++requests}`, method, path, ...more });
-    }
-
-    function caption(entry: number) {
-        return ask(entry, "POST", "/caption/1", { body: "x", headers: { "zinnialanding-model": "lm", "zinnialanding-token-usage": "20,30" } });
-    }
-
-    function pool() {
-        return runners.filter(runner => runner.id.startsWith("i-pool"));
-    }
-
-    async function publish(text: string, control = 0) {
-        return (await operate(site.controlAddress(site.controls[control]!), "POST", "/api/config/put", text)).status;
-    }
+    let ask: PlatformSite["ask"];
+    let caption: PlatformSite["caption"];
+    let publish: PlatformSite["publish"];
+    let pool: PlatformSite["pool"];
 
     before(async () => {
-        folder = mkdtempSync(join(tmpdir(), "site-"));
-        site = createSiteProcesses({ folder, controls: 3, entries: 2, net: 71, port: 21_500 });
-        [...site.controls, ...site.entries].forEach(place => site.start(place.id, { firstStart: true }));
-        await run(2, "orders");
-        await run(5, "pool", "d0");
-        await until("a configuration is accepted", async () => await publish(configurationText(1)) === 200);
-        await until("two groups are open", () => pool().filter(runner => runner.membership?.state === "open").length === 2);
-        await until("entries are ready", async () =>
-            (await Promise.all(site.entries.map(entry => operate(site.readyAddress(entry), "GET", "/")))).every(answer => answer.status === 200));
-        await until("captions are served", async () => (await caption(0)).status === 200);
+        started = await startPlatformSite({ net: 71, port: 21_500, pool: 5 });
+        ({ processes: site, ask, caption, publish, pool } = started);
     });
 
-    after(async () => {
-        await site.stop();
-        await Promise.all(runners.map(runner => runner.close()));
-        rmSync(folder, { recursive: true });
-    });
+    after(() => started.stop());
 
     it("serves streams whole and plain services once, with the caller's organisation", async () => {
         const answers = await Promise.all([caption(0), caption(1), caption(0)]);
         answers.forEach(answer => expect(eventIds(answer.body)).to.deep.equal(everyEvent));
         const charge = await ask(1, "POST", "/charge/1", { body: "amount=1" });
         expect(charge.status).to.equal(200);
-        const runs = runners.flatMap(runner => runner.runs).filter(run => run.id === charge.id);
+        const runs = started.runners.flatMap(runner => runner.runs).filter(run => run.id === charge.id);
         expect(runs.map(run => run.tenant)).to.deep.equal(["studio"]);
     });
 
@@ -161,7 +109,7 @@
 
     // An upstream says that it leaves. From the acknowledgement on it gets nothing new.
     it("sends nothing to an upstream that leaves or whose data centre is evacuated", async () => {
-        const [first, second] = runners.filter(runner => runner.id.startsWith("i-orders"));
+        const [first, second] = started.runners.filter(runner => runner.id.startsWith("i-orders"));
         await first!.drain();
         await new Promise(resolve => setTimeout(resolve, 300));
         const before = first!.runs.length;
