--- a/test/groups/builders.ts
+++ b/test/groups/builders.ts
@@ -36,6 +36,9 @@
     readonly done: OrderTo[];
 }
 
+/** When a fleet's leader began to lead. */
+const startMs = 10_000;
+
 export function fleetOf(domains: Record<string, number>): Fleet {
     const upstreams = new Map<string, Upstream>();
     for (const [domain, count] of Object.entries(domains)) {
@@ -48,7 +51,7 @@
         }
     }
     return {
-        nowMs: 10_000, state: noGroups, upstreams, hasTraffic: false,
+        nowMs: startMs, state: noGroups, upstreams, hasTraffic: false,
         lost: new Set(), refusing: new Set(), unknown: new Set(), deaf: new Set(), moving: new Set(),
         readyAtMs: new Map(), lastModels: new Map(), done: [],
     };
@@ -61,7 +64,7 @@
 function viewOf(fleet: Fleet): GroupsView {
     const upstreams = [...fleet.upstreams.values()].filter(({ id }) => !fleet.refusing.has(id) && !fleet.unknown.has(id));
     return {
-        nowMs: fleet.nowMs, leadsSinceMs: 0, engine, upstreams, evacuated: [], demand: new Map(), hasTraffic: fleet.hasTraffic,
+        nowMs: fleet.nowMs, leadsSinceMs: startMs, engine, upstreams, evacuated: [], demand: new Map(), hasTraffic: fleet.hasTraffic,
         isLost: id => !isReached(fleet, id), isRefusing: id => fleet.refusing.has(id), isLifeOver: () => false,
         isMoving: id => fleet.moving.has(id),
     };
