--- a/src/siteControl/groupLeader.ts
+++ b/src/siteControl/groupLeader.ts
@@ -53,6 +53,7 @@
     const demand = createDemand();
     const movingAtMs = new Map<string, number>();
     const states = new Map<string, GroupsState>();
+    const startedAtMs = nowMs();
     let leadsSinceMs: number | undefined;
     let planTerm = 0;
     let hasTraffic = !options.isFirstStart;
@@ -102,7 +103,7 @@
         const directory = options.directory();
         return {
             nowMs: nowMs(),
-            leadsSinceMs: leadsSinceMs!,
+            startedAtMs, leadsSinceMs: leadsSinceMs!,
             engine,
             upstreams,
             isLost: id => prober.isLost(id),
