Name the upstream in the last line of a request that ran out of time or whose caller left

Ruled out: a line at each send (twice the lines for what one field tells). Change: one field. Nothing measured.

--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -112,23 +112,24 @@
         finish("refused", { reason });
     }
 
-    function fail(status: 502 | 504, reason: string) {
+    function fail(status: 502 | 504, reason: string, upstream?: string) {
         if (answer.isStarted) {
             answer.breakOff();
         }
         else {
             answer.own(status, reason);
         }
-        finish("failed", { reason });
+        finish("failed", { reason, upstream });
     }
 
     function onTimeout() {
+        const upstream = current?.upstream.id;
         current?.abort();
         if (hasNotRun && attempts === 0) {
             refuse("no upstream could take it in time");
             return;
         }
-        fail(504, "no final answer in time");
+        fail(504, "no final answer in time", upstream);
     }
 
     function choices(): readonly Candidate[] {
@@ -280,7 +281,7 @@
                 current?.abort();
             }
             answer.breakOff();
-            finish("caller-left");
+            finish("caller-left", { upstream: current?.upstream.id });
         },
         drained() {
             current?.resume();
