Drop an estimate that nobody asks for any more

Cause: the split of an upstream's load into what can be on time and what waits behind replaced it. No change of behaviour, nothing measured.

--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -56,9 +56,10 @@
 export interface Balance {
     /** The best of `candidates`, or undefined when none may be sent to now. */
     choose(candidates: readonly Candidate[], options: ChooseOptions): Candidate | undefined;
-    /** Requests at an upstream, running and waiting, as far as is known here. */
-    estimate(upstream: Upstream): number;
-    /** Of those, the ones that can be on time, and the ones that wait behind them; other entries' are taken to be split like this one's. */
+    /**
+     * Requests at an upstream, as far as is known here: those that can be on time, running and waiting, and those that wait behind them.
+     * Other entries' are taken to be split like this one's.
+     */
     onTimeEstimate(upstream: Upstream): number;
     lateEstimate(upstream: Upstream): number;
     sent(upstream: Upstream, isCold: boolean): void;
@@ -162,7 +163,6 @@
             }
             return best;
         },
-        estimate: upstream => estimateOf(standing(upstream)),
         onTimeEstimate(upstream) {
             const state = standing(upstream);
             return estimateOf(state) * (1 - lateShare(state));
