Put no VM into a group that has not been heard since the leader began

Cause: a VM that joined a group just before the control leader was lost is free for all that the next leader knows, until it reports again; heartbeats come each 1.2 s and go to another daemon after a second without an answer, so the wait of 1.5 s does not cover all of them. Ruled out: a longer wait for all VMs (one that is dark would hold up every repair). Change: only VMs heard after the leader began are taken for spares; one that is not keeps its group or its place until then. Before: test/groups/plan.test.ts, new test: orders to the VMs that were not heard. After: none until they are, then the repair.

--- a/src/groups/form.ts
+++ b/src/groups/form.ts
@@ -37,8 +37,13 @@
     return upstream.stagedModels.includes(model.name) ? "warm" : "empty";
 }
 
+/**
+ * Whether a VM may be put into a group. One that has not been heard since this leader began may have joined a group of the leader before
+ * just before that one was lost, and its report of that with it: given to another group, it would be in two.
+ */
 function isUsable(upstream: Upstream, view: GroupsView): boolean {
-    return upstream.state === "ready" && !view.isLost(upstream.id) && !view.evacuated.includes(upstream.dataCentre);
+    const isHeard = upstream.heardAtMs > view.leadsSinceMs;
+    return isHeard && upstream.state === "ready" && !view.isLost(upstream.id) && !view.evacuated.includes(upstream.dataCentre);
 }
 
 /** VMs that may be put into a group, by domain. */
--- a/test/groups/builders.ts
+++ b/test/groups/builders.ts
@@ -17,6 +17,7 @@
 /** Engines that do what they are told in the time that it takes, unless they are told not to answer. */
 export interface Fleet {
     nowMs: number;
+    leadsSinceMs: number;
     state: GroupsState;
     readonly upstreams: Map<string, Upstream>;
     readonly lost: Set<string>;
@@ -24,6 +25,8 @@
     readonly refusing: Set<string>;
     /** Engines that this leader has not heard of yet. */
     readonly unknown: Set<string>;
+    /** Engines of which nothing new has reached the leader yet, though they are there. */
+    readonly unheard: Set<string>;
     /** Engines that hear the leader but carry nothing out. */
     readonly deaf: Set<string>;
     readonly moving: Set<string>;
@@ -51,8 +54,8 @@
         }
     }
     return {
-        nowMs: startMs, state: noGroups, upstreams, hasTraffic: false,
-        lost: new Set(), refusing: new Set(), unknown: new Set(), deaf: new Set(), moving: new Set(),
+        nowMs: startMs, leadsSinceMs: startMs, state: noGroups, upstreams, hasTraffic: false,
+        lost: new Set(), refusing: new Set(), unknown: new Set(), unheard: new Set(), deaf: new Set(), moving: new Set(),
         readyAtMs: new Map(), lastModels: new Map(), done: [],
     };
 }
@@ -64,7 +67,8 @@
 function viewOf(fleet: Fleet): GroupsView {
     const upstreams = [...fleet.upstreams.values()].filter(({ id }) => !fleet.refusing.has(id) && !fleet.unknown.has(id));
     return {
-        nowMs: fleet.nowMs, leadsSinceMs: startMs, engine, upstreams, evacuated: [], demand: new Map(), hasTraffic: fleet.hasTraffic,
+        nowMs: fleet.nowMs, leadsSinceMs: fleet.leadsSinceMs, engine, upstreams, evacuated: [], demand: new Map(),
+        hasTraffic: fleet.hasTraffic,
         isLost: id => !isReached(fleet, id), isRefusing: id => fleet.refusing.has(id), isLifeOver: () => false,
         isMoving: id => fleet.moving.has(id),
     };
@@ -117,7 +121,7 @@
     while (fleet.nowMs < untilMs) {
         fleet.nowMs += 150;
         for (const [id, upstream] of fleet.upstreams) {
-            if (isReached(fleet, id)) {
+            if (isReached(fleet, id) && !fleet.unheard.has(id)) {
                 const isReady = upstream.group?.state === "joining" && fleet.readyAtMs.get(id)! <= fleet.nowMs;
                 const group = isReady ? { ...upstream.group!, state: "ready" as const } : upstream.group;
                 fleet.upstreams.set(id, { ...upstream, group, heardAtMs: fleet.nowMs });
--- a/test/groups/plan.test.ts
+++ b/test/groups/plan.test.ts
@@ -104,6 +104,25 @@
         expect(modelsOpen(fleet).big).to.equal(2);
     });
 
+    // A VM has joined a group of the leader before just before that one was killed, and its report went there. Until it is heard again, the
+    // new leader believes it free; put into another group it would be in two.
+    it("puts no VM into a group that it has not heard since it began to lead", () => {
+        const fleet = fleetOf({ a: 10 });
+        run(fleet, 8_000);
+        fleet.hasTraffic = true;
+        const spares = [...fleet.upstreams.values()].filter(({ group }) => isStandby(group?.name ?? "")).map(({ id }) => id);
+        fleet.lost.add(memberOf(fleet, headOf(fleet, "big").group!.name, 1).id);
+        fleet.state = { ...noGroups, lastEpoch: 1_000 };
+        fleet.leadsSinceMs = fleet.nowMs;
+        spares.forEach(id => fleet.unheard.add(id));
+        fleet.done.length = 0;
+        run(fleet, 4_000);
+        expect(fleet.done.filter(({ upstreamId }) => spares.includes(upstreamId))).to.deep.equal([]);
+        fleet.unheard.clear();
+        run(fleet, 2_000);
+        expect(modelsOpen(fleet).big).to.equal(1);
+    });
+
     // A new leader finds the standbys of the one before. They are no groups that lost their members: ended, they would be cold again.
     it("leaves standbys of an earlier leader as they are", () => {
         const fleet = fleetOf({ a: 10 });
