Leave VMs alone that serve in a group of another leader; take that group over whole

The log: the control leader is cut off from the others at 5.11 s and repairs a group once more at 5.6 s, within its lease. The next leader knows the group as it was; when it hears the members again after the cut, they are out of that one, so it counted them all as free, and at 11.4 s gave four VMs that served in the later group to a third one. Change: a VM that reports a group unknown to this leader is not free; such groups are adopted whole, also where members are planned otherwise. Before: test/groups/plan.test.ts, new test: joins to the members. After: no order to them, their group stays open.

--- a/src/groups/adopt.ts
+++ b/src/groups/adopt.ts
@@ -30,13 +30,13 @@
 }
 
 /**
- * Groups that are reported by upstreams that belong to no group in `groups`. A member alone is taken over as well and has to leave: its
- * head may serve on, out of this leader's reach. Only where this leader itself has seen the group end is it free at once.
+ * Groups that upstreams report and that are not in `groups`, also where this leader has planned otherwise for some of their members: a
+ * leader before it, cut off, may have formed them since. A member alone is taken over as well and has to leave: its head may serve on, out
+ * of this leader's reach. Only where this leader itself has seen the group end are its members free at once.
  */
 export function adoptGroups(groups: ReadonlyMap<string, PlannedGroup>, overNames: readonly string[], view: GroupsView): PlannedGroup[] {
-    const taken = new Set([...groups.values()].flatMap(group => group.memberIds));
-    const strays = view.upstreams.filter(upstream => !taken.has(upstream.id));
+    const strays = view.upstreams.filter(upstream => upstream.group !== undefined && !groups.has(upstream.group.name));
     return [...reportedGroups(strays).values()]
-        .filter(reported => !groups.has(reported.name) && !isStandby(reported.name) && !overNames.includes(reported.name))
+        .filter(reported => !isStandby(reported.name) && !overNames.includes(reported.name))
         .map(reported => adopted(reported, view));
 }
--- a/src/groups/form.ts
+++ b/src/groups/form.ts
@@ -26,6 +26,8 @@
     readonly lastModels: GroupsState["lastModels"];
     readonly staging: Map<string, Staging>;
     readonly heating: Map<string, Heating>;
+    /** Groups that this leader has seen end, those of this step with them. */
+    readonly overNames: string[];
     lastEpoch: number;
 }
 
@@ -46,12 +48,20 @@
     return isHeard && upstream.state === "ready" && !view.isLost(upstream.id) && !view.evacuated.includes(upstream.dataCentre);
 }
 
+/**
+ * Whether a VM reports a group that this leader does not know. A leader that is cut off from this one may have formed it: it may serve.
+ */
+function isInUnknownGroup({ group }: Upstream, draft: Draft): boolean {
+    return group !== undefined && !isStandby(group.name) && !draft.overNames.includes(group.name);
+}
+
 /** VMs that may be put into a group, by domain. */
 export function freeByDomain(draft: Draft): Map<string, Upstream[]> {
     const taken = new Set([...draft.groups.values()].flatMap(group => group.memberIds).filter(id => id !== ""));
     const free = new Map<string, Upstream[]>();
     for (const upstream of draft.view.upstreams) {
-        if (upstream.domain !== undefined && !taken.has(upstream.id) && isUsable(upstream, draft.view)) {
+        const isFree = !taken.has(upstream.id) && !isInUnknownGroup(upstream, draft);
+        if (upstream.domain !== undefined && isFree && isUsable(upstream, draft.view)) {
             free.set(upstream.domain, [...free.get(upstream.domain) ?? [], upstream]);
         }
     }
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -112,13 +112,13 @@
 /** Plans one step. */
 export function planGroups(state: GroupsState, view: GroupsView): GroupsPlan {
     const notes: GroupNote[] = [];
-    const overNames = [...state.overNames];
     const draft: Draft = {
         view,
         groups: new Map(state.groups),
         orders: [],
         lastModels: noteLastModels(state, view),
         staging: stillStaging(state, view),
+        overNames: [...state.overNames],
         heating: new Map([...state.heating].filter(([id]) => view.upstreams.some(upstream => upstream.id === id))),
         lastEpoch: state.lastEpoch,
     };
@@ -133,7 +133,7 @@
             }
             if (followed.group === undefined) {
                 draft.groups.delete(group.name);
-                overNames.push(group.name);
+                draft.overNames.push(group.name);
             }
             else {
                 draft.groups.set(group.name, followed.group);
@@ -147,7 +147,7 @@
     return {
         state: {
             groups: draft.groups, lastEpoch: draft.lastEpoch, sent, lastModels: draft.lastModels, staging: draft.staging,
-            heating: draft.heating, overNames: overNames.slice(-rememberedOver), known,
+            heating: draft.heating, overNames: draft.overNames.slice(-rememberedOver), known,
         },
         orders: due,
         notes,
--- a/test/groups/plan.test.ts
+++ b/test/groups/plan.test.ts
@@ -104,6 +104,26 @@
         expect(modelsOpen(fleet).big).to.equal(2);
     });
 
+    // The leader before was cut off from this one and from the others, but not from the engines: it repaired a group once more. This leader
+    // goes by the group as it was. When it hears its members again, they are out of that one and serve in another, which it has not formed.
+    it("takes over a group that another leader has formed from members of one that it knows", () => {
+        const fleet = fleetOf({ a: 10 });
+        run(fleet, 8_000);
+        fleet.hasTraffic = true;
+        const head = headOf(fleet, "big");
+        const spare = [...fleet.upstreams.values()].find(({ group }) => group?.name.startsWith("big/standby"))!;
+        const ids = [head.id, memberOf(fleet, head.group!.name, 2).id, memberOf(fleet, head.group!.name, 3).id, spare.id];
+        fleet.lost.add(memberOf(fleet, head.group!.name, 1).id);
+        ids.forEach((id, rank) => fleet.upstreams.set(id, {
+            ...fleet.upstreams.get(id)!, group: { name: "big/900", epoch: 900, rank, state: rank === 0 ? "open" : "ready" },
+        }));
+        fleet.state = { ...fleet.state, lastEpoch: 1_000 };
+        fleet.done.length = 0;
+        run(fleet, 5_000);
+        expect(fleet.done.filter(({ upstreamId }) => ids.includes(upstreamId))).to.deep.equal([]);
+        expect(openGroups(fleet)).to.include("big/900");
+    });
+
     // A VM has joined a group of the leader before just before that one was killed, and its report went there. Until it is heard again, the
     // new leader believes it free; put into another group it would be in two.
     it("puts no VM into a group that it has not heard since it began to lead", () => {
