--- a/src/groups/spares.ts
+++ b/src/groups/spares.ts
@@ -32,7 +32,7 @@
 
 /** A model with less than this part of the coverage of another gets spares whose weights are for the other. */
 const starvedShare = 0.6;
-/** Completing a group serves at once; a spare that waits for the next loss counts a quarter of that, and each further one less. */
+/** Completing a group serves at once; a spare for the next loss counts a quarter of that, and the one after it a quarter of the first. */
 const awaitedShare = 0.25;
 
 /** Free VMs of a domain that hold the model's weights on the host, or will soon. */
@@ -47,8 +47,7 @@
 
 /**
  * VMs that one more spare of the model brings back into service in its domain. What is left of a broken group serves again with the VMs
- * that it lacks; beside that a spare waits for the next loss, which idles the other members of a group. Of two models with as many VMs
- * the one with the larger groups comes first: what losses leave of small groups makes a group again without a spare.
+ * that it lacks; beside that a spare waits for the next loss, which idles the other members of a group.
  */
 function spareValue(model: EngineModel, domain: string, free: readonly Upstream[], draft: Draft): number {
     const spares = held(model, free, draft);
@@ -56,7 +55,7 @@
         .filter(group => group.domain === domain && group.model === model.name && group.phase !== "ending");
     const isBroken = free.some(upstream => isSurvivor(upstream, model, draft));
     const completes = isBroken && spares < model.size ? model.size / (model.size - spares) : 0;
-    const insures = awaitedShare * groups.length * model.size * (model.size - 1) / (spares + 1);
+    const insures = awaitedShare * groups.length * model.size * (model.size - 1) / (spares + 1) ** 2;
     return Math.max(completes, insures);
 }
 
