--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -17,13 +17,6 @@
 
 /** A new leader hears every VM at least once before it decides: heartbeats come about every 1.2 s. */
 const settleMs = 1_500;
-/**
- * Before traffic, the first groups wait until no further VM has announced itself for somewhat more than a heartbeat. Planned from a part
- * of the VMs, they had too few of the large model, whose place was then taken by small groups for the whole day.
- */
-const gatheredMs = 1_400;
-/** They wait no longer than this after the leader began: loads take 1 to 2 s then, and traffic comes some ten seconds after the start. */
-const mostGatherMs = 5_000;
 /** An unanswered order is sent again after this long: the effect is reported within some hundred ms when all is well. */
 const resendMs = 1_200;
 /** Groups that are remembered as over: far more than can end while a member that has not been given to another still reports one. */
@@ -83,18 +76,6 @@
     return next;
 }
 
-function noteKnown(state: GroupsState, view: GroupsView): GroupsState["known"] {
-    const count = view.upstreams.length;
-    return count === state.known.count ? state.known : { count, sinceMs: view.nowMs };
-}
-
-/** Whether this leader has heard of enough to decide. */
-function hasSettled(known: GroupsState["known"], view: GroupsView): boolean {
-    const ledMs = view.nowMs - view.leadsSinceMs;
-    const isGathered = view.hasTraffic || view.nowMs - known.sinceMs >= gatheredMs || ledMs >= mostGatherMs;
-    return ledMs >= settleMs && isGathered;
-}
-
 /** A load that takes longer than this many times its time was never begun, or shares the store with many others. */
 const stagingPatience = 2;
 
@@ -122,8 +103,7 @@
         heating: new Map([...state.heating].filter(([id]) => view.upstreams.some(upstream => upstream.id === id))),
         lastEpoch: state.lastEpoch,
     };
-    const known = noteKnown(state, view);
-    if (hasSettled(known, view)) {
+    if (view.nowMs - view.leadsSinceMs >= settleMs) {
         adoptGroups(draft.groups, state.overNames, view).forEach(group => draft.groups.set(group.name, group));
         for (const group of [...draft.groups.values()]) {
             const followed = followGroup(group, view);
@@ -147,7 +127,7 @@
     return {
         state: {
             groups: draft.groups, lastEpoch: draft.lastEpoch, sent, lastModels: draft.lastModels, staging: draft.staging,
-            heating: draft.heating, overNames: draft.overNames.slice(-rememberedOver), known,
+            heating: draft.heating, overNames: draft.overNames.slice(-rememberedOver),
         },
         orders: due,
         notes,
--- a/src/groups/types.ts
+++ b/src/groups/types.ts
@@ -70,8 +70,6 @@
     readonly staging: ReadonlyMap<string, Staging>;
     /** Spares that were told to take their weights onto the accelerator, by id. */
     readonly heating: ReadonlyMap<string, Heating>;
-    /** How many VMs were known at the last step, and since when. */
-    readonly known: { readonly count: number; readonly sinceMs: number };
     /** The last groups that this leader has seen end: members may still report them and are free all the same. */
     readonly overNames: readonly string[];
 }
@@ -106,5 +104,4 @@
 
 export const noGroups: GroupsState = {
     groups: new Map(), lastEpoch: 0, sent: new Map(), lastModels: new Map(), staging: new Map(), heating: new Map(), overNames: [],
-    known: { count: 0, sinceMs: 0 },
 };
