Divide VMs between models by coverage; keep weights of a second model on every host

Change: what is on the accelerator needs no place on the host, so the host takes the weights of another model, before callers come for every VM; small groups are broken for the model that is worst covered where that helps the worst, at once before callers come, after 1.5 s of shortage with them; the stated shares count for the demand until enough has been observed (without that a group was broken 0.8 s after the first caller). VMs are not taken over for a model that is not the worst covered one.

--- a/src/groups/form.ts
+++ b/src/groups/form.ts
@@ -29,11 +29,17 @@
     /** Groups that this leader has seen end, those of this step with them. */
     readonly overNames: string[];
     lastEpoch: number;
+    shortSince: GroupsState["shortSince"];
 }
 
-export function readinessOf(upstream: Upstream, model: EngineModel, draft: Draft): Readiness {
+/** The model whose weights are on a VM's accelerator, as far as this leader has seen. */
+export function onAccelerator(upstream: Upstream, draft: Draft): string | undefined {
     const last = draft.lastModels.get(upstream.id);
-    if (last?.bornMs === upstream.bornMs && last.model === model.name) {
+    return last?.bornMs === upstream.bornMs ? last.model : undefined;
+}
+
+export function readinessOf(upstream: Upstream, model: EngineModel, draft: Draft): Readiness {
+    if (onAccelerator(upstream, draft) === model.name) {
         return "hot";
     }
     return upstream.stagedModels.includes(model.name) ? "warm" : "empty";
@@ -43,7 +49,7 @@
  * Whether a VM may be put into a group. One that has not been heard since this leader began may have joined a group of the leader before
  * just before that one was lost, and its report of that with it: given to another group, it would be in two.
  */
-function isUsable(upstream: Upstream, view: GroupsView): boolean {
+export function isUsable(upstream: Upstream, view: GroupsView): boolean {
     const isHeard = upstream.heardAtMs > view.leadsSinceMs;
     return isHeard && upstream.state === "ready" && !view.isLost(upstream.id) && !view.evacuated.includes(upstream.dataCentre);
 }
@@ -71,15 +77,41 @@
 /** VMs in living groups of each model, for each part of the demand: the model with the least is helped first. */
 export function coverage(model: EngineModel, draft: Draft): number {
     const { view } = draft;
-    const demand = view.demand.get(model.name) ?? model.share;
     const vms = [...draft.groups.values()]
         .filter(group => group.model === model.name && group.phase !== "ending")
         .filter(group => !view.evacuated.includes(view.upstreams.find(upstream => upstream.id === group.memberIds[0])?.dataCentre ?? ""))
         .reduce((sum, group) => sum + group.memberIds.length, 0);
-    return vms / Math.max(demand, 1e-6);
+    return coverageOfVms(vms, model, draft);
+}
+
+/** What `vms` VMs are for a model's coverage. */
+export function coverageOfVms(vms: number, model: EngineModel, { view }: Draft): number {
+    return vms / Math.max(view.demand.get(model.name) ?? model.share, 1e-6);
+}
+
+/** Models of which a group fits into a domain, as far as the VMs there may be used. */
+export function fittingModels(domain: string, draft: Draft): readonly EngineModel[] {
+    const size = domainSize(domain, draft);
+    return draft.view.engine.models.filter(model => model.size <= size);
+}
+
+/** Models by their coverage, the least first. One that fits nowhere is left out: it must not keep the others from their VMs. */
+export function byCoverage(draft: Draft): EngineModel[] {
+    const fitting = new Set(domainsOf(draft).flatMap(domain => fittingModels(domain, draft)));
+    return [...fitting].sort((a, b) => coverage(a, draft) - coverage(b, draft));
+}
+
+export function domainsOf(draft: Draft): string[] {
+    return [...new Set(draft.view.upstreams.map(upstream => upstream.domain))].filter(domain => domain !== undefined);
 }
 
-function domainSize(domain: string, draft: Draft): number {
+/** VMs that a domain keeps free. */
+export function sparesOf(domain: string, draft: Draft): number {
+    return Math.floor(domainSize(domain, draft) / vmsPerSpare);
+}
+
+/** VMs of a domain that may be used. */
+export function domainSize(domain: string, draft: Draft): number {
     return draft.view.upstreams.filter(upstream => upstream.domain === domain && isUsable(upstream, draft.view)).length;
 }
 
@@ -104,6 +136,14 @@
     return choices.sort((a, b) => ranks[a.readiness] - ranks[b.readiness] || b.left - a.left || (a.domain < b.domain ? -1 : 1))[0];
 }
 
+/**
+ * Whether the group would use VMs that a worse covered model could need: they have that one's weights on the accelerator, or none.
+ */
+function takesOver(choice: Choice, model: EngineModel, draft: Draft): boolean {
+    const [worst] = byCoverage(draft);
+    return worst !== undefined && coverage(worst, draft) < coverage(model, draft) && choice.readiness !== "hot";
+}
+
 /** Whether the group may be formed now, given what it leaves of spares and what it has to load. */
 function isWorthwhile(choice: Choice, model: EngineModel, draft: Draft): boolean {
     const { view } = draft;
@@ -111,10 +151,12 @@
     if (!isServed) {
         return true;
     }
-    const spares = Math.floor(domainSize(choice.domain, draft) / vmsPerSpare);
+    if (view.hasTraffic && takesOver(choice, model, draft)) {
+        return false;
+    }
     // What is left of a group is worth a spare; spares alone are not, though they may be hot.
     const isRepair = choice.members.some(member => readinessOf(member, model, draft) === "hot" && !isStandby(member.group?.name ?? ""));
-    if (!isRepair && choice.left < spares) {
+    if (!isRepair && choice.left < sparesOf(choice.domain, draft)) {
         return false;
     }
     return !view.hasTraffic || choice.readiness !== "empty";
@@ -141,7 +183,7 @@
     const domains = new Set(upstreams.map(upstream => upstream.domain ?? ""));
     const usable = [...domains].reduce((sum, domain) => {
         const size = domainSize(domain, draft);
-        return sum + size - Math.floor(size / vmsPerSpare);
+        return sum + size - sparesOf(domain, draft);
     }, 0);
     const demandOf = (candidate: EngineModel) => draft.view.demand.get(candidate.name) ?? candidate.share;
     const total = engine.models.reduce((sum, candidate) => sum + demandOf(candidate), 0);
@@ -159,15 +201,29 @@
     return short.sort((a, b) => b.size - a.size)[0] ?? open.sort((a, b) => coverage(a, draft) - coverage(b, draft))[0];
 }
 
+/** Free VMs that may go to a model: domains that wait for VMs of ending groups are for one model alone. */
+function freeFor(model: EngineModel, reserved: Reserved | undefined, draft: Draft): ReadonlyMap<string, Upstream[]> {
+    const free = freeByDomain(draft);
+    return reserved === undefined || reserved.model === model.name
+        ? free
+        : new Map([...free].filter(([domain]) => !reserved.domains.includes(domain)));
+}
+
+/** Domains whose free VMs are kept for a model, until the others that its next group needs are free as well. */
+export interface Reserved {
+    readonly model: string;
+    readonly domains: readonly string[];
+}
+
 /** Forms groups for the models that are short of VMs, as long as one is worthwhile. */
-export function formGroups(draft: Draft): void {
+export function formGroups(draft: Draft, reserved: Reserved | undefined): void {
     const refused = new Set<string>();
     for (;;) {
         const model = nextModel(refused, draft);
         if (model === undefined) {
             return;
         }
-        const choice = bestPlace(model, freeByDomain(draft), draft);
+        const choice = bestPlace(model, freeFor(model, reserved, draft), draft);
         if (choice === undefined || !isWorthwhile(choice, model, draft)) {
             refused.add(model.name);
             continue;
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -10,10 +10,11 @@
 
 import { modelOfGroup } from "../fleet/index.js";
 import { adoptGroups } from "./adopt.js";
-import { followGroup } from "./follow.js";
+import { endGroup, type Followed, followGroup } from "./follow.js";
 import { type Draft, formGroups } from "./form.js";
-import { heatSpares, stageSpares } from "./spares.js";
-import type { GroupPhase, GroupsState, GroupsView, OrderTo, SentOrder, Staging } from "./types.js";
+import { regroup, reserve } from "./regroup.js";
+import { heatSpares, stageEmpty, stageSecond } from "./spares.js";
+import type { GroupPhase, GroupsState, GroupsView, OrderTo, PlannedGroup, SentOrder, Staging } from "./types.js";
 
 /** A new leader hears every VM at least once before it decides: heartbeats come about every 1.2 s. */
 const settleMs = 1_500;
@@ -90,6 +91,20 @@
     }));
 }
 
+/** Takes one step of one group into the draft. */
+function takeStep(group: PlannedGroup, followed: Followed, draft: Draft, notes: GroupNote[]): void {
+    draft.orders.push(...followed.orders);
+    if (followed.group?.phase !== group.phase) {
+        notes.push({ group: group.name, memberIds: group.memberIds, from: group.phase, to: followed.group?.phase ?? "over", reason: followed.reason });
+    }
+    if (followed.group === undefined) {
+        draft.groups.delete(group.name);
+        draft.overNames.push(group.name);
+        return;
+    }
+    draft.groups.set(group.name, followed.group);
+}
+
 /** Plans one step. */
 export function planGroups(state: GroupsState, view: GroupsView): GroupsPlan {
     const notes: GroupNote[] = [];
@@ -102,32 +117,27 @@
         overNames: [...state.overNames],
         heating: new Map([...state.heating].filter(([id]) => view.upstreams.some(upstream => upstream.id === id))),
         lastEpoch: state.lastEpoch,
+        shortSince: state.shortSince,
     };
     if (view.nowMs - view.leadsSinceMs >= settleMs) {
         adoptGroups(draft.groups, state.overNames, view).forEach(group => draft.groups.set(group.name, group));
         for (const group of [...draft.groups.values()]) {
-            const followed = followGroup(group, view);
-            draft.orders.push(...followed.orders);
-            if (followed.group?.phase !== group.phase) {
-                notes.push({ group: group.name, memberIds: group.memberIds, from: group.phase, to: followed.group?.phase ?? "over", reason: followed.reason });
-            }
-            if (followed.group === undefined) {
-                draft.groups.delete(group.name);
-                draft.overNames.push(group.name);
-            }
-            else {
-                draft.groups.set(group.name, followed.group);
-            }
+            takeStep(group, followGroup(group, view), draft, notes);
+        }
+        const regrouping = regroup(draft);
+        for (const group of regrouping?.broken ?? []) {
+            takeStep(group, endGroup(group, view, `its VMs are needed for ${regrouping!.model}`, view.hasTraffic), draft, notes);
         }
-        formGroups(draft);
-        stageSpares(draft);
+        formGroups(draft, reserve(draft));
+        stageEmpty(draft);
         heatSpares(draft);
+        stageSecond(draft);
     }
     const { due, sent } = unsent(draft.orders, state, view);
     return {
         state: {
             groups: draft.groups, lastEpoch: draft.lastEpoch, sent, lastModels: draft.lastModels, staging: draft.staging,
-            heating: draft.heating, overNames: draft.overNames.slice(-rememberedOver),
+            heating: draft.heating, shortSince: draft.shortSince, overNames: draft.overNames.slice(-rememberedOver),
         },
         orders: due,
         notes,
--- a/src/groups/spares.ts
+++ b/src/groups/spares.ts
@@ -1,28 +1,32 @@
 /**
- * Keeps the VMs that no group uses ready to repair one: brings weights onto their hosts, and from there onto their accelerators.
+ * Keeps VMs ready to repair a group of any model: brings weights onto their hosts, and from there onto their accelerators.
  *
- * The pattern it answers: a group of VMs is down from the loss of one until another has joined in its place. A VM whose last group had the
- * same model joins in 0.2 s; one that has the weights on its host alone needs 1.1 to 1.6 s, an empty one 12 to 16 s. So a spare joins a
- * group of its own, which is never opened, as soon as it has weights: one order for each spare buys about a second of each repair.
+ * The pattern it answers: a group of VMs is down from the loss of one until another has joined in its place, and a domain has few VMs to
+ * spare. A VM whose last group had the same model joins in 0.2 s; one that has the weights on its host alone needs 1.1 to 1.6 s, an empty
+ * one 12 to 16 s. So a spare joins a group of its own, which is never opened, as soon as it has weights. What is on the accelerator
+ * is not needed on the host as well: the place there takes the weights of another model, so that any VM can soon serve either.
  *
  * @module
  */
 
 import { standbyNameOf, type Upstream } from "../fleet/index.js";
 import type { EngineModel } from "../site/index.js";
-import { coverage, type Draft, freeByDomain, readinessOf } from "./form.js";
+import { coverage, coverageOfVms, type Draft, fittingModels, freeByDomain, isUsable, onAccelerator } from "./form.js";
 
 /** The window over which the store's rate is kept, in ms, and the part of it that is used: another leader's loads may overlap. */
 const loadWindowMs = 5_000;
 const loadRateShare = 0.8;
+/** Of the loads that run at full speed at once, those kept for VMs without any weights: until they have some they are of no use. */
+const loadsForEmpty = 2;
 
-function mayLoad(draft: Draft): boolean {
+function mayLoad(draft: Draft, keptFree: number): boolean {
     const { engine, nowMs, hasTraffic } = draft.view;
     if (!hasTraffic) {
         return true;
     }
     const recent = [...draft.staging.values()].filter(({ atMs }) => nowMs - atMs < loadWindowMs).length;
-    return recent < engine.loadsPerSecond * loadWindowMs / 1_000 * loadRateShare && draft.staging.size < engine.loadsAtOnce;
+    const mostAtOnce = Math.max(1, engine.loadsAtOnce - keptFree);
+    return recent < engine.loadsPerSecond * loadWindowMs / 1_000 * loadRateShare && draft.staging.size < mostAtOnce;
 }
 
 function order(upstream: Upstream, model: string, reason: string, draft: Draft) {
@@ -30,49 +34,64 @@
     draft.orders.push({ upstreamId: upstream.id, order: { kind: "stage", model }, reason });
 }
 
-/** A model with less than this part of the coverage of another gets spares whose weights are for the other. */
-const starvedShare = 0.6;
+/** The models of `among` that is worst covered, spares counted. */
+function leastCovered(among: readonly EngineModel[], draft: Draft): EngineModel | undefined {
+    return among
+        .map(model => ({ model, coverage: coverageWithSpares(model, draft) }))
+        .sort((a, b) => a.coverage - b.coverage)[0]?.model;
+}
 
-/**
- * Brings weights onto spares. An empty one gets those of the model with the least coverage, spares counted; where a model is starved, a
- * spare of the best covered one is loaded anew, since it would repair groups of which there are enough.
- */
-export function stageSpares(draft: Draft): void {
-    const { view } = draft;
+/** Brings weights onto VMs that have none: those of the model with the least coverage. */
+export function stageEmpty(draft: Draft): void {
     for (const [domain, upstreams] of freeByDomain(draft)) {
         for (const upstream of upstreams) {
-            if (draft.staging.has(upstream.id) || !mayLoad(draft)) {
-                continue;
-            }
-            const covered = view.engine.models.map(model => ({ model, coverage: coverageWithSpares(model, draft) }));
-            const least = covered.reduce((a, b) => b.coverage < a.coverage ? b : a);
-            const most = covered.reduce((a, b) => b.coverage > a.coverage ? b : a);
-            const isStarved = least.coverage < starvedShare * most.coverage;
-            const holdsMost = upstream.stagedModels.includes(most.model.name) && !upstream.stagedModels.includes(least.model.name);
-            if (upstream.stagedModels.length === 0 || (isStarved && holdsMost)) {
-                order(upstream, least.model.name, `a spare of domain ${domain}`, draft);
+            const isEmpty = upstream.stagedModels.length === 0 && onAccelerator(upstream, draft) === undefined;
+            const model = isEmpty ? leastCovered(fittingModels(domain, draft), draft) : undefined;
+            if (model !== undefined && !draft.staging.has(upstream.id) && mayLoad(draft, 0)) {
+                order(upstream, model.name, `an empty VM of domain ${domain}`, draft);
             }
         }
     }
 }
 
-/** Coverage with the spares that hold the model's weights, or will soon. */
+/** VMs whose weights on the host are those on the accelerator, or none: spares first, since they are used first. */
+function withRoomOnHost(draft: Draft): Upstream[] {
+    const { upstreams } = draft.view;
+    const members = [...draft.groups.values()].filter(group => group.phase === "open").flatMap(group => group.memberIds);
+    const working = upstreams.filter(upstream => members.includes(upstream.id) && isUsable(upstream, draft.view));
+    return [...[...freeByDomain(draft).values()].flat(), ...working].filter(upstream => {
+        const held = onAccelerator(upstream, draft);
+        return held !== undefined && upstream.stagedModels.every(staged => staged === held);
+    });
+}
+
+/** Brings the weights of a second model onto the hosts of VMs that have one on the accelerator. */
+export function stageSecond(draft: Draft): void {
+    for (const upstream of withRoomOnHost(draft)) {
+        const others = fittingModels(upstream.domain!, draft).filter(model => model.name !== onAccelerator(upstream, draft));
+        const model = leastCovered(others, draft);
+        if (model !== undefined && !draft.staging.has(upstream.id) && mayLoad(draft, loadsForEmpty)) {
+            order(upstream, model.name, "weights of a second model", draft);
+        }
+    }
+}
+
+/** Coverage with the spares that have the model's weights on the accelerator, or will soon. */
 function coverageWithSpares(model: EngineModel, draft: Draft): number {
-    const demand = draft.view.demand.get(model.name) ?? model.share;
     const spares = [...freeByDomain(draft).values()].flat().filter(upstream =>
-        (draft.staging.get(upstream.id)?.model ?? upstream.stagedModels[0]) === model.name).length;
-    return coverage(model, draft) + spares / Math.max(demand, 1e-6);
+        (onAccelerator(upstream, draft) ?? draft.staging.get(upstream.id)?.model ?? upstream.stagedModels[0]) === model.name).length;
+    return coverage(model, draft) + coverageOfVms(spares, model, draft);
 }
 
 /** A spare whose heating shows no effect is told again after this long: several times what a join from the host takes. */
 const heatAgainMs = 8_000;
 
-/** Has spares that hold a model's weights on the host take them onto the accelerator. */
+/** Has spares with weights on the host alone take them onto the accelerator. */
 export function heatSpares(draft: Draft): void {
     const { view } = draft;
     for (const upstream of [...freeByDomain(draft).values()].flat()) {
         const model = view.engine.models.find(candidate => upstream.stagedModels.includes(candidate.name));
-        if (model === undefined || model.size === 1 || draft.staging.has(upstream.id) || readinessOf(upstream, model, draft) === "hot") {
+        if (model === undefined || model.size === 1 || draft.staging.has(upstream.id) || onAccelerator(upstream, draft) !== undefined) {
             continue;
         }
         const last = draft.heating.get(upstream.id);
--- a/src/groups/types.ts
+++ b/src/groups/types.ts
@@ -70,6 +70,8 @@
     readonly staging: ReadonlyMap<string, Staging>;
     /** Spares that were told to take their weights onto the accelerator, by id. */
     readonly heating: ReadonlyMap<string, Heating>;
+    /** Since when groups of other models could be broken for the model that is worst covered; undefined while none could. */
+    readonly shortSince: { readonly model: string; readonly atMs: number } | undefined;
     /** The last groups that this leader has seen end: members may still report them and are free all the same. */
     readonly overNames: readonly string[];
 }
@@ -103,5 +105,6 @@
 }
 
 export const noGroups: GroupsState = {
-    groups: new Map(), lastEpoch: 0, sent: new Map(), lastModels: new Map(), staging: new Map(), heating: new Map(), overNames: [],
+    groups: new Map(), lastEpoch: 0, sent: new Map(), lastModels: new Map(), staging: new Map(), heating: new Map(), shortSince: undefined,
+    overNames: [],
 };
--- a/test/groups/builders.ts
+++ b/test/groups/builders.ts
@@ -97,11 +97,11 @@
                 break;
             }
             fleet.readyAtMs.set(upstream.id, fleet.nowMs + joinMs(fleet, upstream, order.model));
-            fleet.lastModels.set(upstream.id, order.model);
             set({
-                stagedModels: [order.model],
+                stagedModels: fleet.lastModels.get(upstream.id) === order.model ? upstream.stagedModels : [order.model],
                 group: { name: order.group, epoch: order.epoch, rank: order.memberIds.indexOf(upstream.id), state: "joining" },
             });
+            fleet.lastModels.set(upstream.id, order.model);
             break;
         default: {
             if (upstream.group?.name !== order.group || upstream.group.epoch !== order.epoch) {
--- /dev/null
+++ b/test/groups/regroup.test.ts
@@ -0,0 +1,80 @@
+import { expect } from "chai";
+import { type Fleet, fleetOf, modelsOpen, run } from "./builders.js";
+
+/** Loses one member of an open group of `model`, for good. */
+function loseMember(fleet: Fleet, model: string) {
+    const head = [...fleet.upstreams.values()].find(({ group }) => group?.state === "open" && group.name.startsWith(model))!;
+    const member = [...fleet.upstreams.values()].find(({ id, group }) => id !== head.id && group?.name === head.group!.name)!;
+    fleet.upstreams.delete(member.id);
+}
+
+function spares(fleet: Fleet) {
+    return [...fleet.upstreams.values()].filter(({ group }) => group === undefined || group.name.includes("standby"));
+}
+
+describe("dividing VMs between models", () => {
+    // A site starts: three VMs of each domain are heard at once, the others some seconds later, all before the first caller. Small groups
+    // fill the first VMs; were they left there, callers of the large model would be refused all day.
+    it("gives the large model its part though most VMs announce themselves late", () => {
+        const fleet = fleetOf({ a: 10, b: 10, c: 10 });
+        const late = [...fleet.upstreams.keys()].filter(id => Number(id.slice(1)) >= 3);
+        late.forEach(id => fleet.unknown.add(id));
+        run(fleet, 2_500);
+        expect(modelsOpen(fleet).big ?? 0).to.equal(0);
+        late.sort((a, b) => Number(a.slice(1)) - Number(b.slice(1)));
+        while (late.length > 0) {
+            late.splice(0, 3).forEach(id => fleet.unknown.delete(id));
+            run(fleet, 450);
+        }
+        run(fleet, 3_000);
+        expect(modelsOpen(fleet)).to.deep.equal({ big: 3, small: 6 });
+    });
+
+    // All day VMs are lost for good. Both spares of a domain go to small groups; then a large group loses a member. Callers of its model
+    // would wait until an empty VM has come and has loaded for 16 s, while three of the group's VMs idle.
+    it("has a small group give a VM to a large one that lacks its last member", () => {
+        const fleet = fleetOf({ a: 10 });
+        run(fleet, 12_000);
+        fleet.hasTraffic = true;
+        for (let loss = 0; loss < 2; loss++) {
+            loseMember(fleet, "small");
+            run(fleet, 3_000);
+        }
+        expect(modelsOpen(fleet)).to.deep.equal({ big: 1, small: 2 });
+        expect(spares(fleet)).to.deep.equal([]);
+        loseMember(fleet, "big");
+        run(fleet, 4_000);
+        expect(modelsOpen(fleet)).to.deep.equal({ big: 1, small: 1 });
+    });
+
+    // A domain's VMs are lost until there is no room for both models as before; nothing may be broken to and fro.
+    it("comes to rest after each loss", () => {
+        const fleet = fleetOf({ a: 10, b: 10 });
+        run(fleet, 12_000);
+        fleet.hasTraffic = true;
+        for (let loss = 0; loss < 5; loss++) {
+            loseMember(fleet, loss % 2 === 0 ? "big" : "small");
+            run(fleet, 6_000);
+            const before = JSON.stringify([...fleet.state.groups.keys()]);
+            run(fleet, 6_000);
+            expect(JSON.stringify([...fleet.state.groups.keys()])).to.equal(before);
+        }
+    });
+
+    // What is on the accelerator needs no place on the host; with the other model's weights there, any VM repairs a group of either.
+    it("brings the weights of a second model onto every host before callers come", () => {
+        const fleet = fleetOf({ a: 10 });
+        run(fleet, 12_000);
+        const held = [...fleet.upstreams.values()].map(({ id, stagedModels }) => [fleet.lastModels.get(id), ...stagedModels].sort().join(" "));
+        expect([...new Set(held)]).to.deep.equal(["big small"]);
+    });
+
+    // Only four VMs are there: no large group fits beside a small one. Loads for a model that can never be formed would be wasted.
+    it("loads nothing for a model that is larger than the domain", () => {
+        const fleet = fleetOf({ a: 3 });
+        run(fleet, 8_000);
+        const loaded = fleet.done.flatMap(({ order }) => order.kind === "stage" ? [order.model] : []);
+        expect(new Set(loaded)).to.deep.equal(new Set(["small"]));
+        expect(modelsOpen(fleet)).to.deep.equal({ small: 1 });
+    });
+});
