Ask a lost VM again before a late heartbeat is believed

Ruled out: a VM that was alive (both joins timed out, and it was judged lost again). Change: lost is lost until it answers a probe or starts again; a heartbeat has it asked at once.

--- a/src/siteControl/prober.ts
+++ b/src/siteControl/prober.ts
@@ -46,7 +46,10 @@
     forget(): void;
 }
 
-/** Creates a prober that has asked nobody yet. */
+/**
+ * Creates a prober that has asked nobody yet. One that counts as lost does so until it answers or starts again: taken back for a late
+ * heartbeat, it would be put into the very group that its loss has broken, which could not come together.
+ */
 export function createProber(options: ProberOptions): Prober {
     const asked = new Map<string, Asked>();
     const suspects = new Set<string>();
@@ -85,13 +88,11 @@
             const nowMs = options.nowMs();
             for (const upstream of upstreams) {
                 const memory = memoryOf(upstream);
-                if (upstream.heardAtMs > memory.atMs && memory.result !== undefined) {
-                    memory.result = undefined;
-                    memory.silent = 0;
-                }
-                const isOverdue = nowMs - upstream.heardAtMs > overdueMs;
+                const isOverdue = nowMs - upstream.heardAtMs > overdueMs || memory.result !== undefined;
                 const isDoubted = suspects.has(upstream.id) || (memory.silent > 0 && memory.result === undefined);
-                const isDue = isDoubted || (isOverdue && nowMs - memory.atMs > againMs);
+                // A heartbeat may have been seconds on its way, so one that is lost is asked again rather than believed.
+                const isHeardAgain = memory.result !== undefined && upstream.heardAtMs > memory.atMs;
+                const isDue = isDoubted || isHeardAgain || (isOverdue && nowMs - memory.atMs > againMs);
                 if (isDue && !memory.isAsking) {
                     void ask(upstream, memory);
                 }
