Elect a new control leader after 0.8 to 1.4 s of silence

Ruled out: a slow vote (0.1 s from the first pre-vote to the lease); the wait of a new leader (kept: it holds VMs out of two groups). Change: heartbeats of the log each 200 ms, elections after 0.8 to 1.4 s, lease 0.6 s; what follows from long silence (voted out, asks to be taken in, reads) is stated by itself and as long as before.

--- a/src/consensus/bootstrap.ts
+++ b/src/consensus/bootstrap.ts
@@ -37,13 +37,10 @@
     return chain(asked, next => ({ state: next, effects }), noteAwaited, next => formIfAllEmpty(next, random));
 }
 
-/** A voter without a leader for this many election timeouts may have been voted out while it was away, and asks to be taken in again. */
-const forgottenTimeouts = 3;
-
 /** Whether this voter has heard no leader for so long that the others may count it out. */
 function isForgotten(state: ConsensusState): boolean {
     const { isOpen, timings } = state.options;
-    return isOpen && state.role.kind !== "leader" && state.nowMs - state.lastLeaderContactMs > forgottenTimeouts * timings.electionTimeoutMaxMs;
+    return isOpen && state.role.kind !== "leader" && state.nowMs - state.lastLeaderContactMs > timings.forgottenMs;
 }
 
 /** Logs whom this process waits for, once for each change. */
--- a/src/consensus/lease.ts
+++ b/src/consensus/lease.ts
@@ -103,7 +103,7 @@
 }
 
 function answerForwardedReads(state: ConsensusState): ConsensusStep {
-    const waitMs = state.options.timings.electionTimeoutMaxMs;
+    const waitMs = state.options.timings.readMs;
     const effects: Effect[] = [];
     const left: Record<string, ConsensusState["forwardedReads"][string]> = {};
     for (const [readId, read] of Object.entries(state.forwardedReads)) {
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -84,11 +84,8 @@
     return writeMembership(state, { ...membership, voters, admitting: { voterId: wiped.voterId, address: wiped.address } }, line);
 }
 
-/** Silence after which a process that is to be admitted is given up, and a voter of an even quorum loses its vote. */
-const silentTimeouts = 4;
-
 function isSilent(state: ConsensusState, progress: Progress | undefined): boolean {
-    return progress !== undefined && state.nowMs - progress.lastContactMs > silentTimeouts * state.options.timings.electionTimeoutMaxMs;
+    return progress !== undefined && state.nowMs - progress.lastContactMs > state.options.timings.silentMs;
 }
 
 /** Whether whoever is to be admitted has not been heard since long before now. */
@@ -97,7 +94,7 @@
     const learner = Object.values(role.progress).find(item =>
         item.voter.voterId === voterId && !state.membership!.voters.some(voter => voter.diskId === item.voter.diskId));
     const sinceMs = Math.max(role.sinceMs, learner?.lastContactMs ?? 0, state.invitedAtMs);
-    return state.nowMs - sinceMs > silentTimeouts * state.options.timings.electionTimeoutMaxMs;
+    return state.nowMs - sinceMs > state.options.timings.silentMs;
 }
 
 /**
--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -21,6 +21,12 @@
     readonly electionTimeoutMaxMs: number;
     /** The leader's lease: below `electionTimeoutMinMs` by more than clocks can drift apart in it. */
     readonly leaseMs: number;
+    /** Silence after which a process that is to be admitted is given up, and a voter of an even quorum loses its vote. */
+    readonly silentMs: number;
+    /** A voter without a leader for this long may have been voted out while it was away, and asks to be taken in again. */
+    readonly forgottenMs: number;
+    /** How long a read that another voter confirms may take. */
+    readonly readMs: number;
     /** How often a process that does not vote announces itself. */
     readonly helloMs: number;
     /** How long a sent snapshot is given before it is sent again. */
@@ -38,10 +44,13 @@
 }
 
 export const defaultTimings: ConsensusTimings = {
-    heartbeatMs: 400,
-    electionTimeoutMinMs: 1_500,
-    electionTimeoutMaxMs: 3_000,
-    leaseMs: 1_200,
+    heartbeatMs: 200,
+    electionTimeoutMinMs: 800,
+    electionTimeoutMaxMs: 1_400,
+    leaseMs: 600,
+    silentMs: 12_000,
+    forgottenMs: 9_000,
+    readMs: 3_000,
     helloMs: 1_000,
     snapshotRetryMs: 5_000,
 };
