--- a/src/groups/form.ts
+++ b/src/groups/form.ts
@@ -8,112 +8,11 @@
  * @module
  */
 
-import { groupNameOf, isStandby, type Upstream } from "../fleet/index.js";
+import { groupNameOf, type Upstream } from "../fleet/index.js";
 import type { EngineModel } from "../site/index.js";
-import type { GroupsState, GroupsView, Heating, OrderTo, PlannedGroup, Staging } from "./types.js";
-
-/** One spare for this many VMs of a domain: over a repair's 15 s about one VM in eight is lost on the heaviest days seen. */
-const vmsPerSpare = 8;
-/** How quickly a VM can join a group of a model. */
-type Readiness = "hot" | "warm" | "empty";
-const ranks: Record<Readiness, number> = { hot: 0, warm: 1, empty: 2 };
-
-/** Draft of one step; it lives for one call. */
-export interface Draft {
-    readonly view: GroupsView;
-    readonly groups: Map<string, PlannedGroup>;
-    readonly orders: OrderTo[];
-    readonly lastModels: GroupsState["lastModels"];
-    readonly staging: Map<string, Staging>;
-    readonly heating: Map<string, Heating>;
-    /** Groups that this leader has seen end, those of this step with them. */
-    readonly overNames: string[];
-    lastEpoch: number;
-    shortSince: GroupsState["shortSince"];
-}
-
-/** The model whose weights are on a VM's accelerator, as far as this leader has seen. */
-export function onAccelerator(upstream: Upstream, draft: Draft): string | undefined {
-    const last = draft.lastModels.get(upstream.id);
-    return last?.bornMs === upstream.bornMs ? last.model : undefined;
-}
-
-export function readinessOf(upstream: Upstream, model: EngineModel, draft: Draft): Readiness {
-    if (onAccelerator(upstream, draft) === model.name) {
-        return "hot";
-    }
-    return upstream.stagedModels.includes(model.name) ? "warm" : "empty";
-}
-
-/**
- * Whether a VM may be put into a group. One that has not been heard since this leader began may have joined a group of the leader before
- * just before that one was lost, and its report of that with it: given to another group, it would be in two.
- */
-export function isUsable(upstream: Upstream, view: GroupsView): boolean {
-    const isHeard = upstream.heardAtMs > view.leadsSinceMs;
-    return isHeard && upstream.state === "ready" && !view.isLost(upstream.id) && !view.evacuated.includes(upstream.dataCentre);
-}
-
-/**
- * Whether a VM reports a group that this leader does not know. A leader that is cut off from this one may have formed it: it may serve.
- */
-function isInUnknownGroup({ group }: Upstream, draft: Draft): boolean {
-    return group !== undefined && !isStandby(group.name) && !draft.overNames.includes(group.name);
-}
-
-/** VMs that may be put into a group, by domain. */
-export function freeByDomain(draft: Draft): Map<string, Upstream[]> {
-    const taken = new Set([...draft.groups.values()].flatMap(group => group.memberIds).filter(id => id !== ""));
-    const free = new Map<string, Upstream[]>();
-    for (const upstream of draft.view.upstreams) {
-        const isFree = !taken.has(upstream.id) && !isInUnknownGroup(upstream, draft);
-        if (upstream.domain !== undefined && isFree && isUsable(upstream, draft.view)) {
-            free.set(upstream.domain, [...free.get(upstream.domain) ?? [], upstream]);
-        }
-    }
-    return free;
-}
-
-/** VMs in living groups of each model, for each part of the demand: the model with the least is helped first. */
-export function coverage(model: EngineModel, draft: Draft): number {
-    const { view } = draft;
-    const vms = [...draft.groups.values()]
-        .filter(group => group.model === model.name && group.phase !== "ending")
-        .filter(group => !view.evacuated.includes(view.upstreams.find(upstream => upstream.id === group.memberIds[0])?.dataCentre ?? ""))
-        .reduce((sum, group) => sum + group.memberIds.length, 0);
-    return coverageOfVms(vms, model, draft);
-}
-
-/** What `vms` VMs are for a model's coverage. */
-export function coverageOfVms(vms: number, model: EngineModel, { view }: Draft): number {
-    return vms / Math.max(view.demand.get(model.name) ?? model.share, 1e-6);
-}
-
-/** Models of which a group fits into a domain, as far as the VMs there may be used. */
-export function fittingModels(domain: string, draft: Draft): readonly EngineModel[] {
-    const size = domainSize(domain, draft);
-    return draft.view.engine.models.filter(model => model.size <= size);
-}
-
-/** Models by their coverage, the least first. One that fits nowhere is left out: it must not keep the others from their VMs. */
-export function byCoverage(draft: Draft): EngineModel[] {
-    const fitting = new Set(domainsOf(draft).flatMap(domain => fittingModels(domain, draft)));
-    return [...fitting].sort((a, b) => coverage(a, draft) - coverage(b, draft));
-}
-
-export function domainsOf(draft: Draft): string[] {
-    return [...new Set(draft.view.upstreams.map(upstream => upstream.domain))].filter(domain => domain !== undefined);
-}
-
-/** VMs that a domain keeps free. */
-export function sparesOf(domain: string, draft: Draft): number {
-    return Math.floor(domainSize(domain, draft) / vmsPerSpare);
-}
-
-/** VMs of a domain that may be used. */
-export function domainSize(domain: string, draft: Draft): number {
-    return draft.view.upstreams.filter(upstream => upstream.domain === domain && isUsable(upstream, draft.view)).length;
-}
+import {
+    byCoverage, coverage, demandOf, type Draft, freeByDomain, freeIn, isRepair, type Readiness, ranks, readinessOf, sparesOf, vmsOf,
+} from "./draft.js";
 
 interface Choice {
     readonly domain: string;
@@ -129,7 +28,9 @@
             return [];
         }
         const rankOf = (upstream: Upstream) => ranks[readinessOf(upstream, model, draft)];
-        const order = [...upstreams].sort((a, b) => rankOf(a) - rankOf(b) || (a.id < b.id ? -1 : 1));
+        // Those that can join no other model's groups go first, the others stay as spares.
+        const others = (upstream: Upstream) => draft.view.engine.models.filter(other => readinessOf(upstream, other, draft) !== "empty").length;
+        const order = [...upstreams].sort((a, b) => rankOf(a) - rankOf(b) || others(a) - others(b) || (a.id < b.id ? -1 : 1));
         const members = order.slice(0, model.size);
         return [{ domain, members, readiness: readinessOf(members.at(-1)!, model, draft), left: upstreams.length - model.size }];
     });
@@ -154,9 +55,7 @@
     if (view.hasTraffic && takesOver(choice, model, draft)) {
         return false;
     }
-    // What is left of a group is worth a spare; spares alone are not, though they may be hot.
-    const isRepair = choice.members.some(member => readinessOf(member, model, draft) === "hot" && !isStandby(member.group?.name ?? ""));
-    if (!isRepair && choice.left < sparesOf(choice.domain, draft)) {
+    if (!isRepair(choice.members, model, draft) && choice.left < sparesOf(choice.domain, draft)) {
         return false;
     }
     return !view.hasTraffic || choice.readiness !== "empty";
@@ -179,15 +78,10 @@
 
 /** VMs that fall to a model when all that may be used are split by demand. */
 function fairVms(model: EngineModel, draft: Draft): number {
-    const { engine, upstreams } = draft.view;
-    const domains = new Set(upstreams.map(upstream => upstream.domain ?? ""));
-    const usable = [...domains].reduce((sum, domain) => {
-        const size = domainSize(domain, draft);
-        return sum + size - sparesOf(domain, draft);
-    }, 0);
-    const demandOf = (candidate: EngineModel) => draft.view.demand.get(candidate.name) ?? candidate.share;
-    const total = engine.models.reduce((sum, candidate) => sum + demandOf(candidate), 0);
-    return usable * demandOf(model) / Math.max(total, 1e-6);
+    const { engine } = draft.view;
+    const usable = [...draft.usableByDomain].reduce((sum, [domain, upstreams]) => sum + upstreams.length - sparesOf(domain, draft), 0);
+    const total = engine.models.reduce((sum, candidate) => sum + demandOf(candidate, draft), 0);
+    return usable * demandOf(model, draft) / Math.max(total, 1e-6);
 }
 
 /**
@@ -196,34 +90,38 @@
  */
 function nextModel(refused: ReadonlySet<string>, draft: Draft): EngineModel | undefined {
     const open = draft.view.engine.models.filter(model => !refused.has(model.name));
-    const demandOf = (model: EngineModel) => draft.view.demand.get(model.name) ?? model.share;
-    const short = open.filter(model => coverage(model, draft) * demandOf(model) + model.size / 2 <= fairVms(model, draft));
+    const short = open.filter(model => vmsOf(model, draft) + model.size / 2 <= fairVms(model, draft));
     return short.sort((a, b) => b.size - a.size)[0] ?? open.sort((a, b) => coverage(a, draft) - coverage(b, draft))[0];
 }
 
-/** Free VMs that may go to a model: domains that wait for VMs of ending groups are for one model alone. */
-function freeFor(model: EngineModel, reserved: Reserved | undefined, draft: Draft): ReadonlyMap<string, Upstream[]> {
-    const free = freeByDomain(draft);
-    return reserved === undefined || reserved.model === model.name
-        ? free
-        : new Map([...free].filter(([domain]) => !reserved.domains.includes(domain)));
+/** Free VMs that may go to a model: what is reserved is for one alone. */
+function freeFor(model: EngineModel, draft: Draft): ReadonlyMap<string, Upstream[]> {
+    return new Map([...freeByDomain(draft)].filter(([domain]) => (draft.reserved.get(domain)?.model ?? model.name) === model.name));
 }
 
-/** Domains whose free VMs are kept for a model, until the others that its next group needs are free as well. */
-export interface Reserved {
-    readonly model: string;
-    readonly domains: readonly string[];
+/** Forms the groups for which others were broken, as soon as their VMs are free. */
+function formReserved(draft: Draft): void {
+    for (const [domain, { model: name }] of [...draft.reserved]) {
+        const model = draft.view.engine.models.find(candidate => candidate.name === name);
+        const free = freeIn(domain, draft);
+        const choice = model === undefined ? undefined : bestPlace(model, new Map([[domain, free]]), draft);
+        if (choice !== undefined && (!draft.view.hasTraffic || choice.readiness !== "empty")) {
+            form(choice, model!, draft);
+            draft.reserved.delete(domain);
+        }
+    }
 }
 
 /** Forms groups for the models that are short of VMs, as long as one is worthwhile. */
-export function formGroups(draft: Draft, reserved: Reserved | undefined): void {
+export function formGroups(draft: Draft): void {
+    formReserved(draft);
     const refused = new Set<string>();
     for (;;) {
         const model = nextModel(refused, draft);
         if (model === undefined) {
             return;
         }
-        const choice = bestPlace(model, freeFor(model, reserved, draft), draft);
+        const choice = bestPlace(model, freeFor(model, draft), draft);
         if (choice === undefined || !isWorthwhile(choice, model, draft)) {
             refused.add(model.name);
             continue;
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -10,9 +10,10 @@
 
 import { modelOfGroup } from "../fleet/index.js";
 import { adoptGroups } from "./adopt.js";
+import { type Draft, usableOf } from "./draft.js";
 import { endGroup, type Followed, followGroup } from "./follow.js";
-import { type Draft, formGroups } from "./form.js";
-import { regroup, reserve } from "./regroup.js";
+import { formGroups } from "./form.js";
+import { regroup } from "./regroup.js";
 import { heatSpares, stageEmpty, stageSecond } from "./spares.js";
 import type { GroupPhase, GroupsState, GroupsView, OrderTo, PlannedGroup, SentOrder, Staging } from "./types.js";
 
@@ -110,6 +111,7 @@
     const notes: GroupNote[] = [];
     const draft: Draft = {
         view,
+        ...usableOf(view),
         groups: new Map(state.groups),
         orders: [],
         lastModels: noteLastModels(state, view),
@@ -118,17 +120,18 @@
         heating: new Map([...state.heating].filter(([id]) => view.upstreams.some(upstream => upstream.id === id))),
         lastEpoch: state.lastEpoch,
         shortSince: state.shortSince,
+        reserved: new Map([...state.reserved].filter(([, { untilMs }]) => view.nowMs < untilMs)),
     };
     if (view.nowMs - view.leadsSinceMs >= settleMs) {
         adoptGroups(draft.groups, state.overNames, view).forEach(group => draft.groups.set(group.name, group));
         for (const group of [...draft.groups.values()]) {
             takeStep(group, followGroup(group, view), draft, notes);
         }
-        const regrouping = regroup(draft);
-        for (const group of regrouping?.broken ?? []) {
-            takeStep(group, endGroup(group, view, `its VMs are needed for ${regrouping!.model}`, view.hasTraffic), draft, notes);
+        formGroups(draft);
+        const move = regroup(draft);
+        for (const group of move?.broken ?? []) {
+            takeStep(group, endGroup(group, view, `its VMs are needed for ${move!.model.name}`, view.hasTraffic), draft, notes);
         }
-        formGroups(draft, reserve(draft));
         stageEmpty(draft);
         heatSpares(draft);
         stageSecond(draft);
@@ -137,7 +140,8 @@
     return {
         state: {
             groups: draft.groups, lastEpoch: draft.lastEpoch, sent, lastModels: draft.lastModels, staging: draft.staging,
-            heating: draft.heating, shortSince: draft.shortSince, overNames: draft.overNames.slice(-rememberedOver),
+            heating: draft.heating, shortSince: draft.shortSince, reserved: draft.reserved,
+            overNames: draft.overNames.slice(-rememberedOver),
         },
         orders: due,
         notes,
--- a/src/groups/regroup.ts
+++ b/src/groups/regroup.ts
@@ -1,43 +1,50 @@
 /**
- * Takes VMs from a model that has enough for one that is short of them.
+ * Takes VMs from one model for another that they are worth more to.
  *
  * The patterns it answers: VMs announce themselves over some seconds, and the first of them fill up with small groups, so that a model
  * of large groups finds no room although callers are not there yet; and domains lose VMs all day, until a large group lacks a last member
  * while small ones run beside it. Either would stay so for good.
  *
- * What keeps it from swinging: a group is broken only where the worst covered model is better covered afterwards, whichever that is
- * then, by a margin and for some time; nothing is broken while VMs that are enough for the short model are free or about to be.
+ * What a division is worth: the part of the callers' work that is on time. Of a model whose VMs are just kept busy about two thirds are,
+ * with twice the VMs nearly all; so VMs go from where there are plenty to where there are too few. What keeps it from swinging: a move has
+ * to be worth something by a margin and for some time, and the VMs that it frees are kept for the model that it was made for.
  *
  * @module
  */
 
 import type { Upstream } from "../fleet/index.js";
 import type { EngineModel } from "../site/index.js";
-import {
-    byCoverage, coverage, coverageOfVms, domainsOf, type Draft, freeByDomain, isUsable, readinessOf, type Reserved, sparesOf,
-} from "./form.js";
+import { coverageOfVms, demandOf, type Draft, fittingModels, freeIn, isRepair, readinessOf, sparesOf, vmsOf } from "./draft.js";
 import type { PlannedGroup } from "./types.js";
 
 /**
- * With callers there, a model has to be short for this long: a repair from a spare takes less, and VMs that started again are back sooner,
+ * With callers there, a move has to be worth it for this long: a repair from a spare takes less, VMs that started again come back sooner,
  * while a group that is broken for nothing is down for two seconds.
  */
 const patienceMs = 1_500;
-/** The worst coverage has to grow by this part, more than the observed demand wavers. */
-const leastGain = 0.1;
+/** The part of all work that a move has to bring on time, with callers there: its VMs serve nobody for some two seconds. */
+const leastGain = 0.03;
+/** How soon more VMs bring more on time: 0.67 with as many VMs as are kept busy, 0.92 with half as many again. */
+const onTimeSteepness = 1.1;
+/** VMs that were freed for a model are kept for it this long: the head of a busy group closes in two seconds. */
+const reservedMs = 6_000;
 
-/** Groups of one domain that would make room for one more group of another model. */
-interface Move {
+/** Groups of one domain to break, so that one more group of `model` has room there. */
+export interface Move {
+    readonly model: EngineModel;
+    readonly domain: string;
     readonly broken: readonly PlannedGroup[];
-    readonly vms: number;
+    readonly gain: number;
 }
 
 /** VMs of groups that are ending and those that are free, where they may be used. */
 function soonFree(domain: string, draft: Draft): Upstream[] {
-    const endingIds = [...draft.groups.values()].filter(group => group.phase === "ending").flatMap(group => group.memberIds);
-    const ending = draft.view.upstreams.filter(upstream =>
-        upstream.domain === domain && endingIds.includes(upstream.id) && isUsable(upstream, draft.view));
-    return [...freeByDomain(draft).get(domain) ?? [], ...ending];
+    const ending = [...draft.groups.values()].filter(group => group.phase === "ending").flatMap(group => membersOf(group, draft));
+    return [...freeIn(domain, draft), ...ending.filter(upstream => upstream.domain === domain)];
+}
+
+function membersOf(group: PlannedGroup, draft: Draft): Upstream[] {
+    return group.memberIds.map(id => draft.usable.get(id)).filter(upstream => upstream !== undefined);
 }
 
 /** Those that could join a group of `model` without a load that callers would wait for. */
@@ -45,19 +52,40 @@
     return upstreams.filter(upstream => !draft.view.hasTraffic || readinessOf(upstream, model, draft) !== "empty");
 }
 
-/** VMs that a further group of `model` takes from a domain: where none of it is left to repair, spares have to stay as well. */
-function vmsNeeded(domain: string, model: EngineModel, upstreams: readonly Upstream[], draft: Draft): number {
-    const isRepair = upstreams.some(upstream => readinessOf(upstream, model, draft) === "hot");
-    return model.size + (isRepair ? 0 : sparesOf(domain, draft));
-}
-
+/** Whether `upstreams` of a domain are enough for one more group, spares counted where there is nothing of one to repair. */
 function hasRoom(domain: string, model: EngineModel, upstreams: readonly Upstream[], draft: Draft): boolean {
     const able = joinable(upstreams, model, draft);
-    return able.length >= model.size && upstreams.length >= vmsNeeded(domain, model, able, draft);
+    const kept = isRepair(able, model, draft) ? 0 : sparesOf(domain, draft);
+    return able.length >= model.size && upstreams.length >= model.size + kept;
 }
 
-function membersOf(group: PlannedGroup, draft: Draft): Upstream[] {
-    return draft.view.upstreams.filter(upstream => group.memberIds.includes(upstream.id) && isUsable(upstream, draft.view));
+/** The part of a model's work that is on time with `vms` VMs. */
+function onTimeShare(vms: number, model: EngineModel, draft: Draft): number {
+    const coverage = coverageOfVms(vms, model, draft);
+    return 1 - Math.exp(-onTimeSteepness * coverage * coverage);
+}
+
+/**
+ * The weight of a model: half by the time of groups that its callers ask for, whatever the VMs that takes, and half by that of VMs. By the
+ * first alone a model of large groups would get none as soon as VMs are few, and its callers nothing.
+ */
+function weightOf(model: EngineModel, draft: Draft): number {
+    const { models } = draft.view.engine;
+    const shareOf = (work: (candidate: EngineModel) => number) => work(model) / models.reduce((sum, candidate) => sum + work(candidate), 0);
+    return (shareOf(candidate => demandOf(candidate, draft) / candidate.size) + shareOf(candidate => demandOf(candidate, draft))) / 2;
+}
+
+/** What it is worth that `model` has `change` VMs more. */
+function worthOf(change: number, model: EngineModel, draft: Draft): number {
+    const vms = vmsOf(model, draft);
+    return weightOf(model, draft) * (onTimeShare(vms + change, model, draft) - onTimeShare(vms, model, draft));
+}
+
+function gainOf(model: EngineModel, broken: readonly PlannedGroup[], draft: Draft): number {
+    return draft.view.engine.models.reduce((sum, candidate) => {
+        const lost = broken.filter(group => group.model === candidate.name).reduce((vms, group) => vms + group.memberIds.length, 0);
+        return sum + worthOf((candidate === model ? model.size : 0) - lost, candidate, draft);
+    }, 0);
 }
 
 /** The fewest groups of other models to break in `domain`, so that one of `model` has room there. */
@@ -66,60 +94,36 @@
     const able = (group: PlannedGroup) => joinable(membersOf(group, draft), model, draft).length;
     const order = others.sort((a, b) => able(b) - able(a) || (a.name < b.name ? -1 : 1));
     const room = soonFree(domain, draft);
-    for (let count = 1; count <= order.length; count++) {
+    for (let count = 0; count <= order.length; count++) {
         const broken = order.slice(0, count);
         if (hasRoom(domain, model, [...room, ...broken.flatMap(group => membersOf(group, draft))], draft)) {
-            return { broken, vms: broken.reduce((sum, group) => sum + group.memberIds.length, 0) };
+            return count === 0 ? undefined : { model, domain, broken, gain: gainOf(model, broken, draft) };
         }
     }
     return undefined;
 }
 
-/** The coverage of the worst covered model, if `move` is made for `model`. */
-function worstAfter(move: Move, model: EngineModel, draft: Draft): number {
-    return Math.min(...byCoverage(draft).map(candidate => {
-        const lost = move.broken.filter(group => group.model === candidate.name).reduce((sum, group) => sum + group.memberIds.length, 0);
-        const gained = candidate.name === model.name ? model.size : 0;
-        return coverage(candidate, draft) + coverageOfVms(gained - lost, candidate, draft);
-    }));
+/** The move that is worth most. */
+function bestMove(draft: Draft): Move | undefined {
+    const moves = [...draft.usableByDomain.keys()]
+        .filter(domain => !draft.reserved.has(domain))
+        .flatMap(domain => fittingModels(domain, draft).map(model => moveIn(domain, model, draft)))
+        .filter(move => move !== undefined && move.gain > (draft.view.hasTraffic ? leastGain : 0));
+    return moves.sort((a, b) => b!.gain - a!.gain)[0];
 }
 
-/** Groups to break now, and the model that gets their VMs. */
-export interface Regrouping {
-    readonly broken: readonly PlannedGroup[];
-    readonly model: string;
-}
-
-/** Domains where a group of the worst covered model can be formed once groups there have ended. */
-export function reserve(draft: Draft): Reserved | undefined {
-    const [model] = byCoverage(draft);
-    if (model === undefined) {
-        return undefined;
-    }
-    const free = freeByDomain(draft);
-    const domains = domainsOf(draft).filter(domain =>
-        !hasRoom(domain, model, free.get(domain) ?? [], draft) && hasRoom(domain, model, soonFree(domain, draft), draft));
-    return { model: model.name, domains };
-}
-
-/** What could be broken now, if it helps the model that is worst covered. */
-function findRegrouping(draft: Draft): Regrouping | undefined {
-    const [model] = byCoverage(draft);
-    if (model === undefined || domainsOf(draft).some(domain => hasRoom(domain, model, soonFree(domain, draft), draft))) {
+/**
+ * What to break in this step; its domain is reserved from now on. With callers there one move is finished before the next is weighed: until
+ * its group has formed, its model still looks as short as before, and a second move would be made for the same shortage.
+ */
+export function regroup(draft: Draft): Move | undefined {
+    const { nowMs, hasTraffic } = draft.view;
+    const move = hasTraffic && draft.reserved.size > 0 ? undefined : bestMove(draft);
+    const known = draft.shortSince?.model === move?.model.name ? draft.shortSince : undefined;
+    draft.shortSince = move === undefined ? undefined : known ?? { model: move.model.name, atMs: nowMs };
+    if (move === undefined || (hasTraffic && nowMs - draft.shortSince!.atMs < patienceMs)) {
         return undefined;
     }
-    const moves = domainsOf(draft).map(domain => moveIn(domain, model, draft)).filter(move => move !== undefined);
-    const best = moves.sort((a, b) => a.vms - b.vms)[0];
-    const isBetter = best !== undefined && worstAfter(best, model, draft) > coverage(model, draft) * (1 + leastGain);
-    return isBetter ? { broken: best.broken, model: model.name } : undefined;
-}
-
-/** What to break in this step. */
-export function regroup(draft: Draft): Regrouping | undefined {
-    const found = findRegrouping(draft);
-    const { nowMs, hasTraffic } = draft.view;
-    const known = draft.shortSince?.model === found?.model ? draft.shortSince : undefined;
-    draft.shortSince = found === undefined ? undefined : known ?? { model: found.model, atMs: nowMs };
-    const isDue = draft.shortSince !== undefined && (!hasTraffic || nowMs - draft.shortSince.atMs >= patienceMs);
-    return isDue ? found : undefined;
+    draft.reserved.set(move.domain, { model: move.model.name, untilMs: nowMs + reservedMs });
+    return move;
 }
--- a/src/groups/spares.ts
+++ b/src/groups/spares.ts
@@ -11,7 +11,9 @@
 
 import { standbyNameOf, type Upstream } from "../fleet/index.js";
 import type { EngineModel } from "../site/index.js";
-import { coverage, coverageOfVms, type Draft, fittingModels, freeByDomain, isUsable, onAccelerator } from "./form.js";
+import {
+    coverage, coverageOfVms, type Draft, fittingModels, freeByDomain, freeIn, isRepair, onAccelerator, readinessOf,
+} from "./draft.js";
 
 /** The window over which the store's rate is kept, in ms, and the part of it that is used: another leader's loads may overlap. */
 const loadWindowMs = 5_000;
@@ -41,12 +43,34 @@
         .sort((a, b) => a.coverage - b.coverage)[0]?.model;
 }
 
-/** Brings weights onto VMs that have none: those of the model with the least coverage. */
+/**
+ * What the loss of VMs of a domain would cost a model there, unless one more VM can join its groups: a lost member stops all of its group.
+ * VMs that are left of a group stand still already.
+ */
+function needIn(domain: string, model: EngineModel, draft: Draft): number {
+    const working = [...draft.groups.values()]
+        .filter(group => group.domain === domain && group.model === model.name && group.phase !== "ending")
+        .reduce((sum, group) => sum + group.memberIds.length, 0);
+    const free = freeIn(domain, draft);
+    const left = free.filter(upstream => isRepair([upstream], model, draft));
+    const spares = free.filter(upstream => !left.includes(upstream) &&
+        (draft.staging.get(upstream.id)?.model === model.name || readinessOf(upstream, model, draft) !== "empty"));
+    return (working + left.length) * model.size / (1 + spares.length);
+}
+
+/** The model whose weights are needed most in a domain; where nobody works there, the one that is worst covered everywhere. */
+function neededIn(domain: string, draft: Draft): EngineModel | undefined {
+    const models = fittingModels(domain, draft);
+    const byNeed = models.map(model => ({ model, need: needIn(domain, model, draft) })).sort((a, b) => b.need - a.need);
+    return (byNeed[0]?.need ?? 0) > 0 ? byNeed[0]!.model : leastCovered(models, draft);
+}
+
+/** Brings weights onto VMs that have none. */
 export function stageEmpty(draft: Draft): void {
     for (const [domain, upstreams] of freeByDomain(draft)) {
         for (const upstream of upstreams) {
             const isEmpty = upstream.stagedModels.length === 0 && onAccelerator(upstream, draft) === undefined;
-            const model = isEmpty ? leastCovered(fittingModels(domain, draft), draft) : undefined;
+            const model = isEmpty ? neededIn(domain, draft) : undefined;
             if (model !== undefined && !draft.staging.has(upstream.id) && mayLoad(draft, 0)) {
                 order(upstream, model.name, `an empty VM of domain ${domain}`, draft);
             }
@@ -56,9 +80,8 @@
 
 /** VMs whose weights on the host are those on the accelerator, or none: spares first, since they are used first. */
 function withRoomOnHost(draft: Draft): Upstream[] {
-    const { upstreams } = draft.view;
     const members = [...draft.groups.values()].filter(group => group.phase === "open").flatMap(group => group.memberIds);
-    const working = upstreams.filter(upstream => members.includes(upstream.id) && isUsable(upstream, draft.view));
+    const working = members.map(id => draft.usable.get(id)).filter(upstream => upstream !== undefined);
     return [...[...freeByDomain(draft).values()].flat(), ...working].filter(upstream => {
         const held = onAccelerator(upstream, draft);
         return held !== undefined && upstream.stagedModels.every(staged => staged === held);
--- a/src/groups/types.ts
+++ b/src/groups/types.ts
@@ -58,6 +58,12 @@
     readonly atMs: number;
 }
 
+/** A domain's VMs that are kept for one more group of a model. */
+export interface Reservation {
+    readonly model: string;
+    readonly untilMs: number;
+}
+
 export interface GroupsState {
     readonly groups: ReadonlyMap<string, PlannedGroup>;
     /** The epoch of the last group formed. */
@@ -70,8 +76,10 @@
     readonly staging: ReadonlyMap<string, Staging>;
     /** Spares that were told to take their weights onto the accelerator, by id. */
     readonly heating: ReadonlyMap<string, Heating>;
-    /** Since when groups of other models could be broken for the model that is worst covered; undefined while none could. */
+    /** Since when it would be worth breaking groups for one more of a model; undefined while it is not. */
     readonly shortSince: { readonly model: string; readonly atMs: number } | undefined;
+    /** Domains in which groups were broken, and for which model: what is free there is for that one. */
+    readonly reserved: ReadonlyMap<string, Reservation>;
     /** The last groups that this leader has seen end: members may still report them and are free all the same. */
     readonly overNames: readonly string[];
 }
@@ -91,7 +99,7 @@
     /** Whether requests at this head have gone on just now, which they do only while every member of its group works. */
     readonly isMoving: (headId: string) => boolean;
     readonly evacuated: readonly string[];
-    /** The work wanted by model; its unit cancels out. */
+    /** How many VMs the work that callers ask for keeps busy, by model. */
     readonly demand: ReadonlyMap<string, number>;
     /** Whether callers' requests have been seen: before that, loads are quick and free. */
     readonly hasTraffic: boolean;
@@ -106,5 +114,5 @@
 
 export const noGroups: GroupsState = {
     groups: new Map(), lastEpoch: 0, sent: new Map(), lastModels: new Map(), staging: new Map(), heating: new Map(), shortSince: undefined,
-    overNames: [],
+    reserved: new Map(), overNames: [],
 };
--- a/src/siteControl/demand.ts
+++ b/src/siteControl/demand.ts
@@ -9,13 +9,17 @@
 /** Long against one request, short against the time that a group takes to form from empty VMs. */
 const averageMs = 6_000;
 
+/** The part of all VMs that the work is taken to need before any has been observed. */
+const statedLoad = 0.6;
+
 export interface Demand {
+    /** Takes in work that callers have asked for, in ms of a VM, by model. */
     add(workByModel: Readonly<Record<string, number>>, nowMs: number): void;
     /**
-     * The part of the work that falls to each model. What is stated counts for what has not been observed yet: a few requests, as the first
-     * reports bring them, say little, and groups broken for what they say would be down for seconds.
+     * How many VMs the work of each model keeps busy. What the site states counts for what has not been observed yet: a few requests, as
+     * the first reports bring them, say little, and groups broken for what they say would be down for seconds. `vms`: those there are.
      */
-    read(nowMs: number, models: readonly EngineModel[]): ReadonlyMap<string, number>;
+    read(nowMs: number, models: readonly EngineModel[], vms: number): ReadonlyMap<string, number>;
 }
 
 /** Creates an average without any work in it. */
@@ -36,14 +40,14 @@
             sinceMs ??= Object.keys(workByModel).length > 0 ? nowMs : undefined;
             Object.entries(workByModel).forEach(([model, work]) => sums.set(model, (sums.get(model) ?? 0) + work));
         },
-        read(nowMs, models) {
+        read(nowMs, models, vms) {
             decay(nowMs);
-            const observed = models.reduce((sum, { name }) => sum + (sums.get(name) ?? 0), 0);
-            const stated = models.reduce((sum, { share }) => sum + share, 0);
-            const trust = sinceMs === undefined || observed === 0 ? 0 : 1 - Math.exp(-(nowMs - sinceMs) / averageMs);
+            const shares = models.reduce((sum, { share }) => sum + share, 0);
+            // The part of the average's window that has not been observed.
+            const unseen = sinceMs === undefined ? 1 : Math.exp(-(nowMs - sinceMs) / averageMs);
             return new Map(models.map(({ name, share }) => {
-                const statedPart = stated > 0 ? share / stated : 1 / models.length;
-                return [name, trust * (sums.get(name) ?? 0) / Math.max(observed, Number.MIN_VALUE) + (1 - trust) * statedPart];
+                const stated = vms * statedLoad * (shares > 0 ? share / shares : 1 / models.length);
+                return [name, (sums.get(name) ?? 0) / averageMs + unseen * stated];
             }));
         },
     };
--- a/src/siteControl/groupLeader.ts
+++ b/src/siteControl/groupLeader.ts
@@ -110,7 +110,7 @@
             isLifeOver: id => isLifeOver(directory, id),
             isMoving: id => nowMs() - (movingAtMs.get(id) ?? Number.NEGATIVE_INFINITY) < movingMs,
             evacuated: log.state.published.evacuated,
-            demand: demand.read(nowMs(), engine.models),
+            demand: demand.read(nowMs(), engine.models, upstreams.length),
             hasTraffic,
         };
     }
--- a/test/groups/builders.ts
+++ b/test/groups/builders.ts
@@ -31,6 +31,8 @@
     readonly deaf: Set<string>;
     readonly moving: Set<string>;
     hasTraffic: boolean;
+    /** How many VMs the work of each model keeps busy. */
+    demand: ReadonlyMap<string, number>;
     /** Engines that are joining, and when they are ready. */
     readonly readyAtMs: Map<string, number>;
     /** The model of each engine's last group. */
@@ -54,7 +56,7 @@
         }
     }
     return {
-        nowMs: startMs, leadsSinceMs: startMs, state: noGroups, upstreams, hasTraffic: false,
+        nowMs: startMs, leadsSinceMs: startMs, state: noGroups, upstreams, hasTraffic: false, demand: new Map([["big", 0.3 * upstreams.size], ["small", 0.3 * upstreams.size]]),
         lost: new Set(), refusing: new Set(), unknown: new Set(), unheard: new Set(), deaf: new Set(), moving: new Set(),
         readyAtMs: new Map(), lastModels: new Map(), done: [],
     };
@@ -67,7 +69,7 @@
 function viewOf(fleet: Fleet): GroupsView {
     const upstreams = [...fleet.upstreams.values()].filter(({ id }) => !fleet.refusing.has(id) && !fleet.unknown.has(id));
     return {
-        nowMs: fleet.nowMs, leadsSinceMs: fleet.leadsSinceMs, engine, upstreams, evacuated: [], demand: new Map(),
+        nowMs: fleet.nowMs, leadsSinceMs: fleet.leadsSinceMs, engine, upstreams, evacuated: [], demand: fleet.demand,
         hasTraffic: fleet.hasTraffic,
         isLost: id => !isReached(fleet, id), isRefusing: id => fleet.refusing.has(id), isLifeOver: () => false,
         isMoving: id => fleet.moving.has(id),
--- a/test/groups/regroup.test.ts
+++ b/test/groups/regroup.test.ts
@@ -2,8 +2,9 @@
 import { type Fleet, fleetOf, modelsOpen, run } from "./builders.js";
 
 /** Loses one member of an open group of `model`, for good. */
-function loseMember(fleet: Fleet, model: string) {
-    const head = [...fleet.upstreams.values()].find(({ group }) => group?.state === "open" && group.name.startsWith(model))!;
+function loseMember(fleet: Fleet, model: string, domain?: string) {
+    const head = [...fleet.upstreams.values()].find(upstream =>
+        upstream.group?.state === "open" && upstream.group.name.startsWith(model) && (domain ?? upstream.domain) === upstream.domain)!;
     const member = [...fleet.upstreams.values()].find(({ id, group }) => id !== head.id && group?.name === head.group!.name)!;
     fleet.upstreams.delete(member.id);
 }
@@ -47,6 +48,44 @@
         expect(modelsOpen(fleet)).to.deep.equal({ big: 1, small: 1 });
     });
 
+    // The same where a little more than half of the work is for the small model. Compared by the worse covered model alone, the move gains
+    // next to nothing, and three VMs would idle for the rest of the day.
+    it("does so also where the small model gets a little short of VMs", () => {
+        const fleet = fleetOf({ a: 10, b: 10, c: 10 });
+        run(fleet, 12_000);
+        fleet.hasTraffic = true;
+        fleet.demand = new Map([["big", 8], ["small", 7]]);
+        for (let loss = 0; loss < 2; loss++) {
+            loseMember(fleet, "small");
+            run(fleet, 3_000);
+        }
+        expect(modelsOpen(fleet)).to.deep.equal({ big: 3, small: 6 });
+        loseMember(fleet, "big");
+        run(fleet, 5_000);
+        expect(modelsOpen(fleet)).to.deep.equal({ big: 3, small: 5 });
+    });
+
+    // Two large groups lack a member, in two domains. Until the first move has brought its group, the model looks as short as before; the
+    // small model must not lose groups in both domains for one.
+    it("finishes one move before it makes the next", () => {
+        const fleet = fleetOf({ a: 10, b: 10, c: 10 });
+        run(fleet, 12_000);
+        fleet.hasTraffic = true;
+        for (const domain of ["a", "b"]) {
+            loseMember(fleet, "small", domain);
+            run(fleet, 3_000);
+            loseMember(fleet, "small", domain);
+            run(fleet, 3_000);
+        }
+        fleet.demand = new Map([["big", 10], ["small", 5]]);
+        loseMember(fleet, "big", "a");
+        loseMember(fleet, "big", "b");
+        run(fleet, 2_500);
+        expect([...fleet.state.groups.values()].filter(group => group.model === "small" && group.phase === "open")).to.have.length(5);
+        run(fleet, 9_000);
+        expect(modelsOpen(fleet)).to.deep.equal({ big: 3, small: 4 });
+    });
+
     // A domain's VMs are lost until there is no room for both models as before; nothing may be broken to and fro.
     it("comes to rest after each loss", () => {
         const fleet = fleetOf({ a: 10, b: 10 });
@@ -69,6 +108,22 @@
         expect([...new Set(held)]).to.deep.equal(["big small"]);
     });
 
+    // A domain has a large group alone, another one a small group, and the small model is worse covered over all. An empty VM comes to the
+    // first: a group there can only be repaired by a VM of its own domain, so with the small model's weights it would be of no use.
+    it("loads an empty VM with what the groups of its own domain need", () => {
+        const fleet = fleetOf({ a: 5, b: 2 });
+        const join = (ids: readonly string[], model: string, epoch: number) => ids.forEach((id, rank) => fleet.upstreams.set(id, {
+            ...fleet.upstreams.get(id)!, stagedModels: [model],
+            group: { name: `${model}/${epoch}`, epoch, rank, state: rank === 0 ? "open" : "ready" },
+        }));
+        join(["a0", "a1", "a2", "a3"], "big", 1);
+        join(["b0", "b1"], "small", 2);
+        fleet.hasTraffic = true;
+        run(fleet, 3_000);
+        const loads = fleet.done.flatMap(({ upstreamId, order }) => upstreamId === "a4" && order.kind === "stage" ? [order.model] : []);
+        expect(loads[0]).to.equal("big");
+    });
+
     // Only four VMs are there: no large group fits beside a small one. Loads for a model that can never be formed would be wasted.
     it("loads nothing for a model that is larger than the domain", () => {
         const fleet = fleetOf({ a: 3 });
