Part what an entry has seen of an upstream from the choice between them

Change: standing.ts holds what is seen of one upstream as data and what follows from it as functions of it and of the time; balance.ts keeps the map and the choice. No behaviour changes.

--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -11,47 +11,15 @@
 import type { Upstream } from "../fleet/index.js";
 import { shareOfCold } from "./entryCount.js";
 import type { Candidate } from "./siteView.js";
+import { estimateOf, failuresNow, freshStanding, isLateStuck, isMoving, isStill, isSuspect, lateShare, type Standing } from "./standing.js";
 
-/** With streams on it and no event for this long, a head stands still: events come every 60 ms, on a slow one every 300 ms. */
-const stillMs = 700;
-/** Half that is enough for a stream without any event yet, which loses nothing by going elsewhere. */
-const doubtMs = 350;
-/** Three events' time without one is enough to have the members asked whether they are there: asking costs little and moves nothing. */
-const suspectMs = 200;
-/** A request that has waited so long behind others is a sign that no more should: callers leave a stream without an event after 2 s. */
-const lateStuckMs = 500;
 /** How long nothing more is sent to wait where a caller left before its turn: overloads that outlast a caller last for seconds more. */
 const lateBlockMs = 3_000;
-/** Two events' time: a head whose last event is older is not known to move, and each 0.1 s more would delay a repair by as much. */
-const movingMs = 120;
-/** A load told longer ago says nothing about now: about the length of a request. */
-const loadAgeMs = 1_500;
 /** After failures an upstream is left alone for this long, doubled for each further one. */
 const avoidMs = 400;
 const mostAvoidMs = 5_000;
 /** A failing upstream weighs as much as this many requests for each failure lately. */
 const failureWeight = 6;
-const failureHalfLifeMs = 3_000;
-
-interface Standing {
-    readonly bornMs: number;
-    running: number;
-    /** Of those, the ones that were sent to wait behind what is on time and have not begun: when they were sent, the oldest first. */
-    lateSentAtMs: number[];
-    /** Until then nothing more is sent to wait there. */
-    lateBlockedUntilMs: number;
-    /** Requests whose answer is a stream, and those of them that have brought an event. */
-    streaming: number;
-    begun: number;
-    lastEventAtMs: number;
-    stillSinceMs: number;
-    load: number;
-    loadAtMs: number;
-    avoidUntilMs: number;
-    failures: number;
-    failedAtMs: number;
-    coldSentAtMs: number[];
-}
 
 export interface Balance {
     /** The best of `candidates`, or undefined when none may be sent to now. */
@@ -111,35 +79,11 @@
         if (known?.bornMs === upstream.bornMs) {
             return known;
         }
-        const fresh: Standing = {
-            bornMs: upstream.bornMs, running: 0, lateSentAtMs: [], lateBlockedUntilMs: 0, streaming: 0, begun: 0,
-            lastEventAtMs: 0, stillSinceMs: 0, load: 0, loadAtMs: Number.NEGATIVE_INFINITY,
-            avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [],
-        };
+        const fresh = freshStanding(upstream.bornMs);
         standings.set(upstream.id, fresh);
         return fresh;
     }
 
-    function estimateOf(state: Standing): number {
-        const isFresh = nowMs() - state.loadAtMs < loadAgeMs;
-        return Math.max(state.running, isFresh ? state.load : 0);
-    }
-
-    function lateShare(state: Standing): number {
-        return state.running === 0 ? 0 : Math.min(1, state.lateSentAtMs.length / state.running);
-    }
-
-    function failuresNow(state: Standing): number {
-        return state.failures * 0.5 ** ((nowMs() - state.failedAtMs) / failureHalfLifeMs);
-    }
-
-    function isStillNow(state: Standing, forMs = stillMs, waitingForMs = stillMs): boolean {
-        const sinceMs = Math.max(state.lastEventAtMs, state.stillSinceMs);
-        // Streams that only wait bring no events while others' run: their silence says little about the head.
-        const enoughMs = state.begun === 0 ? waitingForMs : forMs;
-        return state.streaming > 0 && nowMs() - sinceMs > enoughMs;
-    }
-
     /** Whether one more request now stays within this entry's part of what a cold upstream bears. */
     function isWithinCold(upstream: Upstream, state: Standing, perSecond: number): boolean {
         if (perSecond <= 0 || upstream.coldUntilMs <= nowMs()) {
@@ -160,10 +104,11 @@
                 if (options.without.has(upstream.id) || !isWithinCold(upstream, state, options.coldRequestsPerSecond)) {
                     continue;
                 }
-                const isAvoided = state.avoidUntilMs > nowMs() || isStillNow(state) || candidate.isDoubtful;
+                const isAvoided = state.avoidUntilMs > nowMs() || isStill(state, nowMs()) || candidate.isDoubtful;
                 const far = upstream.dataCentre === options.dataCentre ? 0 : farWeight;
                 const opening = options.hasIdle(upstream) ? 0 : openWeight;
-                const score = estimateOf(state) + failuresNow(state) * failureWeight + far + opening + random() + (isAvoided ? 1_000 : 0);
+                const load = estimateOf(state, nowMs()) + failuresNow(state, nowMs()) * failureWeight;
+                const score = load + far + opening + random() + (isAvoided ? 1_000 : 0);
                 if (score < bestScore) {
                     best = candidate;
                     bestScore = score;
@@ -173,16 +118,13 @@
         },
         onTimeEstimate(upstream) {
             const state = standing(upstream);
-            return estimateOf(state) * (1 - lateShare(state));
+            return estimateOf(state, nowMs()) * (1 - lateShare(state));
         },
         lateEstimate(upstream) {
             const state = standing(upstream);
-            return estimateOf(state) * lateShare(state);
-        },
-        isLateStuck(upstream) {
-            const { lateSentAtMs: [oldestMs], lateBlockedUntilMs } = standing(upstream);
-            return nowMs() < lateBlockedUntilMs || (oldestMs !== undefined && nowMs() - oldestMs > lateStuckMs);
+            return estimateOf(state, nowMs()) * lateShare(state);
         },
+        isLateStuck: upstream => isLateStuck(standing(upstream), nowMs()),
         lateSent(upstream) {
             const sentAtMs = nowMs();
             standing(upstream).lateSentAtMs.push(sentAtMs);
@@ -235,7 +177,7 @@
         },
         failed(upstream) {
             const state = standing(upstream);
-            state.failures = failuresNow(state) + 1;
+            state.failures = failuresNow(state, nowMs()) + 1;
             state.failedAtMs = nowMs();
             state.avoidUntilMs = nowMs() + Math.min(mostAvoidMs, avoidMs * 2 ** Math.min(4, state.failures - 1));
         },
@@ -243,12 +185,12 @@
             const state = standing(upstream);
             state.avoidUntilMs = 0;
         },
-        isStill: (upstream, isWaiting = false) => isStillNow(standing(upstream), isWaiting ? doubtMs : stillMs),
+        isStill: (upstream, isWaiting) => isStill(standing(upstream), nowMs(), isWaiting),
         get suspectIds() {
-            return [...standings].filter(([, state]) => isStillNow(state, suspectMs, doubtMs)).map(([id]) => id);
+            return [...standings].filter(([, state]) => isSuspect(state, nowMs())).map(([id]) => id);
         },
         get movingIds() {
-            return [...standings].filter(([, state]) => nowMs() - state.lastEventAtMs < movingMs).map(([id]) => id);
+            return [...standings].filter(([, state]) => isMoving(state, nowMs())).map(([id]) => id);
         },
     };
 }
