--- a/test/groups/regroup.test.ts
+++ b/test/groups/regroup.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import * as fc from "fast-check";
 import { type Fleet, fleetOf, modelsOpen, run } from "./builders.js";
 
 /** Loses one member of an open group of `model`, for good. */
@@ -133,3 +134,29 @@
         expect(modelsOpen(fleet)).to.deep.equal({ small: 1 });
     });
 });
+
+describe("dividing VMs between models, whatever is lost and asked for", () => {
+    // VMs are lost one by one, and the demand moves between the models. When both stand still, so do the groups: each one that is broken
+    // and formed again is down for two seconds.
+    it("comes to rest", () => {
+        const vms = fc.integer({ min: 1, max: 12 });
+        const loss = fc.record({ model: fc.constantFrom("big", "small"), big: vms, small: vms });
+        fc.assert(fc.property(fc.array(loss, { minLength: 1, maxLength: 8 }), fc.integer({ min: 1, max: 3 }), (losses, domains) => {
+            const fleet = fleetOf(Object.fromEntries(["a", "b", "c"].slice(0, domains).map(name => [name, 10])));
+            run(fleet, 12_000);
+            fleet.hasTraffic = true;
+            for (const { model, big, small } of losses) {
+                fleet.demand = new Map([["big", big], ["small", small]]);
+                if (modelsOpen(fleet)[model] !== undefined) {
+                    loseMember(fleet, model);
+                }
+                run(fleet, 3_000);
+            }
+            run(fleet, 40_000);
+            const before = [...fleet.state.groups.keys()].join(" ");
+            run(fleet, 15_000);
+            expect([...fleet.state.groups.keys()].join(" ")).to.equal(before);
+            expect(Object.keys(modelsOpen(fleet)).length).to.be.greaterThan(0);
+        }), { seed: 19, numRuns: 40 });
+    });
+});
