Tell how each model is covered, what a refusal for lack of room rests on, and who told of a site

What callers saw: a class under its floor, and requests handled by an older configuration than was acknowledged. Neither the logs nor the metrics could tell the hypotheses apart: too few groups of the model, groups that wait for a repair, or entries that refuse wrongly; and from which control daemon, with which version before, an entry took its configuration. Change: the control leader writes a 'models covered' line when the division of VMs has changed, at most once a second, and serves the same by model as gauges; a refusal for lack of room names the upstream, how full it was taken to be and its room; 'site in force' names the version before and the daemon that told it, 'site applied' the index, the term and the leader. Volume: one line a second of the leader at most; no further line of an entry. Ruled out: a line for each step of planning (seven a second). The cost in processor time is not measured yet.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -100,7 +100,7 @@
         daemonId: options.daemonId,
         isEntry: true,
         take(frame, address) {
-            view.take(frame);
+            view.take(frame, address);
             if (frame.kind === "controls") {
                 watcher.watch(frame.addresses);
             }
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -106,10 +106,10 @@
         });
     }
 
-    function refuse(reason: string) {
+    function refuse(reason: string, facts: object = {}) {
         const leftMs = Math.max(0, asked.deadlineAtMs - parts.nowMs());
         answer.own(503, reason, leftMs * (retryAfterShare + parts.random() * retryAfterSpread));
-        finish("refused", { reason });
+        finish("refused", { reason, ...facts });
     }
 
     function fail(status: 502 | 504, reason: string, upstream?: string) {
@@ -154,7 +154,7 @@
         }
         const isLate = attempts === 0 && isFull(candidate);
         if (isLate && !mayWaitLate(candidate)) {
-            refuse("every upstream has as much as it can finish in time");
+            refuse("every upstream has as much as it can finish in time", fullness(candidate, all.length));
             return;
         }
         attempt(candidate.upstream, isLate);
@@ -165,6 +165,17 @@
         return balance.onTimeEstimate(candidate.upstream) >= parts.roomAt(candidate, asked).onTime;
     }
 
+    /** What a refusal for lack of room rests on: the best upstream, how full it is taken to be, and among how many it was chosen. */
+    function fullness(candidate: Candidate, candidates: number) {
+        const { upstream } = candidate;
+        const room = parts.roomAt(candidate, asked);
+        return {
+            upstream: upstream.id, candidates,
+            onTime: Math.round(balance.onTimeEstimate(upstream)), onTimeRoom: Math.round(room.onTime),
+            late: Math.round(balance.lateEstimate(upstream)), lateRoom: Math.round(room.late),
+        };
+    }
+
     /** Whether one more request may wait behind what can be on time there. */
     function mayWaitLate(candidate: Candidate): boolean {
         const { upstream } = candidate;
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -20,7 +20,8 @@
 }
 
 export interface SiteView {
-    take(frame: Frame): void;
+    /** `from`: the control daemon that tells it. */
+    take(frame: Frame, from?: string): void;
     readonly table: SiteTable | undefined;
     readonly version: number;
     candidates(service: string, model: string | undefined): readonly Candidate[];
@@ -42,7 +43,7 @@
     let controls: readonly string[] = [];
     let lists: Map<string, Candidate[]> | undefined;
 
-    function takeSite(version: number, text: string) {
+    function takeSite(version: number, text: string, from: string | undefined) {
         if (table !== undefined && version <= table.site.version) {
             return;
         }
@@ -51,8 +52,8 @@
             logger.error("a published site cannot be read", { version, findings: decoded.findings });
             return;
         }
+        logger.info("site in force", { version, before: table?.site.version, from });
         table = createSiteTable(decoded.site);
-        logger.info("site in force", { version });
     }
 
     function isServing(upstream: Upstream): boolean {
@@ -87,10 +88,10 @@
     }
 
     return {
-        take(frame) {
+        take(frame, from) {
             switch (frame.kind) {
                 case "site":
-                    takeSite(frame.version, frame.text);
+                    takeSite(frame.version, frame.text, from);
                     break;
                 case "evacuated":
                     if (frame.index >= evacuated.index) {
--- a/src/groups/index.ts
+++ b/src/groups/index.ts
@@ -1,2 +1,3 @@
+export type { Coverage, ModelCoverage } from "./coverage.js";
 export { firstEpochOf, type GroupsPlan, planGroups } from "./plan.js";
 export * from "./types.js";
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -10,6 +10,7 @@
 
 import { modelOfGroup } from "../fleet/index.js";
 import { adoptGroups } from "./adopt.js";
+import { type Coverage, coverageOf } from "./coverage.js";
 import { type Draft, usableOf } from "./draft.js";
 import { endGroup, type Followed, followGroup } from "./follow.js";
 import { formGroups } from "./form.js";
@@ -39,6 +40,8 @@
     readonly state: GroupsState;
     readonly orders: readonly OrderTo[];
     readonly notes: readonly GroupNote[];
+    /** Worked out when asked for: the log wants it far less often than steps are planned. */
+    coverage(): Coverage;
 }
 
 /** The epoch after which a leader of `term` counts. */
@@ -145,5 +148,6 @@
         },
         orders: due,
         notes,
+        coverage: () => coverageOf(draft),
     };
 }
--- a/src/siteControl/groupLeader.ts
+++ b/src/siteControl/groupLeader.ts
@@ -8,7 +8,10 @@
 import type { ConsensusNode } from "../consensus/index.js";
 import type { Report } from "../feed/index.js";
 import { type DirectoryState, isLifeOver, mayRun, type Upstream } from "../fleet/index.js";
-import { type EngineOrder, firstEpochOf, type GroupPhase, type GroupsState, type GroupsView, noGroups, type OrderTo, planGroups } from "../groups/index.js";
+import {
+    type Coverage, type EngineOrder, firstEpochOf, type GroupPhase, type GroupsPlan, type GroupsState, type GroupsView, type ModelCoverage,
+    noGroups, type OrderTo, planGroups,
+} from "../groups/index.js";
 import type { EngineSpec, SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createDemand } from "./demand.js";
@@ -42,10 +45,14 @@
     /** Upstreams that answer nobody. */
     readonly lostIds: readonly string[];
     countOf(phase: GroupPhase): number;
+    /** How the models of all services are covered, as last worked out; empty while another daemon leads. */
+    readonly coverage: readonly ModelCoverage[];
 }
 
 /** Entries report every 250 ms; older evidence of progress proves nothing, and a repair waits until it is old. */
 const movingMs = 400;
+/** How often coverage is worked out for the log and the metrics; a line is written when it has changed. */
+const coverageIntervalMs = 1_000;
 
 /** Creates the part of the role that acts only while it leads. */
 export function createGroupLeader(options: GroupLeaderOptions): GroupLeader {
@@ -53,6 +60,7 @@
     const demand = createDemand();
     const movingAtMs = new Map<string, number>();
     const states = new Map<string, GroupsState>();
+    const coverages = new Map<string, { readonly atMs: number; readonly coverage: Coverage }>();
     let leadsSinceMs: number | undefined;
     let planTerm = 0;
     let hasTraffic = !options.isFirstStart;
@@ -73,6 +81,7 @@
             if (leadsSinceMs !== undefined) {
                 logger.info("leads no more", { term: log.term });
                 leadsSinceMs = undefined;
+                coverages.clear();
             }
             return false;
         }
@@ -115,10 +124,25 @@
         };
     }
 
+    /** Tells what the division of VMs rests on. Demand moves with every request: alone it is no reason for a line. */
+    function noteCoverage(service: string, plan: GroupsPlan) {
+        const last = coverages.get(service);
+        if (last !== undefined && nowMs() - last.atMs < coverageIntervalMs) {
+            return;
+        }
+        const coverage = plan.coverage();
+        coverages.set(service, { atMs: nowMs(), coverage });
+        const divisionOf = ({ models, freeVms }: Coverage) => JSON.stringify([models.map(({ model, groups }) => [model, groups]), freeVms]);
+        if (last === undefined || divisionOf(last.coverage) !== divisionOf(coverage)) {
+            logger.info("models covered", { service, ...coverage });
+        }
+    }
+
     function planService(service: string, engine: EngineSpec, upstreams: readonly Upstream[]) {
         const known = states.get(service) ?? { ...noGroups, lastEpoch: firstEpochOf(planTerm) };
         const planned = planGroups(known, viewOf(engine, upstreams));
         states.set(service, planned.state);
+        noteCoverage(service, planned);
         planned.notes.forEach(note => logger.info("group changed", { ...note }));
         planned.orders.forEach(item => send(options.directory().get(item.upstreamId)!, item));
     }
@@ -154,6 +178,9 @@
         get lostIds() {
             return prober.lostIds;
         },
+        get coverage() {
+            return [...coverages.values()].flatMap(({ coverage }) => coverage.models);
+        },
         countOf: phase => [...states.values()].flatMap(state => [...state.groups.values()]).filter(group => group.phase === phase).length,
     };
 }
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -10,6 +10,7 @@
 import {
     announce, type Announcement, carry, depart, type DirectoryState, forgetGone, isNews, refresh, takeCarried,
 } from "../fleet/index.js";
+import type { ModelCoverage } from "../groups/index.js";
 import type { PeerConnections } from "../rpc/index.js";
 import { createSiteTable, type DecodedSite, type SiteDialect, type SiteFinding, type SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
@@ -178,7 +179,7 @@
         const names = evacuated.join(",");
         if (site !== undefined && site.version !== told.version) {
             feed.publish({ kind: "site", version: site.version, text: site.text });
-            logger.info("site applied", { version: site.version });
+            logger.info("site applied", { version: site.version, index: log.appliedIndex, term: log.term, leader: log.leaderAddress });
         }
         if (names !== told.evacuated) {
             feed.publish({ kind: "evacuated", index: log.appliedIndex, dataCentres: [...evacuated] });
@@ -240,6 +241,11 @@
         metrics.observe("zinnialanding_groups_open", () => groupLeader.countOf("open"));
         metrics.observe("zinnialanding_groups_forming", () => groupLeader.countOf("forming"));
         metrics.observe("zinnialanding_groups_ending", () => groupLeader.countOf("ending"));
+        const byModel = (valueOf: (coverage: ModelCoverage) => number) =>
+            new Map(groupLeader.coverage.map(coverage => [coverage.model, valueOf(coverage)]));
+        metrics.observeModels("zinnialanding_model_groups_open", () => byModel(({ groups }) => groups.open));
+        metrics.observeModels("zinnialanding_model_vms", () => byModel(({ vms }) => vms));
+        metrics.observeModels("zinnialanding_model_demand_vms", () => byModel(({ demandVms }) => demandVms));
     }
 
     return {
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -16,6 +16,8 @@
     order(kind: string, outcome: string): void;
     /** Sets a value that is read at each fetch. */
     observe(name: GaugeName, read: () => number): void;
+    /** The same by model; models that are no longer read are dropped. */
+    observeModels(name: ModelGaugeName, read: () => ReadonlyMap<string, number>): void;
     text(): Promise<string>;
     readonly contentType: string;
 }
@@ -36,6 +38,13 @@
 } as const;
 export type GaugeName = keyof typeof gauges;
 
+const modelGauges = {
+    zinnialanding_model_groups_open: "Groups that serve a model, by the control leader's plan.",
+    zinnialanding_model_vms: "VMs in groups of a model that serve or form.",
+    zinnialanding_model_demand_vms: "VMs that the work of callers keeps busy, by model.",
+} as const;
+export type ModelGaugeName = keyof typeof modelGauges;
+
 /** Bounds in seconds: targets lie between 0.15 and 0.5, deadlines between 1 and 8. */
 const bucketsS = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8];
 
@@ -68,6 +77,15 @@
                 },
             });
         },
+        observeModels(name, read) {
+            new Gauge({
+                name, help: modelGauges[name], labelNames: ["model"], registers,
+                collect() {
+                    this.reset();
+                    read().forEach((value, model) => this.set({ model }, value));
+                },
+            });
+        },
         text: () => registry.metrics(),
         contentType: registry.contentType,
     };
--- a/test/groups/builders.ts
+++ b/test/groups/builders.ts
@@ -1,5 +1,5 @@
 import type { Upstream } from "../../src/fleet/index.js";
-import { type GroupsState, type GroupsView, noGroups, type OrderTo, planGroups } from "../../src/groups/index.js";
+import { type GroupsPlan, type GroupsState, type GroupsView, noGroups, type OrderTo, planGroups } from "../../src/groups/index.js";
 import { type EngineSpec, siteServiceSchema } from "../../src/site/index.js";
 
 export const engine: EngineSpec = siteServiceSchema.parse({
@@ -117,6 +117,11 @@
     }
 }
 
+/** What the next step would plan. */
+export function planNow(fleet: Fleet): GroupsPlan {
+    return planGroups(fleet.state, viewOf(fleet));
+}
+
 /** Plans and carries out for `ms`; engines that are not lost report each step. */
 export function run(fleet: Fleet, ms: number): void {
     const untilMs = fleet.nowMs + ms;
@@ -129,7 +134,7 @@
                 fleet.upstreams.set(id, { ...upstream, group, heardAtMs: fleet.nowMs });
             }
         }
-        const plan = planGroups(fleet.state, viewOf(fleet));
+        const plan = planNow(fleet);
         fleet.state = plan.state;
         const isHeard = ({ upstreamId }: OrderTo) => isReached(fleet, upstreamId) && !fleet.deaf.has(upstreamId);
         plan.orders.filter(isHeard).forEach(item => carryOut(fleet, item));
--- a/test/groups/plan.test.ts
+++ b/test/groups/plan.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { isStandby, modelOfGroup } from "../../src/fleet/index.js";
 import { noGroups } from "../../src/groups/index.js";
-import { type Fleet, fleetOf, modelsOpen, openGroups, run } from "./builders.js";
+import { type Fleet, fleetOf, modelsOpen, openGroups, planNow, run } from "./builders.js";
 
 function headOf(fleet: Fleet, model: string) {
     return [...fleet.upstreams.values()].find(upstream => upstream.group?.state === "open" && upstream.group.name.startsWith(model))!;
@@ -12,6 +12,20 @@
 }
 
 describe("planning groups of engines", () => {
+    it("tells how well each model is covered", () => {
+        const fleet = fleetOf({ a: 10 });
+        run(fleet, 4_000);
+        fleet.hasTraffic = true;
+        fleet.demand = new Map([["big", 6], ["small", 2]]);
+        expect(planNow(fleet).coverage()).to.deep.equal({
+            models: [
+                { model: "big", groups: { forming: 0, open: 1, ending: 0 }, vms: 4, demandVms: 6, coverage: 0.7 },
+                { model: "small", groups: { forming: 0, open: 2, ending: 0 }, vms: 4, demandVms: 2, coverage: 2 },
+            ],
+            freeVms: 2,
+        });
+    });
+
     it("fills domains of ten with large groups first and leaves spares with weights", () => {
         const fleet = fleetOf({ a: 10, b: 10, c: 10 });
         run(fleet, 4_000);
--- a/test/siteControl/groupLeader.test.ts
+++ b/test/siteControl/groupLeader.test.ts
@@ -81,6 +81,13 @@
         expect(orders[0]!.atMs - fromMs).to.be.at.most(400);
     });
 
+    it("shows how each model is covered", async () => {
+        const { leader, run } = leaderOverTornGroup();
+        expect(leader.coverage).to.deep.equal([]);
+        await run(3_000);
+        expect(leader.coverage.map(({ model, groups, vms }) => [model, groups.open, vms])).to.deep.equal([["big", 0, 0], ["small", 1, 2]]);
+    });
+
     // The leader alone is cut off from a member. Streams at the head go on, so the group works; ended, it would cost callers a repair.
     it("leaves a group alone while entries see it move", async () => {
         const { state, leader, orders, head, run } = leaderOverTornGroup();
