Don't take a group for ended whose head was not seen to leave it

What callers saw: an engine was joined to a second group while it was the open head of its first one; callers' streams there lose a member. Cause: a group whose members have left and whose head refuses connections, or has not been heard of by a new leader, was let go and noted among the groups that this leader has seen end. Members of those are free whatever they report, so the head was given away as soon as it was heard again, still open and standing still (it is broken only after 5 s). Two tests of test/groups/plan.test.ts failed before: expected 'leave', got 'join'. The case of a head that is heard late is shown by its test alone. Ruled out: another leader (one term all along), late orders (every join answered within 40 ms), the members (each had left). Why it works: the name is no longer noted, so the head that comes back is in a group that the leader does not know. That path stood already: the head is told to leave and is free once it has.

--- a/src/groups/follow.ts
+++ b/src/groups/follow.ts
@@ -17,6 +17,8 @@
 export interface Followed {
     /** Undefined: the group is over and its members are free. */
     readonly group: PlannedGroup | undefined;
+    /** The group is let go though its head was not seen to leave it: it may be heard again and still be in it. */
+    readonly mayReturn?: boolean;
     readonly orders: readonly OrderTo[];
     /** Why, where the phase changes. */
     readonly reason: string;
@@ -103,7 +105,7 @@
 /**
  * Ends a group whose head can't be asked. It may serve on, cut off from this leader alone, so each member has to leave before it is free;
  * one that is out of reach as well stays bound until it is heard again or its life is over. A head alone, at whose address nothing listens,
- * is let go: it has no member left to serve with.
+ * is let go: it has no member left to serve with. What refuses may stand between, so it has to leave as well when it is heard again.
  */
 function releaseMembers(group: PlannedGroup, members: Members, view: GroupsView, reason: string): Followed {
     const orders: OrderTo[] = [];
@@ -119,7 +121,7 @@
     });
     const left = memberIds.filter(id => id !== "");
     const isOver = left.length === 0 || (left.length === 1 && left[0] === memberIds[0] && view.isRefusing(left[0]!));
-    return { group: isOver ? undefined : { ...group, memberIds }, orders, reason };
+    return { group: isOver ? undefined : { ...group, memberIds }, mayReturn: isOver, orders, reason };
 }
 
 function followForming(group: PlannedGroup, members: Members, view: GroupsView): Followed {
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -100,7 +100,9 @@
     }
     if (followed.group === undefined) {
         draft.groups.delete(group.name);
-        draft.overNames.push(group.name);
+        if (followed.mayReturn !== true) {
+            draft.overNames.push(group.name);
+        }
         return;
     }
     draft.groups.set(group.name, followed.group);
--- a/test/groups/plan.test.ts
+++ b/test/groups/plan.test.ts
@@ -141,6 +141,23 @@
         expect(fleet.upstreams.get(head.id)!.group!.state).to.equal("open");
     });
 
+    // The refusals end after the members have left. The head is reached again, still open and standing still, and its group is ended as far
+    // as the leader knows. Joined to another group at once, it would be in two.
+    it("gives a head that refused connections to another group only after it has left its own", () => {
+        const fleet = fleetOf({ a: 10 });
+        run(fleet, 8_000);
+        fleet.hasTraffic = true;
+        const head = headOf(fleet, "small");
+        fleet.refusing.add(head.id);
+        run(fleet, 3_000);
+        fleet.refusing.delete(head.id);
+        fleet.done.length = 0;
+        run(fleet, 3_000);
+        const orders = fleet.done.filter(item => item.upstreamId === head.id).map(item => item.order.kind);
+        expect(orders[0]).to.equal("leave");
+        expect(orders).to.include("join");
+    });
+
     // A new leader hears a member of a group seconds after the others; the head is still out of its reach and serves on. The member has to
     // leave its group before it is given to another.
     it("has a member that it hears late leave a group whose head it has not heard of", () => {
@@ -160,6 +177,24 @@
         expect(orders[0]).to.equal("leave");
     });
 
+    // A new leader takes over a group whose head it has not heard of, and ends it. The head is heard later and is still open: joined to
+    // another group at once, it would be in two.
+    it("gives a head that it hears late to another group only after it has left its own", () => {
+        const fleet = fleetOf({ a: 10 });
+        run(fleet, 8_000);
+        fleet.hasTraffic = true;
+        const head = headOf(fleet, "small");
+        fleet.unknown.add(head.id);
+        fleet.state = { ...noGroups, lastEpoch: 1_000 };
+        run(fleet, 4_000);
+        fleet.unknown.delete(head.id);
+        fleet.done.length = 0;
+        run(fleet, 3_000);
+        const orders = fleet.done.filter(item => item.upstreamId === head.id).map(item => item.order.kind);
+        expect(orders[0]).to.equal("leave");
+        expect(orders).to.include("join");
+    });
+
     // Callers' streams at a head go on, so every member of its group works, whatever the leader hears of them.
     it("leaves a group alone whose streams move", () => {
         const fleet = fleetOf({ a: 10 });
