Send to an engine again that refused connections and has been heard since

What callers saw: less room. What that cost in answers was not measured apart. Cause: a refused connection was noted like another engine's answer at the address, which ends the engine's life at this entry: only a new life undid it, and a group with such a member is not whole. Ruled out: the leader (the engines were in open groups 2.4 s after the cut at the latest), load (other entries were served at the same heads), the rest after failures (5 s at most). Why it works: what refuses gets nothing until a control daemon has heard it after the refusal. One that has crashed is not heard; a heartbeat that was late costs one more refused connection, which has not run. Another engine's answer ends the life as before, which a test now holds.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -248,7 +248,7 @@
             return;
         }
         if ((error as NodeJS.ErrnoException).code === "ECONNREFUSED") {
-            view.noteGone(upstream);
+            view.noteRefusing(upstream);
         }
         over({ kind: "not-run", reason: error.message, isUpstreamAtFault: true });
     }
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -24,8 +24,10 @@
     readonly table: SiteTable | undefined;
     readonly version: number;
     candidates(service: string, model: string | undefined): readonly Candidate[];
-    /** Notes that an upstream is not what the directory says: another answers at its address, or nothing does. */
+    /** Notes that another upstream answers at the address of this one. */
     noteGone(upstream: Upstream): void;
+    /** Notes that connections to an upstream are refused here. It gets nothing until a control daemon has heard it after that. */
+    noteRefusing(upstream: Upstream): void;
     readonly addresses: ReadonlySet<string>;
     /** Fingerprints of requests that crash upstreams. */
     readonly barred: ReadonlySet<string>;
@@ -41,6 +43,8 @@
     let barred: ReadonlySet<string> = new Set();
     let controls: readonly string[] = [];
     let lists: Map<string, Candidate[]> | undefined;
+    /** Upstreams that refused connections, by id, and when. */
+    const refusing = new Map<string, { readonly bornMs: number; readonly atMs: number }>();
 
     function takeSite(version: number, text: string) {
         if (table !== undefined && version <= table.site.version) {
@@ -55,8 +59,24 @@
         logger.info("site in force", { version });
     }
 
+    /** Whether an upstream has refused and not been heard since. Something between may refuse for a while, and the upstream serves on. */
+    function isRefusing({ id, bornMs, heardAtMs }: Upstream): boolean {
+        const refused = refusing.get(id);
+        return refused?.bornMs === bornMs && heardAtMs <= refused.atMs;
+    }
+
+    function forgetRefusals() {
+        for (const id of [...refusing.keys()]) {
+            const known = directory.get(id);
+            if (known === undefined || !isRefusing(known)) {
+                refusing.delete(id);
+                lists = undefined;
+            }
+        }
+    }
+
     function isServing(upstream: Upstream): boolean {
-        return !upstream.isGone && upstream.state === "ready" && !evacuated.dataCentres.includes(upstream.dataCentre);
+        return !upstream.isGone && !isRefusing(upstream) && upstream.state === "ready" && !evacuated.dataCentres.includes(upstream.dataCentre);
     }
 
     /** Arranges what may be sent to; done once for each change of what it rests on. */
@@ -102,6 +122,7 @@
                     break;
                 case "alive":
                     directory = refresh(directory, frame.heard, performance.now());
+                    forgetRefusals();
                     return;
                 case "controls":
                     controls = frame.addresses;
@@ -131,6 +152,11 @@
                 logger.info("upstream is not there", { upstream: upstream.id, address: upstream.address });
             }
         },
+        noteRefusing({ id, bornMs, address }) {
+            refusing.set(id, { bornMs, atMs: performance.now() });
+            lists = undefined;
+            logger.info("upstream refuses connections", { upstream: id, address });
+        },
         get addresses() {
             return new Set([...directory.values()].filter(upstream => !upstream.isGone).map(upstream => upstream.address));
         },
--- /dev/null
+++ b/test/gateway/siteView.test.ts
@@ -0,0 +1,50 @@
+import { PassThrough } from "node:stream";
+import { expect } from "chai";
+import { createSiteView, type SiteView } from "../../src/gateway/siteView.js";
+import { createLogger } from "../../src/telemetry/index.js";
+import { siteWith, upstreamAt } from "../support/gatewaySite.js";
+
+describe("what an entry knows of its site", () => {
+    let view: SiteView;
+
+    const ids = () => view.candidates("orders", undefined).map(({ upstream }) => upstream.id);
+    const heard = (id: string, agoMs: number) => view.take({ kind: "alive", heard: [{ id, agoMs }], leads: true, entries: 1 });
+    const pause = () => new Promise(resolve => setTimeout(resolve, 20));
+
+    beforeEach(() => {
+        const site = siteWith();
+        view = createSiteView({ decodeSite: () => ({ site }) }, createLogger("error", "test", new PassThrough().resume()));
+        view.take({ kind: "site", version: site.version, text: "" });
+        view.take({ kind: "upstreams", upstreams: [upstreamAt("10.0.0.1:80", "u1"), upstreamAt("10.0.0.2:80", "u2")] });
+    });
+
+    // A link refuses the entry's connections for some seconds, and control daemons hear the upstream all the while or soon again. Taken for
+    // the end of its life, the refusal would keep the upstream, and every group that it joins, from this entry for good.
+    it("has an upstream that refused connections again once it has been heard after that", async () => {
+        await pause();
+        view.noteRefusing(view.candidates("orders", undefined)[0]!.upstream);
+        expect(ids()).to.deep.equal(["u2"]);
+        await pause();
+        heard("u1", 0);
+        expect(ids()).to.deep.equal(["u1", "u2"]);
+    });
+
+    // The upstream has crashed: what control daemons have heard of it is older than the refusal, however late they tell.
+    it("leaves an upstream that refused connections out while it has not been heard since", async () => {
+        await pause();
+        view.noteRefusing(view.candidates("orders", undefined)[0]!.upstream);
+        await pause();
+        heard("u1", 1_000);
+        view.take({ kind: "upstreams", upstreams: [upstreamAt("10.0.0.1:80", "u1", { sequence: 2, heardAgoMs: 500 })] });
+        expect(ids()).to.deep.equal(["u2"]);
+    });
+
+    it("leaves an upstream at whose address another answers out in that life, whatever is heard", async () => {
+        view.noteGone(view.candidates("orders", undefined)[0]!.upstream);
+        await pause();
+        heard("u1", 0);
+        expect(ids()).to.deep.equal(["u2"]);
+        view.take({ kind: "upstreams", upstreams: [upstreamAt("10.0.0.1:80", "u1", { bornMs: 2 })] });
+        expect(ids()).to.have.members(["u1", "u2"]);
+    });
+});
