Send work that may run once nowhere else after its caller has left

An order that its caller had cancelled could take effect later: when the engine that held it said that it had not run it, the entry sent it on to another one. Cause: such work goes on when its caller leaves, and the end of the attempt did not look whether anybody waits. Evidence: "that say not run after the caller has left are the end of the request" in test/gateway/answers.test.ts failed before: the second upstream got the request. Ruled out: requests that may be repeated and streams, whose attempt ends with the caller's connection, and requests whose time is up. Why it works: no attempt follows one that ends after the request is over.

--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -192,7 +192,8 @@
         }
         // Of a stream the rest may come from elsewhere; of any other answer what has been passed on can't be taken back.
         const canGoOn = isStream || !answer.isStarted;
-        const mayTry = canGoOn && (ending.kind === "not-run" || mayRunAgain) && runs < route.maxAttempts &&
+        // A caller that has left waits for no answer: sent on, work that may run once would take effect after that.
+        const mayTry = !isOver && canGoOn && (ending.kind === "not-run" || mayRunAgain) && runs < route.maxAttempts &&
             attempts < route.maxAttempts + mostNotRun && asked.giveUpAtMs - parts.nowMs() > leastAttemptMs;
         const goesOn = mayTry && (hasSecondSend || parts.mayRepeat(service));
         hasSecondSend = false;
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -239,4 +239,18 @@
         expect(answer.length).to.be.below(400_000);
         expect(site.outcomes).to.deep.equal(["failed"]);
     });
+
+    // The caller of a request that may run once leaves while an upstream has it, which then says that it did not run it. Nobody waits for
+    // an answer any more: sent on, the request would take effect after its caller has gone.
+    it("that say not run after the caller has left are the end of the request", async () => {
+        upstream = await startRawUpstream((request, socket) => setTimeout(() => socket.write(
+            `HTTP/1.1 503 Full\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\nZinnialanding-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`), 300));
+        other = await startRawUpstream((request, socket) => socket.write(ok(request.header("Zinnialanding-Attempt-Id"), "done")));
+        site = await startGateway([upstreamAt(upstream.address, "u1"), upstreamAt(other.address, "u2", { dataCentre: "b" })]);
+        await exchangeRaw(site.port, requestBytes("POST", "/charge/1", { body: "x" }), 100);
+        await new Promise(resolve => setTimeout(resolve, 500));
+        expect(upstream.requests).to.have.length(1);
+        expect(other.requests).to.have.length(0);
+        expect(site.outcomes).to.deep.equal(["caller-left"]);
+    });
 });
