Let go of work that may run once when its time is up and its caller has left

At an engine that never answers, each cancelled order kept a connection and counted as load for good, so that the entry would send less there than the engine can do. Cause: the caller's leaving ended the request and with it the timer of its deadline; the attempt, which goes on, had no other end. Evidence: "that never come after the caller has left are waited for until the request's time is up" in test/gateway/answers.test.ts failed before: the connection stayed open. Ruled out: requests that may be repeated and streams, whose attempt ends with the caller's connection. Why it works: the attempt is ended at the time by which its answer had to be final; the upstream was given that time too and works on it no longer.

--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -278,10 +278,13 @@
             if (isOver) {
                 return;
             }
-            // Work that may run once goes on: cut short, nobody could tell whether it took effect.
+            // Work that may run once goes on until its time is up: cut short, nobody could tell whether it took effect.
             if (mayRunAgain || isStream) {
                 current?.abort();
             }
+            else {
+                setTimeout(() => current?.abort(), Math.max(0, asked.giveUpAtMs - parts.nowMs()));
+            }
             answer.breakOff();
             finish("caller-left", { upstream: current?.upstream.id });
         },
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -253,4 +253,21 @@
         expect(other.requests).to.have.length(0);
         expect(site.outcomes).to.deep.equal(["caller-left"]);
     });
+
+    // The caller of a request that may run once leaves, and no answer comes. The request may still take effect, so it is not cut short; but
+    // past its time nothing can come any more, and the connection and the place that it counts for at the upstream are let go.
+    it("that never come after the caller has left are waited for until the request's time is up", async () => {
+        let closedAfterMs: number | undefined;
+        upstream = await startRawUpstream((_request, socket) => {
+            const sinceMs = performance.now();
+            socket.once("close", () => {
+                closedAfterMs = performance.now() - sinceMs;
+            });
+        });
+        site = await startGateway([upstreamAt(upstream.address, "u1")]);
+        await exchangeRaw(site.port, requestBytes("POST", "/charge/1", { body: "x", headers: { "Zinnialanding-Deadline-Ms": "600" } }), 100);
+        await new Promise(resolve => setTimeout(resolve, 1_000));
+        expect(site.outcomes).to.deep.equal(["caller-left"]);
+        expect(closedAfterMs).to.be.within(500, 900);
+    });
 });
