--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -203,7 +203,8 @@
         }
         // Of a stream the rest may come from elsewhere; of any other answer what has been passed on can't be taken back.
         const canGoOn = isStream || !answer.isStarted;
-        const mayTry = canGoOn && (ending.kind === "not-run" || mayRunAgain) && runs < route.maxAttempts &&
+        // A caller that has left waits for no answer: sent on, work that may run once would take effect after that.
+        const mayTry = !isOver && canGoOn && (ending.kind === "not-run" || mayRunAgain) && runs < route.maxAttempts &&
             attempts < route.maxAttempts + mostNotRun && asked.giveUpAtMs - parts.nowMs() > leastAttemptMs;
         const goesOn = mayTry && (hasSecondSend || parts.mayRepeat(service));
         hasSecondSend = false;
@@ -288,10 +289,13 @@
             if (isOver) {
                 return;
             }
-            // Work that may run once goes on: cut short, nobody could tell whether it took effect.
+            // Work that may run once goes on until its time is up: cut short, nobody could tell whether it took effect.
             if (mayRunAgain || isStream) {
                 current?.abort();
             }
+            else {
+                setTimeout(() => current?.abort(), Math.max(0, asked.giveUpAtMs - parts.nowMs()));
+            }
             answer.breakOff();
             finish("caller-left", { upstream: current?.upstream.id });
         },
