Keep what a control leader knows of groups while its term lasts

Cause: a leader whose lease lapses for a moment and is confirmed again in the same term began anew: it forgot all groups, waited 1.5 s as a new leader does, and counted epochs from the start of the term again. Lapses that follow each other within 1.5 s let the leader plan nothing at all; a VM that has seen a later epoch, or the same one with other members, refuses the join, and its group never comes together. Ruled out: another leader in between. A follower that has let another be elected confirms no earlier term, so a lease that holds again in its term means that nobody else has led. Change: what is known holds for a term; only another term makes it void. Steps still wait for the lease. Of the three new tests of test/siteControl/groupLeader.test.ts two fail on the code before; "waits and begins anew where it leads again in another term" passes on both and holds the other side.

--- a/src/siteControl/groupLeader.ts
+++ b/src/siteControl/groupLeader.ts
@@ -1,6 +1,6 @@
 /**
  * What the control leader does about groups of engines: watches which upstreams still answer, has `groups` plan, and gives the orders.
- * On a daemon that does not lead it does nothing; what an earlier time of leading knew is void.
+ * On a daemon that does not lead it does nothing; what it knew in an earlier term is void.
  *
  * @module
  */
@@ -53,8 +53,10 @@
     const demand = createDemand();
     const movingAtMs = new Map<string, number>();
     const states = new Map<string, GroupsState>();
-    let leadsSinceMs: number | undefined;
+    let isLeading = false;
+    /** The term of the log in which this process has led last, and since when. */
     let planTerm = 0;
+    let leadsSinceMs = 0;
     let hasTraffic = !options.isFirstStart;
 
     const prober = createProber({
@@ -68,19 +70,27 @@
         },
     });
 
+    /**
+     * Whether this process leads now. A quorum that is busy confirms the lease late now and then. As long as the term is the same nobody
+     * else has led, so what is known of groups holds; forgotten, it would cost callers the wait of a new leader at every such moment, and
+     * epochs that name two groups.
+     */
     function noteLeading(): boolean {
         if (!log.leaseHeld) {
-            if (leadsSinceMs !== undefined) {
+            if (isLeading) {
                 logger.info("leads no more", { term: log.term });
-                leadsSinceMs = undefined;
+                isLeading = false;
             }
             return false;
         }
-        if (leadsSinceMs === undefined || planTerm !== log.term) {
+        if (planTerm !== log.term) {
             leadsSinceMs = nowMs();
             planTerm = log.term;
             states.clear();
             prober.forget();
+        }
+        if (!isLeading) {
+            isLeading = true;
             logger.info("leads", { term: log.term });
         }
         return true;
@@ -102,7 +112,7 @@
         const directory = options.directory();
         return {
             nowMs: nowMs(),
-            leadsSinceMs: leadsSinceMs!,
+            leadsSinceMs,
             engine,
             upstreams,
             isLost: id => prober.isLost(id),
@@ -147,7 +157,7 @@
             const groups = [...states.values()].flatMap(state => [...state.groups.values()]);
             const members = groups.filter(group => taken.suspectIds.includes(group.memberIds[0]!)).flatMap(group => group.memberIds);
             prober.suspect([...taken.suspectIds, ...members]);
-            if (taken.suspectIds.length > 0 && leadsSinceMs !== undefined) {
+            if (taken.suspectIds.length > 0 && isLeading) {
                 options.wake();
             }
         },
--- a/test/siteControl/groupLeader.test.ts
+++ b/test/siteControl/groupLeader.test.ts
@@ -10,26 +10,25 @@
 
 const probeMs = 150;
 
-/** A leader over one group of two whose second member answers no probe, on a clock that the test moves. */
-function leaderOverTornGroup() {
+/** A leader over engines that only report, on a clock that the test moves; from `darkFromMs` on the one called `darkId` is silent. */
+function leaderOver(upstreams: readonly Upstream[], darkId?: string) {
     const state = { nowMs: 0, wakeAtMs: Number.POSITIVE_INFINITY, darkFromMs: Number.POSITIVE_INFINITY };
+    const log = { leaseHeld: true, term: 1, state: { published: { evacuated: [] } } };
+    const gone = new Set<string>();
     const probes: { readonly atMs: number; answer(): void }[] = [];
     const orders: { readonly atMs: number; readonly id: string; readonly order: EngineOrder }[] = [];
-    const members = [...fleetOf({ a: 2 }).upstreams.values()].map((upstream, rank): Upstream =>
-        ({ ...upstream, group: { name: "small/1", epoch: 1, rank, state: rank === 0 ? "open" : "ready" } }));
-    const [head, member] = members as [Upstream, Upstream];
-    const heardAtMs = (upstream: Upstream) => upstream.id === member.id ? Math.min(state.nowMs, state.darkFromMs) : state.nowMs;
-    const current = () => members.map(upstream => ({ ...upstream, heardAtMs: heardAtMs(upstream) }));
+    const heardAtMs = (upstream: Upstream) => upstream.id === darkId ? Math.min(state.nowMs, state.darkFromMs) : state.nowMs;
+    const current = () => upstreams.filter(({ id }) => !gone.has(id)).map(upstream => ({ ...upstream, heardAtMs: heardAtMs(upstream) }));
     const directory = (): DirectoryState => new Map(current().map(upstream => [upstream.id, upstream]));
     const leader = createGroupLeader({
-        log: { leaseHeld: true, term: 1, state: { published: { evacuated: [] } } } as unknown as ConsensusNode,
+        log: log as unknown as ConsensusNode,
         engines: {
             order(upstream, order) {
                 orders.push({ atMs: state.nowMs, id: upstream.id, order });
                 return Promise.resolve("202");
             },
             probe: upstream => new Promise(resolve => probes.push({
-                atMs: state.nowMs, answer: () => resolve(upstream.id === member.id && state.nowMs > state.darkFromMs ? "silent" : "answered"),
+                atMs: state.nowMs, answer: () => resolve(upstream.id === darkId && state.nowMs > state.darkFromMs ? "silent" : "answered"),
             })),
         },
         logger: createLogger("error", "test", new PassThrough()), metrics: createSiteMetrics(),
@@ -58,7 +57,15 @@
         }
     }
 
-    return { state, leader, orders, head, run };
+    return { state, log, gone, leader, orders, run };
+}
+
+/** A leader over one group of two whose second member may go dark. */
+function leaderOverTornGroup() {
+    const members = [...fleetOf({ a: 2 }).upstreams.values()].map((upstream, rank): Upstream =>
+        ({ ...upstream, group: { name: "small/1", epoch: 1, rank, state: rank === 0 ? "open" : "ready" } }));
+    const [head, member] = members as [Upstream, Upstream];
+    return { ...leaderOver(members, member.id), head };
 }
 
 const nothingElse = { workByModel: {}, requests: 1, crashes: [] };
@@ -91,4 +98,52 @@
         }
         expect(orders).to.deep.equal([]);
     });
+
+    // A busy quorum confirms the lease late, again and again, and nobody else is elected. A member goes dark meanwhile: callers at its
+    // group would wait until the lease has been held for as long as a new leader waits.
+    it("goes on at once where its lease lapses for a moment in one term", async () => {
+        const { state, log, leader, orders, head, run } = leaderOverTornGroup();
+        await run(2_000);
+        leader.report({ ...nothingElse, suspectIds: [], movingIds: [head.id] });
+        state.darkFromMs = state.nowMs;
+        for (let lapse = 0; lapse < 8; lapse++) {
+            log.leaseHeld = false;
+            await run(150);
+            log.leaseHeld = true;
+            leader.report({ ...nothingElse, suspectIds: [head.id], movingIds: [] });
+            await run(600);
+        }
+        expect(orders[0]).to.include({ id: head.id });
+        expect(orders[0]!.atMs - state.darkFromMs).to.be.at.most(1_500);
+    });
+
+    // Groups were ordered, the lease lapsed for a moment, and a VM was lost. Counted from the start of the term again, the epochs would
+    // name two groups each, and engines would refuse to join the second one.
+    it("gives no epoch to two groups where its lease lapses in one term", async () => {
+        const { log, gone, orders, run } = leaderOver([...fleetOf({ a: 4 }).upstreams.values()]);
+        await run(3_000);
+        log.leaseHeld = false;
+        await run(150);
+        log.leaseHeld = true;
+        gone.add("a0");
+        await run(6_000);
+        const formed = new Set(orders.flatMap(({ order }) => order.kind === "join" ? [`${order.epoch} of ${order.memberIds.join(" ")}`] : []));
+        expect([...formed]).to.deep.equal(["1048577 of a0 a1 a2 a3", "1048578 of a1 a2"]);
+    });
+
+    // Another process led meanwhile: what this one knows of groups is void, and VMs that it has not heard since may be in groups of that
+    // one. Used at once, they would be in two.
+    it("waits and begins anew where it leads again in another term", async () => {
+        const { state, log, orders, run } = leaderOver([...fleetOf({ a: 4 }).upstreams.values()]);
+        await run(3_000);
+        const before = orders.length;
+        log.leaseHeld = false;
+        await run(600);
+        Object.assign(log, { leaseHeld: true, term: 3 });
+        const fromMs = state.nowMs;
+        await run(3_000);
+        expect(orders[before]!.atMs - fromMs).to.be.at.least(1_500);
+        const epochs = (from: number, to?: number) => orders.slice(from, to).flatMap(({ order }) => order.kind === "join" ? [order.epoch] : []);
+        expect(Math.min(...epochs(before))).to.be.greaterThan(Math.max(...epochs(0, before)));
+    });
 });
