Log and count what an entry does with requests and connections while it stops

What callers saw: a request sent 6.2 s after the entry's SIGTERM was passed on and cut off 1.2 s later. The logs didn't tell on which connection it came, so two hypotheses stayed open: one that was kept since a stream ran across the closing of the listener, or one that had been opened ahead and had carried nothing. What the lines tell: connections open and unused at SIGTERM and when the listener closes; for each request taken since, how many its connection has carried; at the end each request that is cut off, with its upstream. Nothing else changes.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -119,6 +119,7 @@
         isBarred: asked => view.barred.size > 0 && view.barred.has(fingerprintOf(asked)),
         attemptEnded: ending => metrics.attemptEnded(ending),
         refusedEarly: status => metrics.refused(status),
+        whileStopping: labels => metrics.whileStopping(labels),
         count(outcome, asked, tookMs, firstMs) {
             metrics.request(asked.route.name, outcome, tookMs, firstMs);
             requests++;
@@ -134,6 +135,8 @@
     });
 
     metrics.observe("zinnialanding_requests_running", () => server.running);
+    metrics.observe("zinnialanding_caller_connections", () => server.connections.open);
+    metrics.observe("zinnialanding_caller_connections_unused", () => server.connections.unused);
     metrics.observe("zinnialanding_upstream_connections", () => connections.open);
     metrics.observe("zinnialanding_site_version", () => view.version);
     metrics.observe("zinnialanding_control_daemons_heard", () => watcher.heard.length);
@@ -151,18 +154,22 @@
         async stop(withinMs) {
             isStopping = true;
             server.drain();
-            logger.info("stopping", { running: server.running });
+            const whatIsOpen = () => ({ running: server.running, connections: server.connections.open, unused: server.connections.unused });
+            logger.info("stopping", whatIsOpen());
             const untilMs = nowMs() + withinMs;
             await new Promise(resolve => setTimeout(resolve, Math.min(balancerNoticeMs, withinMs)));
+            const openAtClose = server.connections.open;
             server.closeListener();
+            logger.info("listener closed", { closed: openAtClose - server.connections.open, ...whatIsOpen() });
             while (server.running > 0 && nowMs() < untilMs) {
                 await new Promise(resolve => setTimeout(resolve, 50));
             }
             timers.forEach(timer => clearInterval(timer));
+            const unfinished = server.running;
             server.close();
             watcher.close();
             connections.close();
-            logger.info("stopped", { unfinished: server.running });
+            logger.info("stopped", { unfinished, linesLeftOut: server.linesLeftOut });
         },
     };
 }
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -40,6 +40,8 @@
     /** The caller has gone. */
     callerLeft(): void;
     drained(): void;
+    /** Where it runs now. */
+    readonly upstreamId: string | undefined;
 }
 
 /**
@@ -287,5 +289,8 @@
         drained() {
             current?.resume();
         },
+        get upstreamId() {
+            return current?.upstream.id;
+        },
     };
 }
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -9,7 +9,9 @@
 import { splitAddress } from "../rpc/index.js";
 import { createAnswer } from "./answer.js";
 import { type Asked, headerOf, readBody, readHead } from "./asked.js";
-import { type RequestParts, startRequest } from "./request.js";
+import { createCallerConnections } from "./callerConnections.js";
+import { type RequestParts, type RunningRequest, startRequest } from "./request.js";
+import { createStopRecord, type StopLabels } from "./stopRecord.js";
 
 /** Headers larger than this are refused by the parser; sites set lower limits. */
 const mostHeaderBytes = 65_536;
@@ -24,22 +26,38 @@
     /** Takes no new connection and closes idle ones. */
     closeListener(): void;
     readonly running: number;
+    readonly connections: { readonly open: number; readonly unused: number };
+    /** Log lines of the stop that were left out. */
+    readonly linesLeftOut: number;
     close(): void;
 }
 
 export interface ServerParts extends RequestParts {
     /** A request was refused before an upstream was chosen. */
     refusedEarly(status: number): void;
+    /** A request came, or was cut off, while the entry stops. */
+    whileStopping(labels: StopLabels): void;
+}
+
+/** A request that is not over. */
+interface Served {
+    readonly attemptId: string | undefined;
+    /** Requests that its connection had carried before. */
+    readonly carried: number;
+    /** Undefined until the request has been read whole. */
+    request: RunningRequest | undefined;
+    hasLeft: boolean;
 }
 
 /** Listens for callers. */
 export async function listenForCallers(address: string, parts: ServerParts): Promise<GatewayServer> {
     let isDraining = false;
-    let running = 0;
+    const running = new Set<Served>();
+    const connections = createCallerConnections();
+    const record = createStopRecord({ logger: parts.logger, nowMs: parts.nowMs, count: parts.whileStopping });
 
-    async function serve(message: IncomingMessage, response: ServerResponse) {
-        const attemptId = headerOf(message, parts.names.attemptId);
-        const state: { request: ReturnType<typeof startRequest> | undefined; hasLeft: boolean } = { request: undefined, hasLeft: false };
+    async function serve(message: IncomingMessage, response: ServerResponse, state: Served) {
+        const { attemptId } = state;
         const answer = createAnswer(response, {
             closes: () => isDraining,
             headers: attemptId === undefined ? [] : [parts.names.attemptId, attemptId],
@@ -64,6 +82,7 @@
             message.resume();
             return;
         }
+        record.taken({ attemptId, carried: state.carried, outcome: "served" });
         const body = await readBody(message, table.site.limits.maxBodyBytes);
         if (body === undefined) {
             answer.own(413, "the body is too large");
@@ -81,18 +100,21 @@
     const server = createServer({
         maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: checkIntervalMs, keepAlive: true, noDelay: true, requestTimeout: 0,
     }, (message, response) => {
-        running++;
-        response.once("close", () => running--);
+        const carried = connections.took(message.socket);
+        const state: Served = { attemptId: headerOf(message, parts.names.attemptId), carried, request: undefined, hasLeft: false };
+        running.add(state);
+        response.once("close", () => running.delete(state));
         const { limits } = parts.view.table?.site ?? {};
         if (limits !== undefined) {
             server.headersTimeout = limits.headerTimeoutMs;
             server.keepAliveTimeout = limits.idleTimeoutMs;
         }
-        serve(message, response).catch((error: Error) => {
-            parts.logger.info("request broke off", { request: headerOf(message, parts.names.attemptId), error: error.message });
+        serve(message, response, state).catch((error: Error) => {
+            parts.logger.info("request broke off", { request: state.attemptId, error: error.message });
             response.destroy();
         });
     });
+    server.on("connection", connections.opened);
     server.headersTimeout = 3_000;
     server.keepAliveTimeout = 15_000;
     const { host, port } = splitAddress(address);
@@ -103,15 +125,22 @@
     return {
         drain() {
             isDraining = true;
+            record.begun();
         },
         closeListener() {
+            record.listenerClosed();
             server.close();
             server.closeIdleConnections();
         },
         get running() {
-            return running;
+            return running.size;
+        },
+        connections,
+        get linesLeftOut() {
+            return record.linesLeftOut;
         },
         close() {
+            running.forEach(({ attemptId, carried, request }) => record.cutOff({ attemptId, carried, upstream: request?.upstreamId }));
             server.closeAllConnections();
         },
     };
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -13,6 +13,8 @@
     attemptEnded(ending: string): void;
     /** Requests refused before an upstream was chosen, by status. */
     refused(status: number): void;
+    /** A request came, or was cut off, while the entry stops. */
+    whileStopping(labels: { readonly listener: string; readonly connection: string; readonly outcome: string }): void;
     order(kind: string, outcome: string): void;
     /** Sets a value that is read at each fetch. */
     observe(name: GaugeName, read: () => number): void;
@@ -22,6 +24,8 @@
 
 const gauges = {
     zinnialanding_requests_running: "Requests of callers that have no final answer yet.",
+    zinnialanding_caller_connections: "Open connections of callers.",
+    zinnialanding_caller_connections_unused: "Open connections of callers that have carried no request yet.",
     zinnialanding_upstream_connections: "Open connections to upstreams.",
     zinnialanding_site_version: "Version of the site in force here.",
     zinnialanding_control_daemons_heard: "Control daemons from which something has come lately.",
@@ -48,6 +52,7 @@
     const first = new Histogram({ name: "zinnialanding_first_event_seconds", help: "From arrival to a stream's first event.", buckets: bucketsS, registers });
     const attempts = new Counter({ name: "zinnialanding_attempts_without_answer_total", help: "Attempts that brought no answer.", labelNames: ["ending"], registers });
     const refusals = new Counter({ name: "zinnialanding_refused_early_total", help: "Requests refused before an upstream was chosen.", labelNames: ["status"], registers });
+    const stopping = new Counter({ name: "zinnialanding_stopping_requests_total", help: "Requests that came or were cut off while the entry stops.", labelNames: ["listener", "connection", "outcome"], registers });
     const orders = new Counter({ name: "zinnialanding_orders_total", help: "Orders to engines.", labelNames: ["kind", "outcome"], registers });
     return {
         request(route, outcome, tookMs, firstMs) {
@@ -59,6 +64,7 @@
         },
         attemptEnded: ending => attempts.inc({ ending }),
         refused: status => refusals.inc({ status: String(status) }),
+        whileStopping: labels => stopping.inc({ ...labels }),
         order: (kind, outcome) => orders.inc({ kind, outcome }),
         observe(name, read) {
             new Gauge({
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -2,6 +2,7 @@
 import { createBalance } from "../../src/gateway/balance.js";
 import { createConnections } from "../../src/gateway/connections.js";
 import { type GatewayServer, listenForCallers } from "../../src/gateway/server.js";
+import type { StopLabels } from "../../src/gateway/stopRecord.js";
 import type { Room } from "../../src/gateway/work.js";
 import { createSiteView, type SiteView } from "../../src/gateway/siteView.js";
 import { headerNames } from "../../platform/headers.js";
@@ -50,6 +51,8 @@
     readonly port: number;
     readonly view: SiteView;
     readonly outcomes: string[];
+    /** What was counted while the listener stopped. */
+    readonly whileStopping: StopLabels[];
     readonly server: GatewayServer;
     stop(): void;
 }
@@ -65,6 +68,7 @@
     view.take({ kind: "site", version: site.version, text: "" });
     view.take({ kind: "upstreams", upstreams });
     const outcomes: string[] = [];
+    const whileStopping: StopLabels[] = [];
     const connections = createConnections();
     const port = nextPort++;
     const nowMs = () => performance.now();
@@ -79,9 +83,10 @@
         crashed: () => undefined,
         isBarred: () => false,
         refusedEarly: () => undefined,
+        whileStopping: labels => whileStopping.push(labels),
     });
     return {
-        port, view, outcomes, server,
+        port, view, outcomes, whileStopping, server,
         stop() {
             server.closeListener();
             server.close();
