Take no request on a connection that a stopping entry is about to end

What callers saw: a request sent seconds after an entry's SIGTERM, on a connection that the caller had kept, was passed on and cut off when the entry left. Others lost the end of an answer, or an answer behind another on the same connection. Cause: the stop closed what was idle at one moment, 3 s after SIGTERM, and let everything else be. A stream whose head was written before SIGTERM announces nothing and is not idle then, so its connection stayed open and usable to the end; a connection that has carried nothing is never idle to Node; one whose answers are written but not sent is, and was destroyed. An end announced with the first of several requests cut off those behind it. All are one class: what a connection carries was not known, only guessed at one moment. Why it works: the entry keeps account of each connection. From SIGTERM on a connection ends with its newest answer, announced where the head is still to be written. When the listener closes, what carries nothing is ended, and nothing becomes idle later without being ended. A request is taken only on a connection that will carry its answer; one that comes after the listener closed, on a head or body that was half here, only if its time is up before the stop's end, and otherwise it is refused as not run, to be sent elsewhere at once. The end is counted from the earliest moment at which SIGTERM can have come. What still runs at the end gets a 502 where its answer has not begun. Connections are ended and not destroyed, lest bytes that cross reset them under an answer.

--- a/src/gateway/answer.ts
+++ b/src/gateway/answer.ts
@@ -23,8 +23,10 @@
 }
 
 export interface AnswerOptions {
-    /** Whether the caller should use another connection from now on. */
-    closes(): boolean;
+    /** Whether the answer, whose head is being written, has to announce the end of the connection. */
+    announcesClose(): boolean;
+    /** Calls back once the request's body has been read or is not worth waiting for. */
+    whenRead(then: () => void): void;
     /** Headers of every own answer. */
     readonly headers: string[];
     drained(): void;
@@ -37,7 +39,7 @@
 
     function begin(status: number, headers: string[]) {
         isStarted = true;
-        const list = options.closes() ? [...headers, "Connection", "close"] : headers;
+        const list = options.announcesClose() ? [...headers, "Connection", "close"] : headers;
         response.writeHead(status, list);
     }
 
@@ -81,7 +83,9 @@
             const body = Buffer.from(JSON.stringify({ status, reason }));
             const retry = retryAfterMs === undefined ? [] : ["Retry-After", (retryAfterMs / 1_000).toFixed(2)];
             begin(status, [...options.headers, ...retry, "Content-Type", "application/json", "Content-Length", String(body.length)]);
-            response.end(body);
+            response.write(body);
+            // Ended with bytes of the request unread, the connection is reset, and the caller could lose this answer.
+            options.whenRead(() => response.end());
         },
         breakOff() {
             if (!isOver) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
 import { createCrashes, fingerprintOf } from "./crashes.js";
 import { createEntryCount, shareOfSlack } from "./entryCount.js";
 import type { HeaderNames } from "./headers.js";
+import { createLoopTurns } from "./loopTurns.js";
 import { createReturning } from "./returning.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSiteView } from "./siteView.js";
@@ -46,10 +47,19 @@
 /** How often heads are looked at: short against the 0.5 s in which a lost member is noticed. */
 const suspectIntervalMs = 50;
 const sweepIntervalMs = 500;
+/** How often a stop looks whether anything still runs. */
+const runningCheckMs = 50;
 /** A caller that has waited for longer comes back: its work has been counted, and counted twice the model would seem to need more VMs. */
 const returnedMs = 250;
 /** How long the balancer may send new connections after readiness was withdrawn: two of its questions, a second apart, and one more. */
 const balancerNoticeMs = 3_000;
+/** What sending the answers of requests that are ended by the stop may take. */
+const lastAnswersMs = 200;
+
+function pause(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
+
 /** Starts the role. */
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
     const { logger, metrics } = options;
@@ -141,11 +151,23 @@
     metrics.observe("zinnialanding_site_version", () => view.version);
     metrics.observe("zinnialanding_control_daemons_heard", () => watcher.heard.length);
 
+    const turns = createLoopTurns(nowMs);
     const timers = [
+        setInterval(turns.turned, suspectIntervalMs),
         setInterval(report, suspectIntervalMs),
         setInterval(() => connections.sweep(view.addresses), sweepIntervalMs),
     ];
 
+    function whatIsOpen() {
+        return { running: server.running, connections: server.connections.open, unused: server.connections.unused };
+    }
+
+    async function whileRunning(untilMs: number) {
+        while (server.running > 0 && nowMs() < untilMs) {
+            await pause(runningCheckMs);
+        }
+    }
+
     return {
         get isReady() {
             return !isStopping && view.table !== undefined && view.addresses.size > 0;
@@ -153,19 +175,18 @@
         useControls: addresses => watcher.watch(addresses),
         async stop(withinMs) {
             isStopping = true;
-            server.drain();
-            const whatIsOpen = () => ({ running: server.running, connections: server.connections.open, unused: server.connections.unused });
-            logger.info("stopping", whatIsOpen());
             const untilMs = nowMs() + withinMs;
-            await new Promise(resolve => setTimeout(resolve, Math.min(balancerNoticeMs, withinMs)));
-            const openAtClose = server.connections.open;
-            server.closeListener();
-            logger.info("listener closed", { closed: openAtClose - server.connections.open, ...whatIsOpen() });
-            while (server.running > 0 && nowMs() < untilMs) {
-                await new Promise(resolve => setTimeout(resolve, 50));
-            }
-            timers.forEach(timer => clearInterval(timer));
+            // The platform counts from when it sent the signal: a process that heard it late is ended sooner than `untilMs`.
+            server.drain(turns.signalledAfterMs + withinMs);
+            logger.info("stopping", { ...whatIsOpen(), lateMs: Math.round(nowMs() - turns.signalledAfterMs) });
+            await pause(Math.min(balancerNoticeMs, withinMs));
+            const closed = server.closeListener();
+            logger.info("listener closed", { closed, ...whatIsOpen() });
+            await whileRunning(untilMs);
             const unfinished = server.running;
+            server.endRunning();
+            await whileRunning(nowMs() + lastAnswersMs);
+            timers.forEach(timer => clearInterval(timer));
             server.close();
             watcher.close();
             connections.close();
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -40,6 +40,8 @@
     /** The caller has gone. */
     callerLeft(): void;
     drained(): void;
+    /** Ends it now; nothing says whether it has run. */
+    endNow(reason: string): void;
     /** Where it runs now. */
     readonly upstreamId: string | undefined;
 }
@@ -289,6 +291,14 @@
         drained() {
             current?.resume();
         },
+        endNow(reason) {
+            if (isOver) {
+                return;
+            }
+            const upstream = current?.upstream.id;
+            current?.abort();
+            fail(502, reason, upstream);
+        },
         get upstreamId() {
             return current?.upstream.id;
         },
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -6,10 +6,11 @@
  */
 
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
 import { splitAddress } from "../rpc/index.js";
-import { createAnswer } from "./answer.js";
-import { type Asked, headerOf, readBody, readHead } from "./asked.js";
-import { createCallerConnections } from "./callerConnections.js";
+import { type CallerAnswer, createAnswer } from "./answer.js";
+import { type Asked, headerOf, readBody, readHead, type Refused } from "./asked.js";
+import { type ConnectionPlace, createCallerConnections } from "./callerConnections.js";
 import { type RequestParts, type RunningRequest, startRequest } from "./request.js";
 import { createStopRecord, type StopLabels } from "./stopRecord.js";
 
@@ -19,12 +20,20 @@
 const checkIntervalMs = 500;
 /** Retry-After before anything is known of the site: a start takes about a second. */
 const unknownSiteRetryMs = 1_000;
+/** How long an answer that was given before its request's body was read waits for the rest of the body. */
+const lingerMs = 1_000;
+/** What sending an answer may take after the request's time is up. */
+const lastAnswerMs = 200;
+/** The refusal of what can't surely be finished any more: other entries take it, so its caller need not wait. */
+const stopRefusal: Refused = { status: 503, reason: "this entry is stopping", retryAfterMs: 0 };
 
 export interface GatewayServer {
-    /** Answers from now on ask callers to close their connections. */
-    drain(): void;
-    /** Takes no new connection and closes idle ones. */
-    closeListener(): void;
+    /** From now on connections end with the answers that they carry. What isn't final at `untilMs` may be cut off. */
+    drain(untilMs: number): void;
+    /** Takes no new connection, ends idle ones, and from now on takes only what is sure to be final in time; returns how many it ended. */
+    closeListener(): number;
+    /** Ends what still runs. */
+    endRunning(): void;
     readonly running: number;
     readonly connections: { readonly open: number; readonly unused: number };
     /** Log lines of the stop that were left out. */
@@ -42,8 +51,8 @@
 /** A request that is not over. */
 interface Served {
     readonly attemptId: string | undefined;
-    /** Requests that its connection had carried before. */
-    readonly carried: number;
+    readonly place: ConnectionPlace;
+    readonly answer: CallerAnswer;
     /** Undefined until the request has been read whole. */
     request: RunningRequest | undefined;
     hasLeft: boolean;
@@ -51,24 +60,31 @@
 
 /** Listens for callers. */
 export async function listenForCallers(address: string, parts: ServerParts): Promise<GatewayServer> {
-    let isDraining = false;
+    /** When a stop may cut off what isn't final. */
+    let untilMs = Infinity;
+    let isListenerClosed = false;
     const running = new Set<Served>();
     const connections = createCallerConnections();
     const record = createStopRecord({ logger: parts.logger, nowMs: parts.nowMs, count: parts.whileStopping });
 
-    async function serve(message: IncomingMessage, response: ServerResponse, state: Served) {
-        const { attemptId } = state;
-        const answer = createAnswer(response, {
-            closes: () => isDraining,
-            headers: attemptId === undefined ? [] : [parts.names.attemptId, attemptId],
-            drained: () => state.request?.drained(),
-        });
-        response.on("close", () => {
-            state.hasLeft = true;
-            if (!response.writableFinished) {
-                state.request?.callerLeft();
-            }
-        });
+    /** Whether a request's answer is sure to be final before a stop may cut it off. */
+    function isFinalInTime(giveUpAtMs: number): boolean {
+        return !isListenerClosed || giveUpAtMs + lastAnswerMs <= untilMs;
+    }
+
+    function refuseEarly({ attemptId, answer }: Served, refused: Refused) {
+        parts.refusedEarly(refused.status);
+        parts.logger.info("request refused", { request: attemptId, ...refused, version: parts.view.table?.site.version });
+        answer.own(refused.status, refused.reason, refused.retryAfterMs);
+    }
+
+    function refuseStopping(served: Served) {
+        record.taken({ attemptId: served.attemptId, carried: served.place.carried, outcome: "refused" });
+        refuseEarly(served, stopRefusal);
+    }
+
+    async function serve(message: IncomingMessage, served: Served) {
+        const { attemptId, answer, place } = served;
         const { table } = parts.view;
         if (table === undefined) {
             answer.own(503, "the site is not known here yet", unknownSiteRetryMs);
@@ -76,41 +92,68 @@
         }
         const head = readHead(message, parts.names, table, parts.nowMs());
         if ("refused" in head) {
-            parts.refusedEarly(head.refused.status);
-            parts.logger.info("request refused", { request: attemptId, ...head.refused, version: table.site.version });
-            answer.own(head.refused.status, head.refused.reason);
-            message.resume();
+            refuseEarly(served, head.refused);
+            return;
+        }
+        if (!isFinalInTime(head.asked.giveUpAtMs)) {
+            refuseStopping(served);
             return;
         }
-        record.taken({ attemptId, carried: state.carried, outcome: "served" });
         const body = await readBody(message, table.site.limits.maxBodyBytes);
         if (body === undefined) {
             answer.own(413, "the body is too large");
-            response.once("finish", () => message.destroy());
             return;
         }
-        if (state.hasLeft) {
+        if (served.hasLeft || answer.isOver) {
+            return;
+        }
+        // The listener may have closed while the body came.
+        if (!isFinalInTime(head.asked.giveUpAtMs)) {
+            refuseStopping(served);
             return;
         }
+        record.taken({ attemptId, carried: place.carried, outcome: "served" });
         const hasBody = body.length > 0 || message.headers["content-length"] !== undefined || message.headers["transfer-encoding"] !== undefined;
         const asked: Asked = { ...head.asked, body: hasBody ? body : undefined };
-        state.request = startRequest(asked, answer, parts);
+        served.request = startRequest(asked, answer, parts);
+    }
+
+    function take(message: IncomingMessage, response: ServerResponse, place: ConnectionPlace): Served {
+        const attemptId = headerOf(message, parts.names.attemptId);
+        const answer = createAnswer(response, {
+            announcesClose: place.announcesClose,
+            whenRead: then => whenRead(message, then),
+            headers: attemptId === undefined ? [] : [parts.names.attemptId, attemptId],
+            drained: () => served.request?.drained(),
+        });
+        const served: Served = { attemptId, place, answer, request: undefined, hasLeft: false };
+        running.add(served);
+        response.once("close", () => {
+            running.delete(served);
+            served.hasLeft = true;
+            if (!response.writableFinished) {
+                served.request?.callerLeft();
+            }
+        });
+        return served;
     }
 
     const server = createServer({
         maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: checkIntervalMs, keepAlive: true, noDelay: true, requestTimeout: 0,
     }, (message, response) => {
-        const carried = connections.took(message.socket);
-        const state: Served = { attemptId: headerOf(message, parts.names.attemptId), carried, request: undefined, hasLeft: false };
-        running.add(state);
-        response.once("close", () => running.delete(state));
+        const place = connections.took(message, response);
+        if (place === undefined) {
+            message.resume();
+            return;
+        }
+        const served = take(message, response, place);
         const { limits } = parts.view.table?.site ?? {};
         if (limits !== undefined) {
             server.headersTimeout = limits.headerTimeoutMs;
             server.keepAliveTimeout = limits.idleTimeoutMs;
         }
-        serve(message, response, state).catch((error: Error) => {
-            parts.logger.info("request broke off", { request: state.attemptId, error: error.message });
+        serve(message, served).catch((error: Error) => {
+            parts.logger.info("request broke off", { request: served.attemptId, error: error.message });
             response.destroy();
         });
     });
@@ -123,14 +166,29 @@
         server.listen({ host, port, backlog: 1024 }, resolve);
     });
     return {
-        drain() {
-            isDraining = true;
+        drain(endsAtMs) {
+            untilMs = endsAtMs;
+            connections.drain();
             record.begun();
         },
         closeListener() {
+            isListenerClosed = true;
             record.listenerClosed();
-            server.close();
-            server.closeIdleConnections();
+            // The HTTP server's own close also destroys connections whose answers are written but not sent, and no longer cuts off callers
+            // that are slow to send a head.
+            NetServer.prototype.close.call(server);
+            return connections.endIdle();
+        },
+        endRunning() {
+            [...running].forEach(({ attemptId, place, answer, request }) => {
+                record.cutOff({ attemptId, carried: place.carried, upstream: request?.upstreamId });
+                if (request === undefined) {
+                    answer.own(stopRefusal.status, stopRefusal.reason, stopRefusal.retryAfterMs);
+                }
+                else {
+                    request.endNow("the entry has stopped");
+                }
+            });
         },
         get running() {
             return running.size;
@@ -140,8 +198,23 @@
             return record.linesLeftOut;
         },
         close() {
-            running.forEach(({ attemptId, carried, request }) => record.cutOff({ attemptId, carried, upstream: request?.upstreamId }));
             server.closeAllConnections();
         },
     };
 }
+
+/** Calls back once `message` has been read whole, its caller has gone, or the rest has not come for a while. */
+function whenRead(message: IncomingMessage, then: () => void) {
+    if (message.complete || message.destroyed) {
+        then();
+        return;
+    }
+    const timer = setTimeout(done, lingerMs);
+    function done() {
+        clearTimeout(timer);
+        message.off("end", done).off("close", done);
+        then();
+    }
+    message.once("end", done).once("close", done);
+    message.resume();
+}
--- /dev/null
+++ b/test/gateway/stopping.test.ts
@@ -0,0 +1,236 @@
+import { expect } from "chai";
+import type { Socket } from "node:net";
+import { createLoopTurns } from "../../src/gateway/loopTurns.js";
+import { type GatewaySite, headAt, type KeptCaller, openCaller, requestBytes, startGateway, upstreamAt } from "../support/gatewaySite.js";
+import { until } from "../support/platformSite.js";
+import { type RawRequest, type RawUpstream, startRawUpstream } from "../support/rawUpstream.js";
+
+const signed = "Zinnialanding-Upstream-Signature: s1\r\n";
+/** Beyond every time-out of the requests here. */
+const longMs = 60_000;
+/** Within every time-out of the requests here. */
+const shortMs = 500;
+
+function ok(request: RawRequest, body: string): string {
+    return `HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}` +
+        `Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+function streamHead(request: RawRequest): string {
+    return `HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}` +
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+function chunk(text: string): string {
+    return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+const read = (id: string, body?: string) => requestBytes("POST", "/read/1", { id, body: body ?? "x" });
+const caption = (id: string) => requestBytes("POST", "/caption/1", { id, body: "x", headers: { "Zinnialanding-Model": "lm" } });
+const statuses = (text: string) => [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(match => Number(match[1]));
+
+describe("an entry that stops", () => {
+    let upstream: RawUpstream;
+    let site: GatewaySite;
+    let caller: KeptCaller;
+
+    /** One plain upstream that answers each request with `body`. */
+    async function startPlain(body = "done") {
+        upstream = await startRawUpstream((request, socket) => socket.write(ok(request, body)));
+        site = await startGateway([upstreamAt(upstream.address, "u1")]);
+        caller = await openCaller(site.port);
+        await until("the connection is accepted", () => site.server.connections.open === 1);
+    }
+
+    /** One head whose first stream begins and goes on when the test says so. */
+    async function startStream(): Promise<{ finish(): void }> {
+        let running: Socket | undefined;
+        upstream = await startRawUpstream((request, socket) => {
+            running ??= socket;
+            socket.write(streamHead(request) + chunk("id: 1\ndata: a\n\n"));
+        });
+        site = await startGateway([headAt(upstream.address, "u1", 1)]);
+        caller = await openCaller(site.port);
+        return { finish: () => void running!.write(chunk("id: 2\ndata: b\n\n") + chunk("")) };
+    }
+
+    function stop(withinMs: number) {
+        site.server.drain(performance.now() + withinMs);
+        site.server.closeListener();
+    }
+
+    afterEach(async () => {
+        caller.close();
+        site.stop();
+        await upstream.close();
+    });
+
+    // The head of a stream was written before SIGTERM, so nothing told the caller to leave; its next request was taken and cut off.
+    it("ends the connection of a stream that ran while the listener closed, and takes nothing more on it", async () => {
+        const stream = await startStream();
+        caller.send(caption("a1"));
+        await until("the stream has begun", () => caller.text.includes("id: 1"));
+        stop(longMs);
+        stream.finish();
+        await until("the stream is whole", () => caller.text.endsWith("0\r\n\r\n"));
+        caller.send(caption("a2"));
+        await until("the connection ends", () => caller.isEnded);
+        expect(upstream.requests.map(request => request.header("Zinnialanding-Attempt-Id"))).to.deep.equal(["a1"]);
+    });
+
+    // A connection that was opened ahead has carried nothing and is not among those that Node closes as idle; its first request was taken.
+    it("closes connections that have carried nothing with its listener", async () => {
+        await startPlain();
+        stop(longMs);
+        caller.send(read("a1"));
+        await until("the connection ends", () => caller.isEnded);
+        expect(upstream.requests).to.have.length(0);
+    });
+
+    it("closes connections that are idle with its listener", async () => {
+        await startPlain();
+        caller.send(read("a1"));
+        await until("the answer has come", () => caller.text.endsWith("done"));
+        stop(longMs);
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.deep.equal([200]);
+    });
+
+    // Answers are written in full and their caller reads slowly: to Node such a connection is idle, and the rest was cut off.
+    it("sends answers that are written to their end", async () => {
+        const count = 60;
+        await startPlain("y".repeat(200_000));
+        caller.socket.pause();
+        caller.send(Array.from({ length: count }, (_, place) => read(`a${place}`)).join(""));
+        await until("all are answered", () => site.outcomes.length === count);
+        stop(longMs);
+        caller.socket.resume();
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.have.length(count);
+        expect(caller.text.length).to.be.above(count * 200_000);
+    });
+
+    // Requests come one behind the other before the first is answered. An end that the first answer announces would cut off the others,
+    // which run by then.
+    it("answers all requests that were sent one behind the other, and announces the end with the last", async () => {
+        await startPlain();
+        site.server.drain(performance.now() + longMs);
+        caller.send(read("a1") + read("a2") + read("a3"));
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.deep.equal([200, 200, 200]);
+        expect(caller.text.split("HTTP/1.1 ").slice(1).map(answer => answer.includes("Connection: close"))).to.deep.equal([false, false, true]);
+    });
+
+    // The answer that announced the end still runs when another request comes behind it: passed on, it would run and never be answered.
+    it("takes no request behind an answer that has announced the end", async () => {
+        const stream = await startStream();
+        site.server.drain(performance.now() + longMs);
+        caller.send(caption("a1"));
+        await until("the stream has begun", () => caller.text.includes("id: 1"));
+        expect(caller.text).to.contain("Connection: close");
+        caller.send(caption("a2"));
+        await new Promise(resolve => setTimeout(resolve, 50));
+        stream.finish();
+        await until("the connection ends", () => caller.isEnded);
+        expect(caller.text).to.match(/id: 2[^]*\r\n0\r\n\r\n$/);
+        expect(upstream.requests).to.have.length(1);
+    });
+
+    // Balancers send callers for some seconds after an entry says that it is not ready: refused, those would wait for nothing.
+    it("serves what comes before its listener closes, and asks callers to leave", async () => {
+        await startPlain();
+        site.server.drain(performance.now() + shortMs);
+        caller.send(read("a1"));
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.deep.equal([200]);
+        expect(caller.text).to.contain("Connection: close");
+    });
+
+    // The head of a request is half here when the listener closes. Its answer may come after the process is gone: its caller must not wait
+    // for that, and may go elsewhere at once, since nothing has run.
+    it("refuses at once what it may be unable to finish", async () => {
+        await startPlain();
+        const bytes = read("a1");
+        caller.send(bytes.slice(0, 30));
+        await until("the first bytes are here", () => site.server.connections.unused === 1 && caller.socket.bytesWritten === 30);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        stop(shortMs);
+        caller.send(bytes.slice(30));
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.deep.equal([503]);
+        expect(caller.text).to.contain("Retry-After: 0.00").and.to.contain("Connection: close");
+        expect(upstream.requests).to.have.length(0);
+        expect(site.whileStopping).to.deep.equal([{ listener: "closed", connection: "unused", outcome: "refused" }]);
+    });
+
+    it("serves what it is sure to finish, though its listener is closed", async () => {
+        await startPlain();
+        const bytes = read("a1");
+        caller.send(bytes.slice(0, 30));
+        await new Promise(resolve => setTimeout(resolve, 50));
+        stop(longMs);
+        caller.send(bytes.slice(30));
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.deep.equal([200]);
+        expect(caller.text).to.contain("Connection: close");
+    });
+
+    // A body still comes when the listener closes: the head was read in time, but the request can only begin to run now.
+    it("refuses a request whose body comes too late to finish it", async () => {
+        await startPlain();
+        const bytes = read("a1", "x".repeat(100));
+        caller.send(bytes.slice(0, -50));
+        await until("the head is read", () => site.server.running === 1);
+        stop(shortMs);
+        caller.send(bytes.slice(-50));
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.deep.equal([503]);
+        expect(upstream.requests).to.have.length(0);
+    });
+
+    // The refusal is written while its caller still sends a body. Closed with bytes unread the connection is reset, and the caller may see
+    // a broken connection, which promises nothing, in place of the refusal.
+    it("lets a caller that still sends its body read the refusal", async () => {
+        await startPlain();
+        const [head, body] = [read("a1", "x".repeat(400_000)).split("\r\n\r\n")[0]!, "x".repeat(400_000)];
+        caller.send(head);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        stop(shortMs);
+        caller.send(`\r\n\r\n${body.slice(0, 1_000)}`);
+        await until("the refusal has come", () => caller.text.includes("503"));
+        caller.send(body.slice(1_000, 200_000));
+        await new Promise(resolve => setTimeout(resolve, 50));
+        caller.send(body.slice(200_000));
+        await until("the connection ends", () => caller.isEnded);
+        expect(caller.isReset).to.equal(false);
+        expect(statuses(caller.text)).to.deep.equal([503]);
+    });
+
+    // What still runs when the stop's time is over gets an answer that promises nothing, where it got a closed connection: callers that may
+    // repeat it do so at once, and the others know that it may have run.
+    it("answers what it can't wait for any longer", async () => {
+        upstream = await startRawUpstream(() => undefined);
+        site = await startGateway([upstreamAt(upstream.address, "u1")]);
+        caller = await openCaller(site.port);
+        caller.send(requestBytes("POST", "/charge/1", { body: "x" }));
+        await until("it runs", () => upstream.requests.length === 1);
+        stop(shortMs);
+        site.server.endRunning();
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.deep.equal([502]);
+        expect(site.whileStopping).to.deep.equal([{ listener: "closed", connection: "unused", outcome: "cut-off" }]);
+    });
+});
+
+describe("the time of a signal", () => {
+    // The process stood still while SIGTERM came. Its timers run before it hears the signal, so the last turn is later than the signal; a
+    // stop that counted from there would take requests that the platform's kill cuts off.
+    it("is taken to be before a pause that ended just now", () => {
+        let nowMs = 0;
+        const turns = createLoopTurns(() => nowMs);
+        for (nowMs of [50, 100, 2_100]) {
+            turns.turned();
+        }
+        expect(turns.signalledAfterMs).to.equal(100);
+    });
+});
--- a/test/platform/wholeSite.test.ts
+++ b/test/platform/wholeSite.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { configurationText, eventIds, eventsPerAnswer, operate, type SiteProcesses } from "../../standin/platform/index.js";
+import { openCaller, requestBytes } from "../support/gatewaySite.js";
 import { type PlatformSite, startPlatformSite, until } from "../support/platformSite.js";
 
 const everyEvent = Array.from({ length: eventsPerAnswer }, (_, place) => place + 1);
@@ -135,4 +136,25 @@
         expect(answers.every(answer => answer.isWhole && answer.status === 200)).to.equal(true);
         await stopped;
     });
+
+    // Callers keep connections to an entry that is stopped, one that has carried a request and one that was opened ahead: on neither may a
+    // request be taken that is given up when the process leaves.
+    it("leaves no connection open that an entry could take a late request from", async () => {
+        const place = site.entries[0]!;
+        const [host, port] = site.callersAddress(place).split(":");
+        const [kept, unused] = [await openCaller(Number(port), host), await openCaller(Number(port), host)];
+        const read = (id: string) => requestBytes("GET", "/read/1", { id });
+        kept.send(read("kept-1"));
+        await until("the first answer has come", () => kept.text.includes("HTTP/1.1 200"));
+        const stopped = site.signal(place.id, "SIGTERM");
+        await until("the entry stops", () => site.output(place.id).includes("\"message\":\"stopping\""));
+        kept.send(read("kept-2"));
+        await until("the kept connection ends with its answer", () => kept.isEnded);
+        expect(kept.text.match(/HTTP\/1\.1 200/g)).to.have.length(2);
+        expect(kept.text.match(/Connection: close/g)).to.have.length(1);
+        await stopped;
+        const closed = site.output(place.id).split("\n").find(line => line.includes("\"message\":\"listener closed\""))!;
+        expect(JSON.parse(closed)).to.include({ closed: 1, connections: 0, running: 0 });
+        expect(unused.isEnded).to.equal(true);
+    });
 });
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -9,7 +9,7 @@
 import type { CarriedUpstream } from "../../src/fleet/index.js";
 import { type Site, siteSchema } from "../../src/site/index.js";
 import { PassThrough } from "node:stream";
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 
 /** A site with one plain service, `orders`, and one model, `lm`, served by groups of one. */
 export function siteWith(change: Partial<Site> = {}): Site {
@@ -116,6 +116,52 @@
     });
 }
 
+/** A caller that keeps its connection. */
+export interface KeptCaller {
+    send(bytes: string): void;
+    /** All that has come back. */
+    readonly text: string;
+    /** The entry has ended the connection. */
+    readonly isEnded: boolean;
+    /** The connection was reset: what was on its way is lost. */
+    readonly isReset: boolean;
+    /** Stops and goes on reading. */
+    readonly socket: Socket;
+    close(): void;
+}
+
+/** Opens a connection that stays open until one side ends it. */
+export async function openCaller(port: number, host = "127.0.0.1"): Promise<KeptCaller> {
+    const socket = connect(port, host);
+    let text = "";
+    let isEnded = false;
+    let isReset = false;
+    socket.on("data", chunk => {
+        text += chunk.toString("latin1");
+    });
+    socket.on("error", () => {
+        isReset = true;
+    });
+    socket.on("end", () => {
+        isEnded = true;
+    });
+    await new Promise(resolve => socket.once("connect", resolve));
+    return {
+        socket,
+        send: bytes => void socket.write(bytes),
+        get text() {
+            return text;
+        },
+        get isEnded() {
+            return isEnded || socket.destroyed;
+        },
+        get isReset() {
+            return isReset;
+        },
+        close: () => void socket.destroy(),
+    };
+}
+
 /** A caller's request with the platform's headers. */
 export function requestBytes(
     method: string, path: string, options: { id?: string; body?: string; headers?: Record<string, string> } = {},
