End callers' connections with their answers in the project's own entry as well

What callers saw: nothing wrong in their answers. The daemon did: its stop waited for every open connection, for ever where one had carried nothing, and until the caller left or 72 s had passed where a stream had run; the supervisor killed it in the end, before it had handed over its leadership or sent its last traces. What came behind a running answer was refused by the library's page, without `execution`, so that callers of non-idempotent work could not tell that it had not run. Cause: the same class as in the gateway. Node closes what is idle at one moment, does not count unused connections as idle and stops looking for slow heads once the listener closes; no answer announced the end of its connection while the balancer was waited for. Ruled out: work taken after the stop began and dropped. Requests on open connections were refused before and are now. Why it works: the account of connections moves to src/http and serves fastify's servers through a factory; it replaces the library's idea of idle. Connections that are ended are destroyed after 1 s if the other side does not close them, so none is waited for.

--- a/src/compose.ts
+++ b/src/compose.ts
@@ -260,6 +260,7 @@
     async function stop() {
         stopping = true;
         logger.info("daemon stopping");
+        callers?.drain();
         if (roles.includes("sidecar")) {
             await container.cradle.sidecar.drain();
         }
--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -7,11 +7,12 @@
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import type { Server } from "node:tls";
 import type { Organisation, Service } from "../cluster/index.js";
+import { createGracefulListener } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
 import type { Session } from "../session/index.js";
 import { authenticate, classOf } from "./caller.js";
 import { type Completion, joinParts, parseCompletion, promptOf } from "./completion.js";
-import { badRequest, problemDocument, ProblemError } from "./problem.js";
+import { badRequest, problemDocument, ProblemError, unavailable } from "./problem.js";
 import type { Answer } from "./answer.js";
 import type { Ask } from "./ask.js";
 import type { Runner } from "./runner.js";
@@ -42,6 +43,9 @@
     readonly address: string;
     /** Replaces the certificate for new connections. */
     reload(tls: { readonly cert: string; readonly key: string }): void;
+    /** From now on connections end with the answers that they carry. */
+    drain(): void;
+    /** Takes no new work and resolves when what runs is answered. */
     stop(): Promise<void>;
 }
 
@@ -175,11 +179,16 @@
 export async function createEntryHttp(options: EntryHttpOptions): Promise<EntryHttp> {
     const headersTimeout = options.headerTimeoutMs ?? defaultHeaderTimeoutMs;
     const http = { maxHeaderSize: maxHeaderBytes, headersTimeout, connectionsCheckingInterval: headersTimeout / headerChecks };
+    let isStopping = false;
+    const listener = createGracefulListener({ http, tls: options.tls });
     const app = fastify({
-        bodyLimit: options.maxBodyBytes,
-        http,
-        ...(options.tls === undefined ? {} : { https: { ...http, ...options.tls } }),
+        bodyLimit: options.maxBodyBytes, serverFactory: listener.serverFactory, return503OnClosing: false,
     }) as FastifyInstance;
+    app.addHook("onRequest", async () => {
+        if (isStopping) {
+            throw unavailable("stopping", "This entry is stopping", 0);
+        }
+    });
     app.setErrorHandler((error, _request, reply) => sendError(error, reply));
     app.setNotFoundHandler((_request, reply) => sendError(badRequest("unknown-path", "No such path", undefined, 404), reply));
     app.get("/healthz", () => ({ ok: true }));
@@ -202,6 +211,11 @@
     return {
         address: url.replace(/^https?:\/\//, ""),
         reload: ({ cert, key }) => (app.server as unknown as Partial<Server>).setSecureContext?.({ cert, key }),
-        stop: () => app.close(),
+        drain: () => listener.drain(),
+        stop() {
+            isStopping = true;
+            listener.drain();
+            return app.close();
+        },
     };
 }
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -7,10 +7,10 @@
 
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { Server as NetServer } from "node:net";
+import { type ConnectionPlace, createHttpConnections } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { type CallerAnswer, createAnswer } from "./answer.js";
 import { type Asked, headerOf, readBody, readHead, type Refused } from "./asked.js";
-import { type ConnectionPlace, createCallerConnections } from "./callerConnections.js";
 import { type RequestParts, type RunningRequest, startRequest } from "./request.js";
 import { createStopRecord, type StopLabels } from "./stopRecord.js";
 
@@ -64,7 +64,7 @@
     let untilMs = Infinity;
     let isListenerClosed = false;
     const running = new Set<Served>();
-    const connections = createCallerConnections();
+    const connections = createHttpConnections();
     const record = createStopRecord({ logger: parts.logger, nowMs: parts.nowMs, count: parts.whileStopping });
 
     /** Whether a request's answer is sure to be final before a stop may cut it off. */
@@ -177,7 +177,7 @@
             // The HTTP server's own close also destroys connections whose answers are written but not sent, and no longer cuts off callers
             // that are slow to send a head.
             NetServer.prototype.close.call(server);
-            return connections.endIdle();
+            return connections.endQuiet();
         },
         endRunning() {
             [...running].forEach(({ attemptId, place, answer, request }) => {
--- a/src/gateway/callerConnections.ts
+++ b/src/http/connections.ts
@@ -1,7 +1,7 @@
 /**
- * The callers' open connections: what each has carried, and when it ends while the entry stops.
+ * The open connections of an HTTP/1.1 listener: what each has carried, and when it ends while the listener stops.
  *
- * Invariant: once the entry drains, a request is taken only on a connection that will carry its answer. A caller that sends one on a
+ * Invariant: once it drains, a request is taken only on a connection that will carry its answer. A caller that sends one on a
  * connection that has been ended knows that it was not read.
  *
  * @module
@@ -18,15 +18,15 @@
     announcesClose(): boolean;
 }
 
-export interface CallerConnections {
+export interface HttpConnections {
     /** Notes a new connection. */
     opened(socket: Socket): void;
     /** Notes a request that has come; undefined: its connection carries no further answer, and the request must not be taken. */
     took(message: IncomingMessage, response: ServerResponse): ConnectionPlace | undefined;
     /** From now on every connection ends with the answer that it carries. */
     drain(): void;
-    /** Ends the connections that carry nothing now; returns how many. */
-    endIdle(): number;
+    /** Ends the connections that carry nothing, and after a moment those on which a head is begun; returns how many it ended at once. */
+    endQuiet(): number;
     readonly open: number;
     /** Open connections that have carried no request yet. */
     readonly unused: number;
@@ -43,31 +43,51 @@
     isLast: boolean;
 }
 
+/** What a caller may take for the rest of a head once the listener is closed, and for closing a connection that has been ended. */
+const lingerMs = 1_000;
+
 /** Creates the account of one listener. */
-export function createCallerConnections(): CallerConnections {
+export function createHttpConnections(): HttpConnections {
     const connections = new Map<Socket, Connection>();
     let isDraining = false;
 
     const open = () => [...connections.values()].filter(({ socket, isLast, pending }) => !socket.destroyed && (!isLast || pending > 0));
 
+    /** Whether no request is read whole or comes with its body, and no answer is on its way. */
+    function isQuiet({ pending, isLast, socket }: Connection): boolean {
+        return pending === 0 && !isLast && !socket.destroyed;
+    }
+
     /**
-     * Whether nothing is on it: no request that comes or runs, no answer that isn't sent. What Node counts as idle differs: it leaves out
-     * connections that have carried nothing, and takes in those whose answers are written but not sent.
+     * Whether no head is begun either. What Node counts as idle differs: it leaves out connections that have carried nothing, and takes in
+     * those whose answers are written but not sent.
      */
-    function isIdle({ socket, pending, readBytes, isLast }: Connection): boolean {
-        return pending === 0 && socket.bytesRead <= readBytes && !isLast && !socket.destroyed;
+    function isIdle(connection: Connection): boolean {
+        return isQuiet(connection) && connection.socket.bytesRead <= connection.readBytes;
     }
 
-    function end(connection: Connection) {
+    function close(connection: Connection) {
+        const { socket } = connection;
         connection.isLast = true;
-        // Not destroyed: bytes that cross would reset it, and the caller could lose the end of an answer.
-        connection.socket.end();
+        // Not destroyed at once: bytes that cross would reset it, and the caller could lose the end of an answer.
+        socket.end();
+        const timer = setTimeout(() => socket.destroy(), lingerMs);
+        socket.once("close", () => clearTimeout(timer));
+    }
+
+    /** Closes a connection on which nothing is; one on which a head is begun gets a moment for the rest of it. */
+    function closeQuiet(connection: Connection) {
+        if (isIdle(connection)) {
+            close(connection);
+            return;
+        }
+        setTimeout(() => isQuiet(connection) && close(connection), lingerMs).unref();
     }
 
     function settled(connection: Connection) {
         connection.pending--;
-        if (isDraining && isIdle(connection)) {
-            end(connection);
+        if (isDraining && isQuiet(connection)) {
+            closeQuiet(connection);
         }
     }
 
@@ -101,10 +121,10 @@
         drain() {
             isDraining = true;
         },
-        endIdle() {
-            const idle = [...connections.values()].filter(isIdle);
-            idle.forEach(end);
-            return idle.length;
+        endQuiet() {
+            const quiet = [...connections.values()].filter(isQuiet);
+            quiet.forEach(closeQuiet);
+            return quiet.filter(({ isLast }) => isLast).length;
         },
         get open() {
             return open().length;
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -162,6 +162,18 @@
     };
 }
 
+/** Whether nothing takes connections at `port`. */
+export function isRefused(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1");
+        const done = (refused: boolean) => {
+            socket.destroy();
+            resolve(refused);
+        };
+        socket.once("connect", () => done(false)).once("error", () => done(true));
+    });
+}
+
 /** A caller's request with the platform's headers. */
 export function requestBytes(
     method: string, path: string, options: { id?: string; body?: string; headers?: Record<string, string> } = {},
