Answer operators and tell entries before a control daemon leaves

What callers saw: an operator whose change was being accepted when the control daemon got SIGTERM saw its connection cut, and sent the change again. What a control daemon had acknowledged in its last moments, an upstream's word that it leaves among it, was dropped before entries were told, so they went on sending to that upstream until it was heard elsewhere. Cause: the class of the stopping entry, twice. The interface was closed last and by cutting off what ran, after the log had been stopped under it; the feed dropped frames that waited, and its connections were destroyed under the rest. Ruled out: that the log's own hand-over loses accepted changes; it is not touched. Why it works: the interface closes first, and waits for what runs, at most for the second after which operators go elsewhere; then the log is stopped, then the feed, which now sends what it was given, with 0.3 s for it. From the first step on nothing more is acknowledged. Run: test/feed, test/platform/controlApi.

--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -16,7 +16,10 @@
 
 interface Watcher {
     push(frame: Frame): void;
+    /** Ends once what waits has been sent. */
     end(): void;
+    /** Ends at once. */
+    cutOff(): void;
 }
 
 export interface FeedServer {
@@ -26,6 +29,7 @@
     readonly watchers: number;
     /** Entries that watch or did lately. */
     readonly entries: number;
+    /** Ends every watch once it has been sent what was published. */
     close(): void;
 }
 
@@ -52,15 +56,20 @@
     async function* watch({ daemonId, isEntry }: WatchSiteRequest, signal: AbortSignal) {
         const waiting: Frame[] = [...options.greeting()];
         let wake: (() => void) | undefined;
-        let isEnded = false;
+        let isEnding = false;
+        let isCutOff = false;
         const watcher: Watcher = {
             push(frame) {
                 waiting.push(frame);
-                isEnded ||= waiting.length > mostWaitingFrames;
+                isCutOff ||= waiting.length > mostWaitingFrames;
                 wake?.();
             },
             end() {
-                isEnded = true;
+                isEnding = true;
+                wake?.();
+            },
+            cutOff() {
+                isCutOff = true;
                 wake?.();
             },
         };
@@ -69,15 +78,18 @@
             watchingEntries.set(watcher, daemonId);
             entriesSeenAtMs.set(daemonId, options.nowMs());
         }
-        const onAbort = () => watcher.end();
+        const onAbort = () => watcher.cutOff();
         signal.addEventListener("abort", onAbort);
         try {
-            while (!isEnded) {
+            while (!isCutOff) {
                 const frame = waiting.shift();
                 if (frame !== undefined) {
                     yield create(SiteFrameSchema, { frame: Buffer.from(JSON.stringify(frame)) });
                     continue;
                 }
+                if (isEnding) {
+                    return;
+                }
                 await new Promise<void>(resolve => {
                     wake = resolve;
                 });
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -37,6 +37,8 @@
 /** What a stop leaves of its time for the last writes. */
 const stopMarginMs = 700;
 
+/** How long the last frames of the feed may take. */
+const lastFramesMs = 300;
 /** How long the last log lines may take. */
 const lastLinesMs = 200;
 
@@ -111,11 +113,13 @@
         control.start();
         const stopApi = await platform.serveControl(listen.control!, control, logger);
         return async () => {
+            // Before the log: the changes that it is accepting are answered. Before the feed: what was acknowledged is told to the entries.
+            await stopApi();
             await log.stop();
             control.stop();
-            await stopApi();
+            await Promise.race([rpc.stop(), new Promise(resolve => setTimeout(resolve, lastFramesMs))]);
             connections.closeAll();
-            await rpc.stop(true);
+            void rpc.stop(true);
         };
     }
 
--- /dev/null
+++ b/test/platform/controlApi.test.ts
@@ -0,0 +1,56 @@
+import { expect } from "chai";
+import { PassThrough } from "node:stream";
+import { createControlApi } from "../../platform/controlApi.js";
+import type { PublishOutcome, SiteControl } from "../../src/siteControl/index.js";
+import { createLogger } from "../../src/telemetry/index.js";
+import { isRefused, type KeptCaller, openCaller } from "../support/gatewaySite.js";
+import { until } from "../support/platformSite.js";
+
+const port = 21_290;
+const put = "POST /api/config/put HTTP/1.1\r\nHost: c\r\nContent-Length: 2\r\n\r\n{}";
+
+describe("the operators' interface when it stops", () => {
+    let accept: (outcome: PublishOutcome) => void;
+    let published: number;
+    let operator: KeptCaller;
+    let stop: () => Promise<void>;
+
+    beforeEach(async () => {
+        published = 0;
+        const control = {
+            publish: () => new Promise<PublishOutcome>(resolve => {
+                published++;
+                accept = resolve;
+            }),
+        } as unknown as SiteControl;
+        const api = createControlApi(control, createLogger("error", "test", new PassThrough().resume()));
+        await api.listen({ host: "127.0.0.1", port });
+        stop = () => api.close();
+        operator = await openCaller(port);
+    });
+
+    afterEach(() => operator.close());
+
+    // A change is being accepted while the daemon stops. Cut off, its operator would not know whether it is in force, and send it again.
+    it("tells the outcome of a change that it has taken, and takes no other", async () => {
+        operator.send(put);
+        await until("it is being accepted", () => published === 1);
+        const stopped = stop();
+        await until("the listener is closed", () => isRefused(port));
+        operator.send(put);
+        accept({ outcome: "accepted", version: 7 });
+        await stopped;
+        await until("the connection ends", () => operator.isEnded);
+        expect(operator.text).to.match(/^HTTP\/1.1 200 [^]*\{"version":7\}/);
+        expect(published).to.equal(1);
+    });
+
+    // A change finds no quorum. Waited for, it would hold up the hand-over of leadership and the whole stop.
+    it("doesn't wait for long", async () => {
+        operator.send(put);
+        await until("it is being accepted", () => published === 1);
+        await stop();
+        await until("the connection ends", () => operator.isEnded);
+        expect(operator.text).to.equal("");
+    });
+});
