Don't wait for operators' unused connections when a control daemon stops

What operators saw: nothing in their answers; a daemon whose operators had a connection open that had carried nothing did not end until it was killed, with its session and its log still open. Evidence: the test of the unused connection reaches its limit of 4 s on the code before and passes in 55 ms with the change. That a change which runs is answered and no other is taken held before and holds now. Why it works: the listener keeps the account of src/http.

--- a/src/control/operators.ts
+++ b/src/control/operators.ts
@@ -11,6 +11,7 @@
 import { type ConsensusNode, type VoterChange } from "../consensus/index.js";
 import { addressSchema } from "../config/index.js";
 import { type ChangeResult, editSchema, findClaim, type Proposal } from "../cluster/index.js";
+import { createGracefulListener } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
 import type { Control } from "./control.js";
 import { buildStatus } from "./status.js";
@@ -151,8 +152,8 @@
 
 /** Starts the listener. */
 export async function createOperatorsServer(options: OperatorsOptions): Promise<OperatorsServer> {
-    const secure = options.tls === undefined ? {} : { https: { ...options.tls } };
-    const app = fastify({ bodyLimit: maxBodyBytes, ...secure }) as FastifyInstance;
+    const listener = createGracefulListener({ tls: options.tls });
+    const app = fastify({ bodyLimit: maxBodyBytes, serverFactory: listener.serverFactory }) as FastifyInstance;
     mount(app, options);
     const { host, port } = splitAddress(options.listen);
     const url = await app.listen({ host, port });
@@ -160,6 +161,9 @@
         address: url.replace(/^https?:\/\//, ""),
         server: app,
         reload: ({ cert, key }) => (app.server as unknown as Partial<Server>).setSecureContext?.({ cert, key }),
-        stop: () => app.close(),
+        stop() {
+            listener.drain();
+            return app.close();
+        },
     };
 }
