--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -153,8 +153,10 @@
 
     const turns = createLoopTurns(nowMs);
     const timers = [
-        setInterval(turns.turned, suspectIntervalMs),
-        setInterval(report, suspectIntervalMs),
+        setInterval(() => {
+            turns.turned();
+            report();
+        }, suspectIntervalMs),
         setInterval(() => connections.sweep(view.addresses), sweepIntervalMs),
     ];
 
