Test that a stop over TLS waits for no unused connection

What operators saw: none of it; the account of connections was tested on plain sockets only, and over TLS bytes are received before any request.

--- a/test/security/tls.test.ts
+++ b/test/security/tls.test.ts
@@ -1,5 +1,7 @@
 import { randomUUID } from "node:crypto";
+import { once } from "node:events";
 import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { connect as connectPlain } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -148,5 +150,21 @@
             expect(new Set(names)).to.deep.equal(new Set(["entry-1-renewed"]));
             expect(await ask(daemon.rpcAddress, readSet(renewed))).to.equal(undefined);
         });
+
+        // Over TLS the bytes of the handshake are received before any request: a connection that was opened ahead, or whose handshake never
+        // ends, must not hold the stop up either.
+        it("stops though connections are open that have carried nothing, one request, or half a handshake", async () => {
+            const ca = readFileSync(authority.certificateFile, "utf8");
+            const [host, port] = daemon.callersAddress!.split(":") as [string, string];
+            const half = connectPlain(Number(port), host);
+            const [unused, kept] = [connect({ host, port: Number(port), ca }), connect({ host, port: Number(port), ca })];
+            await Promise.all([unused, kept].map(socket => once(socket, "secureConnect")));
+            kept.write("GET /healthz HTTP/1.1\r\nHost: e\r\n\r\n");
+            await once(kept, "data");
+            const ended = [unused, kept].map(socket => once(socket.resume(), "end"));
+            await daemon.stop();
+            await Promise.all(ended);
+            [half, unused, kept].forEach(socket => socket.destroy());
+        });
     });
 });
