Find free ports for the entry's tests

What was seen: a test of the entry failed twice with EADDRINUSE on 21321, which another run of the same tests on the machine held. Cause: the tests counted ports up from a fixed one. They ask for free ones now, as the tests with real processes do; nothing else in them changes.

--- a/test/platform/controlApi.test.ts
+++ b/test/platform/controlApi.test.ts
@@ -2,19 +2,20 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { PassThrough } from "node:stream";
+import { freePorts } from "../../bench/processes.js";
 import { createControlApi } from "../../platform/controlApi.js";
 import type { PublishOutcome, SiteControl } from "../../src/siteControl/index.js";
 import { createLogger } from "../../src/telemetry/index.js";
 import { isRefused, type KeptCaller, openCaller } from "../support/gatewaySite.js";
 import { until } from "../support/platformSite.js";
 
-const port = 21_290;
 const put = "POST /api/config/put HTTP/1.1\r\nHost: c\r\nContent-Length: 2\r\n\r\n{}";
 
 describe("the operators' interface when it stops", () => {
     let accept: (outcome: PublishOutcome) => void;
     let published: number;
     let operator: KeptCaller;
+    let port: number;
     let stop: () => Promise<void>;
 
     beforeEach(async () => {
@@ -26,6 +27,7 @@
             }),
         } as unknown as SiteControl;
         const api = createControlApi(control, createLogger("error", "test", new PassThrough().resume()));
+        port = (await freePorts(1))[0]!;
         await api.listen({ host: "127.0.0.1", port });
         stop = () => api.close();
         operator = await openCaller(port);
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -1,3 +1,4 @@
+import { freePorts } from "../../bench/processes.js";
 import { createLogger } from "../../src/telemetry/index.js";
 import { createBalance } from "../../src/gateway/balance.js";
 import { createConnections } from "../../src/gateway/connections.js";
@@ -57,8 +58,6 @@
     stop(): void;
 }
 
-let nextPort = 21_300;
-
 /** An entry's listener over the given upstreams, without control daemons. */
 export async function startGateway(
     upstreams: CarriedUpstream[], site: Site = siteWith(), repeats = Infinity, room: Room = { onTime: 100, late: 0 },
@@ -70,7 +69,7 @@
     const outcomes: string[] = [];
     const whileStopping: StopLabels[] = [];
     const connections = createConnections();
-    const port = nextPort++;
+    const port = (await freePorts(1))[0]!;
     const nowMs = () => performance.now();
     let left = repeats;
     const server = await listenForCallers(`127.0.0.1:${port}`, {
