--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
 import { createCrashes, fingerprintOf } from "./crashes.js";
 import { createEntryCount, shareOfSlack } from "./entryCount.js";
 import type { HeaderNames } from "./headers.js";
+import { createLoopTurns } from "./loopTurns.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSiteView } from "./siteView.js";
 import { roomAt } from "./work.js";
@@ -46,8 +47,17 @@
 /** How often heads are looked at: short against the 0.5 s in which a lost member is noticed. */
 const suspectIntervalMs = 50;
 const sweepIntervalMs = 500;
+/** How often a stop looks whether anything still runs. */
+const runningCheckMs = 50;
 /** How long the balancer may send new connections after readiness was withdrawn: two of its questions, a second apart, and one more. */
 const balancerNoticeMs = 3_000;
+/** What sending the answers of requests that are ended by the stop may take. */
+const lastAnswersMs = 200;
+
+function pause(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
+
 /** Starts the role. */
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
     const { logger, metrics } = options;
@@ -115,6 +125,7 @@
         isBarred: asked => view.barred.size > 0 && view.barred.has(fingerprintOf(asked)),
         attemptEnded: ending => metrics.attemptEnded(ending),
         refusedEarly: status => metrics.refused(status),
+        whileStopping: labels => metrics.whileStopping(labels),
         count(outcome, asked, tookMs, firstMs) {
             metrics.request(asked.route.name, outcome, tookMs, firstMs);
             requests++;
@@ -128,15 +139,31 @@
     });
 
     metrics.observe("zinnialanding_requests_running", () => server.running);
+    metrics.observe("zinnialanding_caller_connections", () => server.connections.open);
+    metrics.observe("zinnialanding_caller_connections_unused", () => server.connections.unused);
     metrics.observe("zinnialanding_upstream_connections", () => connections.open);
     metrics.observe("zinnialanding_site_version", () => view.version);
     metrics.observe("zinnialanding_control_daemons_heard", () => watcher.heard.length);
 
+    const turns = createLoopTurns(nowMs);
     const timers = [
-        setInterval(report, suspectIntervalMs),
+        setInterval(() => {
+            turns.turned();
+            report();
+        }, suspectIntervalMs),
         setInterval(() => connections.sweep(view.addresses), sweepIntervalMs),
     ];
 
+    function whatIsOpen() {
+        return { running: server.running, connections: server.connections.open, unused: server.connections.unused };
+    }
+
+    async function whileRunning(untilMs: number) {
+        while (server.running > 0 && nowMs() < untilMs) {
+            await pause(runningCheckMs);
+        }
+    }
+
     return {
         get isReady() {
             return !isStopping && view.table !== undefined && view.addresses.size > 0;
@@ -144,19 +171,22 @@
         useControls: addresses => watcher.watch(addresses),
         async stop(withinMs) {
             isStopping = true;
-            server.drain();
-            logger.info("stopping", { running: server.running });
             const untilMs = nowMs() + withinMs;
-            await new Promise(resolve => setTimeout(resolve, Math.min(balancerNoticeMs, withinMs)));
-            server.closeListener();
-            while (server.running > 0 && nowMs() < untilMs) {
-                await new Promise(resolve => setTimeout(resolve, 50));
-            }
+            // The platform counts from when it sent the signal: a process that heard it late is ended sooner than `untilMs`.
+            server.drain(turns.signalledAfterMs + withinMs);
+            logger.info("stopping", { ...whatIsOpen(), lateMs: Math.round(nowMs() - turns.signalledAfterMs) });
+            await pause(Math.min(balancerNoticeMs, withinMs));
+            const closed = server.closeListener();
+            logger.info("listener closed", { closed, ...whatIsOpen() });
+            await whileRunning(untilMs);
+            const unfinished = server.running;
+            server.endRunning();
+            await whileRunning(nowMs() + lastAnswersMs);
             timers.forEach(timer => clearInterval(timer));
             server.close();
             watcher.close();
             connections.close();
-            logger.info("stopped", { unfinished: server.running });
+            logger.info("stopped", { unfinished, linesLeftOut: server.linesLeftOut });
         },
     };
 }
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -1,14 +1,16 @@
+import { freePorts } from "../../bench/processes.js";
 import { createLogger } from "../../src/telemetry/index.js";
 import { createBalance } from "../../src/gateway/balance.js";
 import { createConnections } from "../../src/gateway/connections.js";
 import { type GatewayServer, listenForCallers } from "../../src/gateway/server.js";
+import type { StopLabels } from "../../src/gateway/stopRecord.js";
 import type { Room } from "../../src/gateway/work.js";
 import { createSiteView, type SiteView } from "../../src/gateway/siteView.js";
 import { headerNames } from "../../platform/headers.js";
 import type { CarriedUpstream } from "../../src/fleet/index.js";
 import { type Site, siteSchema } from "../../src/site/index.js";
 import { PassThrough } from "node:stream";
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 
 /** A site with one plain service, `orders`, and one model, `lm`, served by groups of one. */
 export function siteWith(change: Partial<Site> = {}): Site {
@@ -50,12 +52,12 @@
     readonly port: number;
     readonly view: SiteView;
     readonly outcomes: string[];
+    /** What was counted while the listener stopped. */
+    readonly whileStopping: StopLabels[];
     readonly server: GatewayServer;
     stop(): void;
 }
 
-let nextPort = 21_300;
-
 /** An entry's listener over the given upstreams, without control daemons. */
 export async function startGateway(
     upstreams: CarriedUpstream[], site: Site = siteWith(), repeats = Infinity, room: Room = { onTime: 100, late: 0 },
@@ -65,8 +67,9 @@
     view.take({ kind: "site", version: site.version, text: "" });
     view.take({ kind: "upstreams", upstreams });
     const outcomes: string[] = [];
+    const whileStopping: StopLabels[] = [];
     const connections = createConnections();
-    const port = nextPort++;
+    const port = (await freePorts(1))[0]!;
     const nowMs = () => performance.now();
     let left = repeats;
     const server = await listenForCallers(`127.0.0.1:${port}`, {
@@ -79,9 +82,10 @@
         crashed: () => undefined,
         isBarred: () => false,
         refusedEarly: () => undefined,
+        whileStopping: labels => whileStopping.push(labels),
     });
     return {
-        port, view, outcomes, server,
+        port, view, outcomes, whileStopping, server,
         stop() {
             server.closeListener();
             server.close();
@@ -111,6 +115,64 @@
     });
 }
 
+/** A caller that keeps its connection. */
+export interface KeptCaller {
+    send(bytes: string): void;
+    /** All that has come back. */
+    readonly text: string;
+    /** The entry has ended the connection. */
+    readonly isEnded: boolean;
+    /** The connection was reset: what was on its way is lost. */
+    readonly isReset: boolean;
+    /** Stops and goes on reading. */
+    readonly socket: Socket;
+    close(): void;
+}
+
+/** Opens a connection that stays open until one side ends it. */
+export async function openCaller(port: number, host = "127.0.0.1"): Promise<KeptCaller> {
+    const socket = connect(port, host);
+    let text = "";
+    let isEnded = false;
+    let isReset = false;
+    socket.on("data", chunk => {
+        text += chunk.toString("latin1");
+    });
+    socket.on("error", () => {
+        isReset = true;
+    });
+    socket.on("end", () => {
+        isEnded = true;
+    });
+    await new Promise(resolve => socket.once("connect", resolve));
+    return {
+        socket,
+        send: bytes => void socket.write(bytes),
+        get text() {
+            return text;
+        },
+        get isEnded() {
+            return isEnded || socket.destroyed;
+        },
+        get isReset() {
+            return isReset;
+        },
+        close: () => void socket.destroy(),
+    };
+}
+
+/** Whether nothing takes connections at `port`. */
+export function isRefused(port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1");
+        const done = (refused: boolean) => {
+            socket.destroy();
+            resolve(refused);
+        };
+        socket.once("connect", () => done(false)).once("error", () => done(true));
+    });
+}
+
 /** A caller's request with the platform's headers. */
 export function requestBytes(
     method: string, path: string, options: { id?: string; body?: string; headers?: Record<string, string> } = {},
