Read what has arrived before a stopping listener ends its connections

What callers saw: a request that was whole in the kernel of an entry that stood still for a moment (200 ms are enough) when its listener closed got no answer: its connection looked unused, was ended, and what was read from it then was dropped. A connection that waited to be accepted was reset. Cause: the account of connections knows what the process has read, not what has arrived. Evidence: three tests with the event loop held until a request has arrived unread (on a kept connection, on one that waits to be accepted, at the project's own entry). With the wait undone the three fail: no answer in place of 200, 200 and 503 "not-run". With only the wait before the close of the listener undone, the one of the waiting connection fails. Why it works: the event loop reads what has arrived in each turn. Two turns pass before the listener closes, so that what waits is accepted, and two before the quiet connections are ended. One way to close is left: every listener that keeps the account is closed by its own `close`, and the account ends the connections. The gateway used the plain TCP close lest unsent answers be cut off; the account's way replaces Node's guess in both listeners now. Heads that are begun on a closed listener are bounded by the account as before, not by Node's check of slow heads. The comment that said callers know that a dropped request was not read was untrue: they see the end of the connection. Ruled out: that the requests had been lost in flight: held and then served, they are answered.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -182,7 +182,7 @@
             server.drain(turns.signalledAfterMs + withinMs);
             logger.info("stopping", { ...whatIsOpen(), lateMs: Math.round(nowMs() - turns.signalledAfterMs) });
             await pause(Math.min(balancerNoticeMs, withinMs));
-            const closed = server.closeListener();
+            const closed = await server.closeListener();
             logger.info("listener closed", { closed, ...whatIsOpen() });
             await whileRunning(untilMs);
             const unfinished = server.running;
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -6,8 +6,7 @@
  */
 
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
-import { Server as NetServer } from "node:net";
-import { type ConnectionPlace, createHttpConnections } from "../http/index.js";
+import { arrivedRead, type ConnectionPlace, createHttpConnections } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { type CallerAnswer, createAnswer } from "./answer.js";
 import { type Asked, headerOf, readBody, readHead, type Refused } from "./asked.js";
@@ -31,7 +30,7 @@
     /** From now on connections end with the answers that they carry. What isn't final at `untilMs` may be cut off. */
     drain(untilMs: number): void;
     /** Takes no new connection, ends idle ones, and from now on takes only what is sure to be final in time; returns how many it ended. */
-    closeListener(): number;
+    closeListener(): Promise<number>;
     /** Ends what still runs. */
     endRunning(): void;
     readonly running: number;
@@ -157,7 +156,7 @@
             response.destroy();
         });
     });
-    server.on("connection", connections.opened);
+    connections.watch(server);
     server.headersTimeout = 3_000;
     server.keepAliveTimeout = 15_000;
     const { host, port } = splitAddress(address);
@@ -171,12 +170,12 @@
             connections.drain();
             record.begun();
         },
-        closeListener() {
+        async closeListener() {
             isListenerClosed = true;
             record.listenerClosed();
-            // The HTTP server's own close also destroys connections whose answers are written but not sent, and no longer cuts off callers
-            // that are slow to send a head.
-            NetServer.prototype.close.call(server);
+            // Connections that wait to be accepted would be reset.
+            await arrivedRead();
+            server.close();
             return connections.endQuiet();
         },
         endRunning() {
--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -1,14 +1,15 @@
 /**
  * The open connections of an HTTP/1.1 listener: what each has carried, and when it ends while the listener stops.
  *
- * Invariant: once it drains, a request is taken only on a connection that will carry its answer. A caller that sends one on a
- * connection that has been ended knows that it was not read.
+ * Invariant: once it drains, a request is taken only on a connection that will carry its answer. One that crosses the end of its
+ * connection is dropped, and has not run; its caller sees only that the connection ends.
  *
  * @module
  */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { Server as SecureServer } from "node:tls";
 
 /** A request's place on its connection. */
 export interface ConnectionPlace {
@@ -19,14 +20,17 @@
 }
 
 export interface HttpConnections {
-    /** Notes a new connection. */
-    opened(socket: Socket): void;
+    /** Accounts for the connections of `server`; its close ends them by this account and not by its own guess at what is idle. */
+    watch(server: Server): void;
     /** Notes a request that has come; undefined: its connection carries no further answer, and the request must not be taken. */
     took(message: IncomingMessage, response: ServerResponse): ConnectionPlace | undefined;
     /** From now on every connection ends with the answer that it carries. */
     drain(): void;
-    /** Ends the connections that carry nothing, and after a moment those on which a head is begun; returns how many it ended at once. */
-    endQuiet(): number;
+    /**
+     * Drains, reads what has arrived, and ends the connections that carry nothing, after a moment also those on which a head is begun.
+     * Resolves to how many it ended at once. To be called with the close of the listener.
+     */
+    endQuiet(): Promise<number>;
     readonly open: number;
     /** Open connections that have carried no request yet. */
     readonly unused: number;
@@ -46,10 +50,16 @@
 /** What a caller may take for the rest of a head once the listener is closed, and for closing a connection that has been ended. */
 const lingerMs = 1_000;
 
+/** Two turns of the event loop: in each it reads what has arrived, and a turn that has begun may have done so already. */
+export function arrivedRead(): Promise<void> {
+    return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+}
+
 /** Creates the account of one listener. */
 export function createHttpConnections(): HttpConnections {
     const connections = new Map<Socket, Connection>();
     let isDraining = false;
+    let quietEnded: Promise<number> | undefined;
 
     const open = () => [...connections.values()].filter(({ socket, isLast, pending }) => !socket.destroyed && (!isLast || pending > 0));
 
@@ -91,10 +101,25 @@
         }
     }
 
+    function opened(socket: Socket) {
+        connections.set(socket, { socket, carried: 0, pending: 0, readBytes: 0, isLast: false });
+        socket.once("close", () => connections.delete(socket));
+    }
+
+    async function endQuiet(): Promise<number> {
+        isDraining = true;
+        // Whole requests may wait to be read: dropped, their callers would get no answer.
+        await arrivedRead();
+        const quiet = [...connections.values()].filter(isQuiet);
+        quiet.forEach(closeQuiet);
+        return quiet.filter(({ isLast }) => isLast).length;
+    }
+
     return {
-        opened(socket) {
-            connections.set(socket, { socket, carried: 0, pending: 0, readBytes: 0, isLast: false });
-            socket.once("close", () => connections.delete(socket));
+        watch(server) {
+            server.on(server instanceof SecureServer ? "secureConnection" : "connection", opened);
+            // Its own leaves out connections that have carried nothing, for which a close then waits, and cuts off unsent answers.
+            server.closeIdleConnections = () => void (quietEnded ??= endQuiet());
         },
         took(message, response) {
             const connection = connections.get(message.socket);
@@ -102,6 +127,7 @@
                 return undefined;
             }
             const carried = connection.carried++;
+            // One for the request, which may still be read when its answer has been sent, and one for the answer.
             connection.pending += 2;
             message.once("end", () => {
                 connection.readBytes = message.socket.bytesRead;
@@ -122,9 +148,7 @@
             isDraining = true;
         },
         endQuiet() {
-            const quiet = [...connections.values()].filter(isQuiet);
-            quiet.forEach(closeQuiet);
-            return quiet.filter(({ isLast }) => isLast).length;
+            return quietEnded ??= endQuiet();
         },
         get open() {
             return open().length;
--- a/src/http/gracefulListener.ts
+++ b/src/http/gracefulListener.ts
@@ -60,9 +60,7 @@
                 : createSecureServer({ ...http, ...tls, handshakeTimeout: handshakeTimeoutMs }, take);
             server.keepAliveTimeout = keepAliveTimeoutMs;
             server.requestTimeout = 0;
-            server.on(tls === undefined ? "connection" : "secureConnection", connections.opened);
-            // Its own would leave out connections that have carried nothing, for which a close then waits, and cut off unsent answers.
-            server.closeIdleConnections = () => void connections.endQuiet();
+            connections.watch(server);
             return server;
         },
         drain: () => connections.drain(),
--- a/test/entry/stopping.test.ts
+++ b/test/entry/stopping.test.ts
@@ -4,6 +4,7 @@
 import type { Runner } from "../../src/entry/runner.js";
 import type { Session } from "../../src/session/index.js";
 import { isRefused, type KeptCaller, openCaller } from "../support/gatewaySite.js";
+import { letArrive } from "../support/blockedCaller.js";
 import { until } from "../support/platformSite.js";
 
 const key = "key-1";
@@ -66,6 +67,16 @@
         await until("the connection ends", () => caller.isEnded);
     });
 
+    // The process stood still while a request came: its connection looks unused, and was ended without a word to its caller.
+    it("answers a request that has arrived unread when it stops", async () => {
+        await new Promise(resolve => setTimeout(resolve, 50));
+        caller.send(completion());
+        letArrive();
+        await entry.stop();
+        await until("the connection ends", () => caller.isEnded);
+        expect(caller.text).to.match(/^HTTP\/1.1 503 [^]*"execution":"not-run"/);
+    });
+
     // A stream's head was written before the stop. Its connection stays open after the stream, and held the stop up until the caller left.
     it("finishes a stream and ends its connection, though nothing has announced that", async () => {
         caller.send(completion());
--- a/test/gateway/stopping.test.ts
+++ b/test/gateway/stopping.test.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { createLoopTurns } from "../../src/gateway/loopTurns.js";
 import { type GatewaySite, headAt, type KeptCaller, openCaller, requestBytes, startGateway, upstreamAt } from "../support/gatewaySite.js";
+import { letArrive, sendWhileBlocked } from "../support/blockedCaller.js";
 import { until } from "../support/platformSite.js";
 import { type RawRequest, type RawUpstream, startRawUpstream } from "../support/rawUpstream.js";
 
@@ -56,7 +57,7 @@
 
     function stop(withinMs: number) {
         site.server.drain(performance.now() + withinMs);
-        site.server.closeListener();
+        return site.server.closeListener();
     }
 
     afterEach(async () => {
@@ -70,7 +71,7 @@
         const stream = await startStream();
         caller.send(caption("a1"));
         await until("the stream has begun", () => caller.text.includes("id: 1"));
-        stop(longMs);
+        await stop(longMs);
         stream.finish();
         await until("the stream is whole", () => caller.text.endsWith("0\r\n\r\n"));
         caller.send(caption("a2"));
@@ -81,17 +82,37 @@
     // A connection that was opened ahead has carried nothing and is not among those that Node closes as idle; its first request was taken.
     it("closes connections that have carried nothing with its listener", async () => {
         await startPlain();
-        stop(longMs);
+        await stop(longMs);
         caller.send(read("a1"));
         await until("the connection ends", () => caller.isEnded);
         expect(upstream.requests).to.have.length(0);
     });
 
+    // The process stood still while a request came. It is whole and unread when the listener closes, and its connection looks unused: it
+    // was ended, and the caller of a request that could have been served got no answer.
+    it("answers a request that has arrived unread when its listener closes", async () => {
+        await startPlain();
+        caller.send(read("a1"));
+        letArrive();
+        await stop(longMs);
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.deep.equal([200]);
+        expect(caller.text).to.contain("Connection: close");
+    });
+
+    // The same for a connection that waits to be accepted: closed with the listener, it was reset.
+    it("answers a request on a connection that waits to be accepted when its listener closes", async () => {
+        await startPlain();
+        const { answer } = sendWhileBlocked(site.port, read("a1"));
+        await stop(longMs);
+        expect(statuses(await answer)).to.deep.equal([200]);
+    });
+
     it("closes connections that are idle with its listener", async () => {
         await startPlain();
         caller.send(read("a1"));
         await until("the answer has come", () => caller.text.endsWith("done"));
-        stop(longMs);
+        await stop(longMs);
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([200]);
     });
@@ -103,7 +124,7 @@
         caller.socket.pause();
         caller.send(Array.from({ length: count }, (_, place) => read(`a${place}`)).join(""));
         await until("all are answered", () => site.outcomes.length === count);
-        stop(longMs);
+        await stop(longMs);
         caller.socket.resume();
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.have.length(count);
@@ -154,7 +175,7 @@
         caller.send(bytes.slice(0, 30));
         await until("the first bytes are here", () => site.server.connections.unused === 1 && caller.socket.bytesWritten === 30);
         await new Promise(resolve => setTimeout(resolve, 50));
-        stop(shortMs);
+        await stop(shortMs);
         caller.send(bytes.slice(30));
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([503]);
@@ -168,7 +189,7 @@
         const bytes = read("a1");
         caller.send(bytes.slice(0, 30));
         await new Promise(resolve => setTimeout(resolve, 50));
-        stop(longMs);
+        await stop(longMs);
         caller.send(bytes.slice(30));
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([200]);
@@ -181,7 +202,7 @@
         const bytes = read("a1", "x".repeat(100));
         caller.send(bytes.slice(0, -50));
         await until("the head is read", () => site.server.running === 1);
-        stop(shortMs);
+        await stop(shortMs);
         caller.send(bytes.slice(-50));
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([503]);
@@ -195,7 +216,7 @@
         const [head, body] = [read("a1", "x".repeat(400_000)).split("\r\n\r\n")[0]!, "x".repeat(400_000)];
         caller.send(head);
         await new Promise(resolve => setTimeout(resolve, 50));
-        stop(shortMs);
+        await stop(shortMs);
         caller.send(`\r\n\r\n${body.slice(0, 1_000)}`);
         await until("the refusal has come", () => caller.text.includes("503"));
         caller.send(body.slice(1_000, 200_000));
@@ -214,7 +235,7 @@
         caller = await openCaller(site.port);
         caller.send(requestBytes("POST", "/charge/1", { body: "x" }));
         await until("it runs", () => upstream.requests.length === 1);
-        stop(shortMs);
+        await stop(shortMs);
         site.server.endRunning();
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([502]);
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -88,7 +88,7 @@
     return {
         port, view, outcomes, whileStopping, server,
         stop() {
-            server.closeListener();
+            void server.closeListener();
             server.close();
             connections.close();
         },
