Count all times of a stop from the signal, and bound what is taken by the clock

What callers saw: after a pause of the process around SIGTERM, or when the timer that closes the listener was late, a request could be taken without a look at its time and be cut off by the end of the stop or by the platform's kill. Cause: the check hung on a flag that the closing sets, and a stop had two ends: requests were checked against the end counted from the signal, and what ran was ended by one counted from when the signal was heard. The 3 s until the listener closes counted from the latter too. Evidence: with the check by the clock undone "refuses what it may be unable to finish once its listener should be closed" gets 200 in place of 503. Why it works: `closesAtMs` and `untilMs` are computed once, from the moment before which the signal can't have been sent. From 0.2 s before `closesAtMs` on each request is checked when its head is read and when it is whole, whatever the flag says; a request that is sent more than 3 s after the signal is read after that.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -36,7 +36,7 @@
     readonly isReady: boolean;
     /** Other control daemons to start from. */
     useControls(addresses: readonly string[]): void;
-    /** Stops gracefully within `withinMs`. */
+    /** Stops gracefully within `withinMs` of the signal that is heard now. */
     stop(withinMs: number): Promise<void>;
 }
 
@@ -177,11 +177,13 @@
         useControls: addresses => watcher.watch(addresses),
         async stop(withinMs) {
             isStopping = true;
-            const untilMs = nowMs() + withinMs;
-            // The platform counts from when it sent the signal: a process that heard it late is ended sooner than `untilMs`.
-            server.drain(turns.signalledAfterMs + withinMs);
-            logger.info("stopping", { ...whatIsOpen(), lateMs: Math.round(nowMs() - turns.signalledAfterMs) });
-            await pause(Math.min(balancerNoticeMs, withinMs));
+            // The platform counts from when it sent the signal: a process that heard it late is ended sooner.
+            const signalledMs = turns.signalledAfterMs;
+            const closesAtMs = signalledMs + Math.min(balancerNoticeMs, withinMs);
+            const untilMs = signalledMs + withinMs;
+            server.drain({ closesAtMs, untilMs });
+            logger.info("stopping", { ...whatIsOpen(), lateMs: Math.round(nowMs() - signalledMs) });
+            await pause(Math.max(0, closesAtMs - nowMs()));
             const closed = await server.closeListener();
             logger.info("listener closed", { closed, ...whatIsOpen() });
             await whileRunning(untilMs);
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -23,13 +23,23 @@
 const lingerMs = 1_000;
 /** What sending an answer may take after the request's time is up. */
 const lastAnswerMs = 200;
+/** The platform's clock and this one may differ by so much about when a request was sent. */
+const clockMarginMs = 200;
 /** The refusal of what can't surely be finished any more: other entries take it, so its caller need not wait. */
 const stopRefusal: Refused = { status: 503, reason: "this entry is stopping", retryAfterMs: 0 };
 
+/** The times of a stop. */
+export interface StopTimes {
+    /** When the listener is to close. What is read later must be sure to be final in time, even if the timer that closes it is late. */
+    readonly closesAtMs: number;
+    /** When what isn't final may be cut off. */
+    readonly untilMs: number;
+}
+
 export interface GatewayServer {
-    /** From now on connections end with the answers that they carry. What isn't final at `untilMs` may be cut off. */
-    drain(untilMs: number): void;
-    /** Takes no new connection, ends idle ones, and from now on takes only what is sure to be final in time; returns how many it ended. */
+    /** From now on connections end with the answers that they carry. */
+    drain(times: StopTimes): void;
+    /** Takes no new connection, ends quiet ones and from now takes only what is sure to be final in time; resolves to how many it ended. */
     closeListener(): Promise<number>;
     /** Ends what still runs. */
     endRunning(): void;
@@ -61,14 +71,15 @@
 export async function listenForCallers(address: string, parts: ServerParts): Promise<GatewayServer> {
     /** When a stop may cut off what isn't final. */
     let untilMs = Infinity;
-    let isListenerClosed = false;
+    /** From then on only what is sure to be final in time is taken. */
+    let onlySureFromMs = Infinity;
     const running = new Set<Served>();
     const connections = createHttpConnections();
     const record = createStopRecord({ logger: parts.logger, nowMs: parts.nowMs, count: parts.whileStopping });
 
     /** Whether a request's answer is sure to be final before a stop may cut it off. */
     function isFinalInTime(giveUpAtMs: number): boolean {
-        return !isListenerClosed || giveUpAtMs + lastAnswerMs <= untilMs;
+        return parts.nowMs() < onlySureFromMs || giveUpAtMs + lastAnswerMs <= untilMs;
     }
 
     function refuseEarly({ attemptId, answer }: Served, refused: Refused) {
@@ -106,7 +117,7 @@
         if (served.hasLeft || answer.isOver) {
             return;
         }
-        // The listener may have closed while the body came.
+        // The body may have come late.
         if (!isFinalInTime(head.asked.giveUpAtMs)) {
             refuseStopping(served);
             return;
@@ -165,13 +176,14 @@
         server.listen({ host, port, backlog: 1024 }, resolve);
     });
     return {
-        drain(endsAtMs) {
-            untilMs = endsAtMs;
+        drain(times) {
+            untilMs = times.untilMs;
+            onlySureFromMs = times.closesAtMs - clockMarginMs;
             connections.drain();
             record.begun();
         },
         async closeListener() {
-            isListenerClosed = true;
+            onlySureFromMs = -Infinity;
             record.listenerClosed();
             // Connections that wait to be accepted would be reset.
             await arrivedRead();
--- a/test/entry/stopping.test.ts
+++ b/test/entry/stopping.test.ts
@@ -4,7 +4,7 @@
 import type { Runner } from "../../src/entry/runner.js";
 import type { Session } from "../../src/session/index.js";
 import { isRefused, type KeptCaller, openCaller } from "../support/gatewaySite.js";
-import { letArrive } from "../support/blockedCaller.js";
+import { letArrive } from "../support/heldLoop.js";
 import { until } from "../support/platformSite.js";
 
 const key = "key-1";
--- a/test/gateway/stopping.test.ts
+++ b/test/gateway/stopping.test.ts
@@ -2,7 +2,7 @@
 import type { Socket } from "node:net";
 import { createLoopTurns } from "../../src/gateway/loopTurns.js";
 import { type GatewaySite, headAt, type KeptCaller, openCaller, requestBytes, startGateway, upstreamAt } from "../support/gatewaySite.js";
-import { letArrive, sendWhileBlocked } from "../support/blockedCaller.js";
+import { letArrive, sendWhileBlocked } from "../support/heldLoop.js";
 import { until } from "../support/platformSite.js";
 import { type RawRequest, type RawUpstream, startRawUpstream } from "../support/rawUpstream.js";
 
@@ -55,8 +55,12 @@
         return { finish: () => void running!.write(chunk("id: 2\ndata: b\n\n") + chunk("")) };
     }
 
+    function drain(withinMs: number, closesInMs = Infinity) {
+        site.server.drain({ closesAtMs: performance.now() + closesInMs, untilMs: performance.now() + withinMs });
+    }
+
     function stop(withinMs: number) {
-        site.server.drain(performance.now() + withinMs);
+        drain(withinMs);
         return site.server.closeListener();
     }
 
@@ -135,7 +139,7 @@
     // which run by then.
     it("answers all requests that were sent one behind the other, and announces the end with the last", async () => {
         await startPlain();
-        site.server.drain(performance.now() + longMs);
+        drain(longMs);
         caller.send(read("a1") + read("a2") + read("a3"));
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([200, 200, 200]);
@@ -145,7 +149,7 @@
     // The answer that announced the end still runs when another request comes behind it: passed on, it would run and never be answered.
     it("takes no request behind an answer that has announced the end", async () => {
         const stream = await startStream();
-        site.server.drain(performance.now() + longMs);
+        drain(longMs);
         caller.send(caption("a1"));
         await until("the stream has begun", () => caller.text.includes("id: 1"));
         expect(caller.text).to.contain("Connection: close");
@@ -160,7 +164,7 @@
     // Balancers send callers for some seconds after an entry says that it is not ready: refused, those would wait for nothing.
     it("serves what comes before its listener closes, and asks callers to leave", async () => {
         await startPlain();
-        site.server.drain(performance.now() + shortMs);
+        drain(shortMs);
         caller.send(read("a1"));
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([200]);
@@ -184,6 +188,16 @@
         expect(site.whileStopping).to.deep.equal([{ listener: "closed", connection: "unused", outcome: "refused" }]);
     });
 
+    // A timer is late when the process stands still, so the listener is still open after the time at which it should have closed.
+    it("refuses what it may be unable to finish once its listener should be closed", async () => {
+        await startPlain();
+        drain(shortMs, 0);
+        caller.send(read("a1"));
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.deep.equal([503]);
+        expect(upstream.requests).to.have.length(0);
+    });
+
     it("serves what it is sure to finish, though its listener is closed", async () => {
         await startPlain();
         const bytes = read("a1");
--- a/test/support/blockedCaller.ts
+++ b/test/support/heldLoop.ts
@@ -20,9 +20,14 @@
 
 const words = (count: number) => new Int32Array(new SharedArrayBuffer(4 * count));
 
+/** Holds this thread's event loop. */
+export function holdLoop(forMs: number) {
+    Atomics.wait(words(1), 0, 0, forMs);
+}
+
 /** Holds this thread's event loop until what was sent before has arrived, unread. */
 export function letArrive() {
-    Atomics.wait(words(1), 0, 0, deliveryMs);
+    holdLoop(deliveryMs);
 }
 
 /**
