Leave connections that a stop has ended to their callers, who may read slowly

Cause: an ended connection was destroyed after 1 s. Bytes that reach a destroyed connection reset it, and what its caller has not read is lost. Evidence: with the limit of 1 s put back, "lets a slow caller read answers whole though a request of its crosses the end" reads one answer of six, and its counterpart at the project's own entry no end of the stream. Why it works: the gateway no longer limits this; it does not wait for such connections, and its end destroys what is left. A listener whose close waits for them keeps 1 s for operators, whose answers are small, and 5 s for callers of the project's own entry. What remains: there a caller that needs more than 5 s for its last answer, and sends meanwhile, loses the rest.

--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -22,6 +22,8 @@
 const defaultHeaderTimeoutMs = 5_000;
 /** How often the server looks for such callers, in parts of the timeout. */
 const headerChecks = 5;
+/** What a caller may take to read its last answer before its connection is cut off. */
+const closeLingerMs = 5_000;
 /** Answers name the request by it, for `zinnia trace`. */
 const requestIdHeader = "zinnialanding-request-id";
 const passedHeaders = new Set(["content-type", "accept", "accept-language"]);
@@ -180,7 +182,7 @@
     const headersTimeout = options.headerTimeoutMs ?? defaultHeaderTimeoutMs;
     const http = { maxHeaderSize: maxHeaderBytes, headersTimeout, connectionsCheckingInterval: headersTimeout / headerChecks };
     let isStopping = false;
-    const listener = createGracefulListener({ http, tls: options.tls });
+    const listener = createGracefulListener({ http, tls: options.tls, closeLingerMs });
     const app = fastify({
         bodyLimit: options.maxBodyBytes, serverFactory: listener.serverFactory, return503OnClosing: false,
     }) as FastifyInstance;
--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -47,16 +47,16 @@
     isLast: boolean;
 }
 
-/** What a caller may take for the rest of a head once the listener is closed, and for closing a connection that has been ended. */
-const lingerMs = 1_000;
+/** What a caller may take for the rest of a head once the listener is closed. */
+const headLingerMs = 1_000;
 
 /** Two turns of the event loop: in each it reads what has arrived, and a turn that has begun may have done so already. */
 export function arrivedRead(): Promise<void> {
     return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
 }
 
-/** Creates the account of one listener. */
-export function createHttpConnections(): HttpConnections {
+/** Creates the account of one listener. Callers may take `closeLingerMs` to close a connection that has been ended. */
+export function createHttpConnections(closeLingerMs = Infinity): HttpConnections {
     const connections = new Map<Socket, Connection>();
     let isDraining = false;
     let quietEnded: Promise<number> | undefined;
@@ -79,10 +79,12 @@
     function close(connection: Connection) {
         const { socket } = connection;
         connection.isLast = true;
-        // Not destroyed at once: bytes that cross would reset it, and the caller could lose the end of an answer.
+        // Destroyed, it would be reset by bytes that cross, and the caller could lose the end of an answer that it reads slowly.
         socket.end();
-        const timer = setTimeout(() => socket.destroy(), lingerMs);
-        socket.once("close", () => clearTimeout(timer));
+        if (closeLingerMs < Infinity) {
+            const timer = setTimeout(() => socket.destroy(), closeLingerMs);
+            socket.once("close", () => clearTimeout(timer));
+        }
     }
 
     /** Closes a connection on which nothing is; one on which a head is begun gets a moment for the rest of it. */
@@ -91,7 +93,7 @@
             close(connection);
             return;
         }
-        setTimeout(() => isQuiet(connection) && close(connection), lingerMs).unref();
+        setTimeout(() => isQuiet(connection) && close(connection), headLingerMs).unref();
     }
 
     function settled(connection: Connection) {
--- a/src/http/gracefulListener.ts
+++ b/src/http/gracefulListener.ts
@@ -12,6 +12,8 @@
 export interface GracefulListenerOptions {
     readonly http?: ServerOptions;
     readonly tls?: { readonly cert: string; readonly key: string };
+    /** What callers may take to close a connection that has been ended: a close waits for them, and those that read slowly need it. */
+    readonly closeLingerMs?: number;
 }
 
 export interface GracefulListener {
@@ -27,10 +29,12 @@
 const keepAliveTimeoutMs = 72_000;
 /** A handshake that hangs would hold up a stop. */
 const handshakeTimeoutMs = 5_000;
+const defaultCloseLingerMs = 1_000;
 
 /** Creates the listener's server. */
-export function createGracefulListener({ http = {}, tls }: GracefulListenerOptions): GracefulListener {
-    const connections = createHttpConnections();
+export function createGracefulListener(options: GracefulListenerOptions): GracefulListener {
+    const { http = {}, tls, closeLingerMs = defaultCloseLingerMs } = options;
+    const connections = createHttpConnections(closeLingerMs);
     let server: Server | undefined;
 
     /** Has the head of a response announce the end of its connection, whoever writes it. */
--- a/test/entry/stopping.test.ts
+++ b/test/entry/stopping.test.ts
@@ -24,15 +24,17 @@
     let entry: EntryHttp;
     let caller: KeptCaller;
     let runs: number;
+    let first: string;
     let finish: () => void;
 
     beforeEach(async () => {
         runs = 0;
+        first = "first";
         const finished = new Promise<void>(resolve => {
             finish = resolve;
         });
         async function* chunks() {
-            yield Buffer.from("first");
+            yield Buffer.from(first);
             await finished;
             yield Buffer.from("last");
         }
@@ -89,6 +91,24 @@
         expect(caller.text).to.match(/data: last\n\n[^]*\[DONE\][^]*\r\n0\r\n\r\n$/);
     });
 
+    // The stream is whole in the kernel's hands, and another request crosses the end of its connection. Destroyed by then, the connection
+    // was reset, and its caller lost what it had not read.
+    it("lets a slow caller read a stream whole though a request of its crosses the end", async () => {
+        first = "y".repeat(2_000_000);
+        caller.socket.pause();
+        caller.send(completion());
+        await until("the stream runs", () => runs === 1);
+        const stopped = entry.stop();
+        finish();
+        await new Promise(resolve => setTimeout(resolve, 1_500));
+        caller.send(completion());
+        await new Promise(resolve => setTimeout(resolve, 100));
+        caller.socket.resume();
+        await stopped;
+        await until("the connection ends", () => caller.isEnded);
+        expect(caller.text).to.match(/\[DONE\][^]*\r\n0\r\n\r\n$/);
+    });
+
     // Another request comes behind a stream that runs. It has not run, and its caller must be able to tell.
     it("refuses as not run what comes behind a stream, and ends the connection", async () => {
         caller.send(completion());
--- a/test/gateway/stopping.test.ts
+++ b/test/gateway/stopping.test.ts
@@ -135,6 +135,25 @@
         expect(caller.text.length).to.be.above(count * 200_000);
     });
 
+    // All answers are in the kernel's hands, and another request crosses the end of their connection. Destroyed by then, the connection was
+    // reset, and its caller lost what it had not read.
+    it("lets a slow caller read answers whole though a request of its crosses the end", async () => {
+        const count = 6;
+        await startPlain("y".repeat(400_000));
+        caller.socket.pause();
+        caller.send(Array.from({ length: count }, (_, place) => read(`a${place}`)).join(""));
+        await until("all are answered", () => site.outcomes.length === count);
+        await stop(longMs);
+        await new Promise(resolve => setTimeout(resolve, 1_500));
+        caller.send(read("late"));
+        await new Promise(resolve => setTimeout(resolve, 100));
+        caller.socket.resume();
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.have.length(count);
+        expect(caller.text.length).to.be.above(count * 400_000);
+        expect(upstream.requests).to.have.length(count);
+    });
+
     // Requests come one behind the other before the first is answered. An end that the first answer announces would cut off the others,
     // which run by then.
     it("answers all requests that were sent one behind the other, and announces the end with the last", async () => {
