--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -1,14 +1,15 @@
 /**
  * The open connections of an HTTP/1.1 listener: what each has carried, and when it ends while the listener stops.
  *
- * Invariant: once it drains, a request is taken only on a connection that will carry its answer. A caller that sends one on a
- * connection that has been ended knows that it was not read.
+ * Invariant: once it drains, a request is taken only on a connection that will carry its answer. One that crosses the end of its
+ * connection is dropped, and has not run; its caller sees only that the connection ends.
  *
  * @module
  */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { Server as SecureServer } from "node:tls";
 
 /** A request's place on its connection. */
 export interface ConnectionPlace {
@@ -19,15 +20,18 @@
 }
 
 export interface HttpConnections {
-    /** Notes a new connection. */
-    opened(socket: Socket): void;
+    /** Accounts for the connections of `server`; its close ends them by this account and not by its own guess at what is idle. */
+    watch(server: Server): void;
     /** Notes a request that has come; undefined: its connection carries no further answer, and the request must not be taken. */
     took(message: IncomingMessage, response: ServerResponse): ConnectionPlace | undefined;
     /** From now on every connection ends with the answer that it carries. */
     drain(): void;
-    /** Ends the connections that carry nothing, and after a moment those on which a head is begun; returns how many it ended at once. */
-    endQuiet(): number;
-    /** Resolves once no request comes or runs and no answer is on its way. */
+    /**
+     * Drains, reads what has arrived, and ends the connections that carry nothing, after a moment also those on which a head is begun.
+     * Resolves to how many it ended at once. To be called with the close of the listener.
+     */
+    endQuiet(): Promise<number>;
+    /** Resolves once `endQuiet` is done, no request comes or runs and no answer is on its way. */
     settled(): Promise<void>;
     readonly open: number;
     /** Open connections that have carried no request yet. */
@@ -45,15 +49,22 @@
     isLast: boolean;
 }
 
-/** What a caller may take for the rest of a head once the listener is closed, and for closing a connection that has been ended. */
-const lingerMs = 1_000;
+/** What a caller may take for the rest of a head once the listener is closed. */
+const headLingerMs = 1_000;
 
-/** Creates the account of one listener. */
-export function createHttpConnections(): HttpConnections {
+/** Two turns of the event loop: in each it reads what has arrived, and a turn that has begun may have done so already. */
+export function arrivedRead(): Promise<void> {
+    return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+}
+
+/** Creates the account of one listener. Callers may take `closeLingerMs` to close a connection that has been ended. */
+export function createHttpConnections(closeLingerMs = Infinity): HttpConnections {
     const connections = new Map<Socket, Connection>();
     let isDraining = false;
     let pending = 0;
+    let isQuietEnded = false;
     let whenSettled: (() => void)[] = [];
+    let quietEnded: Promise<number> | undefined;
 
     const open = () => [...connections.values()].filter(({ socket, isLast, pending }) => !socket.destroyed && (!isLast || pending > 0));
 
@@ -73,10 +84,12 @@
     function close(connection: Connection) {
         const { socket } = connection;
         connection.isLast = true;
-        // Not destroyed at once: bytes that cross would reset it, and the caller could lose the end of an answer.
+        // Destroyed, it would be reset by bytes that cross, and the caller could lose the end of an answer that it reads slowly.
         socket.end();
-        const timer = setTimeout(() => socket.destroy(), lingerMs);
-        socket.once("close", () => clearTimeout(timer));
+        if (closeLingerMs < Infinity) {
+            const timer = setTimeout(() => socket.destroy(), closeLingerMs);
+            socket.once("close", () => clearTimeout(timer));
+        }
     }
 
     /** Closes a connection on which nothing is; one on which a head is begun gets a moment for the rest of it. */
@@ -85,25 +98,50 @@
             close(connection);
             return;
         }
-        setTimeout(() => isQuiet(connection) && close(connection), lingerMs).unref();
+        setTimeout(() => isQuiet(connection) && close(connection), headLingerMs).unref();
     }
 
-    function settle(connection: Connection) {
-        pending--;
-        connection.pending--;
-        if (pending === 0) {
+    function isSettled(): boolean {
+        return isQuietEnded && pending === 0;
+    }
+
+    function noteSettled() {
+        if (isSettled()) {
             whenSettled.forEach(resolve => resolve());
             whenSettled = [];
         }
+    }
+
+    function settle(connection: Connection) {
+        pending--;
+        connection.pending--;
+        noteSettled();
         if (isDraining && isQuiet(connection)) {
             closeQuiet(connection);
         }
     }
 
+    function opened(socket: Socket) {
+        connections.set(socket, { socket, carried: 0, pending: 0, readBytes: 0, isLast: false });
+        socket.once("close", () => connections.delete(socket));
+    }
+
+    async function endQuiet(): Promise<number> {
+        isDraining = true;
+        // Whole requests may wait to be read: dropped, their callers would get no answer.
+        await arrivedRead();
+        const quiet = [...connections.values()].filter(isQuiet);
+        quiet.forEach(closeQuiet);
+        isQuietEnded = true;
+        noteSettled();
+        return quiet.filter(({ isLast }) => isLast).length;
+    }
+
     return {
-        opened(socket) {
-            connections.set(socket, { socket, carried: 0, pending: 0, readBytes: 0, isLast: false });
-            socket.once("close", () => connections.delete(socket));
+        watch(server) {
+            server.on(server instanceof SecureServer ? "secureConnection" : "connection", opened);
+            // Its own leaves out connections that have carried nothing, for which a close then waits, and cuts off unsent answers.
+            server.closeIdleConnections = () => void (quietEnded ??= endQuiet());
         },
         took(message, response) {
             const connection = connections.get(message.socket);
@@ -111,6 +149,7 @@
                 return undefined;
             }
             const carried = connection.carried++;
+            // One for the request, which may still be read when its answer has been sent, and one for the answer.
             connection.pending += 2;
             pending += 2;
             message.once("end", () => {
@@ -132,11 +171,9 @@
             isDraining = true;
         },
         endQuiet() {
-            const quiet = [...connections.values()].filter(isQuiet);
-            quiet.forEach(closeQuiet);
-            return quiet.filter(({ isLast }) => isLast).length;
+            return quietEnded ??= endQuiet();
         },
-        settled: () => pending === 0 ? Promise.resolve() : new Promise(resolve => whenSettled.push(resolve)),
+        settled: () => isSettled() ? Promise.resolve() : new Promise(resolve => whenSettled.push(resolve)),
         get open() {
             return open().length;
         },
--- a/src/http/gracefulListener.ts
+++ b/src/http/gracefulListener.ts
@@ -12,6 +12,8 @@
 export interface GracefulListenerOptions {
     readonly http?: ServerOptions;
     readonly tls?: { readonly cert: string; readonly key: string };
+    /** What callers may take to close a connection that has been ended: a close waits for them, and those that read slowly need it. */
+    readonly closeLingerMs?: number;
 }
 
 export interface GracefulListener {
@@ -29,15 +31,13 @@
 const keepAliveTimeoutMs = 72_000;
 /** A handshake that hangs would hold up a stop. */
 const handshakeTimeoutMs = 5_000;
+const defaultCloseLingerMs = 1_000;
 
 /** Creates the listener's server. */
-export function createGracefulListener({ http = {}, tls }: GracefulListenerOptions): GracefulListener {
-    const connections = createHttpConnections();
+export function createGracefulListener(options: GracefulListenerOptions): GracefulListener {
+    const { http = {}, tls, closeLingerMs = defaultCloseLingerMs } = options;
+    const connections = createHttpConnections(closeLingerMs);
     let server: Server | undefined;
-    let noteClosed: () => void;
-    const closed = new Promise<void>(resolve => {
-        noteClosed = resolve;
-    });
 
     /** Has the head of a response announce the end of its connection, whoever writes it. */
     function announceClose(response: ServerResponse, closes: () => boolean) {
@@ -66,19 +66,11 @@
                 : createSecureServer({ ...http, ...tls, handshakeTimeout: handshakeTimeoutMs }, take);
             server.keepAliveTimeout = keepAliveTimeoutMs;
             server.requestTimeout = 0;
-            server.on(tls === undefined ? "connection" : "secureConnection", connections.opened);
-            // Its own would leave out connections that have carried nothing, for which a close then waits, and cut off unsent answers.
-            server.closeIdleConnections = () => {
-                connections.endQuiet();
-                noteClosed();
-            };
+            connections.watch(server);
             return server;
         },
         drain: () => connections.drain(),
-        async settled() {
-            await closed;
-            await connections.settled();
-        },
+        settled: () => connections.settled(),
         cutOff() {
             server?.closeAllConnections();
         },
--- a/test/gateway/stopping.test.ts
+++ b/test/gateway/stopping.test.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { createLoopTurns } from "../../src/gateway/loopTurns.js";
 import { type GatewaySite, headAt, type KeptCaller, openCaller, requestBytes, startGateway, upstreamAt } from "../support/gatewaySite.js";
+import { letArrive, sendWhileBlocked } from "../support/heldLoop.js";
 import { until } from "../support/platformSite.js";
 import { type RawRequest, type RawUpstream, startRawUpstream } from "../support/rawUpstream.js";
 
@@ -54,9 +55,13 @@
         return { finish: () => void running!.write(chunk("id: 2\ndata: b\n\n") + chunk("")) };
     }
 
+    function drain(withinMs: number, closesInMs = Infinity) {
+        site.server.drain({ closesAtMs: performance.now() + closesInMs, untilMs: performance.now() + withinMs });
+    }
+
     function stop(withinMs: number) {
-        site.server.drain(performance.now() + withinMs);
-        site.server.closeListener();
+        drain(withinMs);
+        return site.server.closeListener();
     }
 
     afterEach(async () => {
@@ -70,7 +75,7 @@
         const stream = await startStream();
         caller.send(caption("a1"));
         await until("the stream has begun", () => caller.text.includes("id: 1"));
-        stop(longMs);
+        await stop(longMs);
         stream.finish();
         await until("the stream is whole", () => caller.text.endsWith("0\r\n\r\n"));
         caller.send(caption("a2"));
@@ -81,17 +86,37 @@
     // A connection that was opened ahead has carried nothing and is not among those that Node closes as idle; its first request was taken.
     it("closes connections that have carried nothing with its listener", async () => {
         await startPlain();
-        stop(longMs);
+        await stop(longMs);
         caller.send(read("a1"));
         await until("the connection ends", () => caller.isEnded);
         expect(upstream.requests).to.have.length(0);
     });
 
+    // The process stood still while a request came. It is whole and unread when the listener closes, and its connection looks unused: it
+    // was ended, and the caller of a request that could have been served got no answer.
+    it("answers a request that has arrived unread when its listener closes", async () => {
+        await startPlain();
+        caller.send(read("a1"));
+        letArrive();
+        await stop(longMs);
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.deep.equal([200]);
+        expect(caller.text).to.contain("Connection: close");
+    });
+
+    // The same for a connection that waits to be accepted: closed with the listener, it was reset.
+    it("answers a request on a connection that waits to be accepted when its listener closes", async () => {
+        await startPlain();
+        const { answer } = sendWhileBlocked(site.port, read("a1"));
+        await stop(longMs);
+        expect(statuses(await answer)).to.deep.equal([200]);
+    });
+
     it("closes connections that are idle with its listener", async () => {
         await startPlain();
         caller.send(read("a1"));
         await until("the answer has come", () => caller.text.endsWith("done"));
-        stop(longMs);
+        await stop(longMs);
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([200]);
     });
@@ -103,18 +128,37 @@
         caller.socket.pause();
         caller.send(Array.from({ length: count }, (_, place) => read(`a${place}`)).join(""));
         await until("all are answered", () => site.outcomes.length === count);
-        stop(longMs);
+        await stop(longMs);
         caller.socket.resume();
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.have.length(count);
         expect(caller.text.length).to.be.above(count * 200_000);
     });
 
+    // All answers are in the kernel's hands, and another request crosses the end of their connection. Destroyed by then, the connection was
+    // reset, and its caller lost what it had not read.
+    it("lets a slow caller read answers whole though a request of its crosses the end", async () => {
+        const count = 6;
+        await startPlain("y".repeat(400_000));
+        caller.socket.pause();
+        caller.send(Array.from({ length: count }, (_, place) => read(`a${place}`)).join(""));
+        await until("all are answered", () => site.outcomes.length === count);
+        await stop(longMs);
+        await new Promise(resolve => setTimeout(resolve, 1_500));
+        caller.send(read("late"));
+        await new Promise(resolve => setTimeout(resolve, 100));
+        caller.socket.resume();
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.have.length(count);
+        expect(caller.text.length).to.be.above(count * 400_000);
+        expect(upstream.requests).to.have.length(count);
+    });
+
     // Requests come one behind the other before the first is answered. An end that the first answer announces would cut off the others,
     // which run by then.
     it("answers all requests that were sent one behind the other, and announces the end with the last", async () => {
         await startPlain();
-        site.server.drain(performance.now() + longMs);
+        drain(longMs);
         caller.send(read("a1") + read("a2") + read("a3"));
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([200, 200, 200]);
@@ -124,7 +168,7 @@
     // The answer that announced the end still runs when another request comes behind it: passed on, it would run and never be answered.
     it("takes no request behind an answer that has announced the end", async () => {
         const stream = await startStream();
-        site.server.drain(performance.now() + longMs);
+        drain(longMs);
         caller.send(caption("a1"));
         await until("the stream has begun", () => caller.text.includes("id: 1"));
         expect(caller.text).to.contain("Connection: close");
@@ -139,7 +183,7 @@
     // Balancers send callers for some seconds after an entry says that it is not ready: refused, those would wait for nothing.
     it("serves what comes before its listener closes, and asks callers to leave", async () => {
         await startPlain();
-        site.server.drain(performance.now() + shortMs);
+        drain(shortMs);
         caller.send(read("a1"));
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([200]);
@@ -154,7 +198,7 @@
         caller.send(bytes.slice(0, 30));
         await until("the first bytes are here", () => site.server.connections.unused === 1 && caller.socket.bytesWritten === 30);
         await new Promise(resolve => setTimeout(resolve, 50));
-        stop(shortMs);
+        await stop(shortMs);
         caller.send(bytes.slice(30));
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([503]);
@@ -163,12 +207,22 @@
         expect(site.whileStopping).to.deep.equal([{ listener: "closed", connection: "unused", outcome: "refused" }]);
     });
 
+    // A timer is late when the process stands still, so the listener is still open after the time at which it should have closed.
+    it("refuses what it may be unable to finish once its listener should be closed", async () => {
+        await startPlain();
+        drain(shortMs, 0);
+        caller.send(read("a1"));
+        await until("the connection ends", () => caller.isEnded);
+        expect(statuses(caller.text)).to.deep.equal([503]);
+        expect(upstream.requests).to.have.length(0);
+    });
+
     it("serves what it is sure to finish, though its listener is closed", async () => {
         await startPlain();
         const bytes = read("a1");
         caller.send(bytes.slice(0, 30));
         await new Promise(resolve => setTimeout(resolve, 50));
-        stop(longMs);
+        await stop(longMs);
         caller.send(bytes.slice(30));
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([200]);
@@ -181,7 +235,7 @@
         const bytes = read("a1", "x".repeat(100));
         caller.send(bytes.slice(0, -50));
         await until("the head is read", () => site.server.running === 1);
-        stop(shortMs);
+        await stop(shortMs);
         caller.send(bytes.slice(-50));
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([503]);
@@ -195,7 +249,7 @@
         const [head, body] = [read("a1", "x".repeat(400_000)).split("\r\n\r\n")[0]!, "x".repeat(400_000)];
         caller.send(head);
         await new Promise(resolve => setTimeout(resolve, 50));
-        stop(shortMs);
+        await stop(shortMs);
         caller.send(`\r\n\r\n${body.slice(0, 1_000)}`);
         await until("the refusal has come", () => caller.text.includes("503"));
         caller.send(body.slice(1_000, 200_000));
@@ -214,7 +268,7 @@
         caller = await openCaller(site.port);
         caller.send(requestBytes("POST", "/charge/1", { body: "x" }));
         await until("it runs", () => upstream.requests.length === 1);
-        stop(shortMs);
+        await stop(shortMs);
         site.server.endRunning();
         await until("the connection ends", () => caller.isEnded);
         expect(statuses(caller.text)).to.deep.equal([502]);
