--- a/test/entry/stopping.test.ts
+++ b/test/entry/stopping.test.ts
@@ -61,8 +61,7 @@
         await entry.stop();
     });
 
-    // A connection that was opened ahead has carried nothing. To Node it is not idle, and the listener waited for its caller for ever: the
-    // daemon was killed in the end, and handed over nothing.
+    // An unused connection is not idle to Node: the listener waited for its caller for ever, until the daemon was killed.
     it("waits for no connection that has carried nothing", async () => {
         await new Promise(resolve => setTimeout(resolve, 50));
         await entry.stop();
@@ -91,8 +90,7 @@
         expect(caller.text).to.match(/data: last\n\n[^]*\[DONE\][^]*\r\n0\r\n\r\n$/);
     });
 
-    // The stream is whole in the kernel's hands, and another request crosses the end of its connection. Destroyed by then, the connection
-    // was reset, and its caller lost what it had not read.
+    // Another request crosses the end of the connection: destroyed by then it was reset, and a slow reader lost the rest of the stream.
     it("lets a slow caller read a stream whole though a request of its crosses the end", async () => {
         first = "y".repeat(2_000_000);
         caller.socket.pause();
--- a/test/feed/server.test.ts
+++ b/test/feed/server.test.ts
@@ -4,8 +4,7 @@
 import { until } from "../support/platformSite.js";
 
 describe("a feed that ends", () => {
-    // An upstream says that it leaves; the control daemon acknowledges that and stops. Frames that it had not sent yet were dropped, and
-    // entries went on sending requests to the upstream.
+    // Frames that waited when a control daemon stopped were dropped: entries went on sending to an upstream whose leave was acknowledged.
     it("sends what it was given before", async () => {
         const taken: Frame[] = [];
         const alive = { kind: "alive" as const, heard: [], leads: false, entries: 1 };
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -241,8 +241,7 @@
         expect(site.outcomes).to.deep.equal(["failed"]);
     });
 
-    // The caller of a request that may run once leaves while an upstream has it, which then says that it did not run it. Nobody waits for
-    // an answer any more: sent on, the request would take effect after its caller has gone.
+    // Sent on to another upstream, work that may run once would take effect after its caller has left.
     it("that say not run after the caller has left are the end of the request", async () => {
         upstream = await startRawUpstream((request, socket) => setTimeout(() => socket.write(
             `HTTP/1.1 503 Full\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\nZinnialanding-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`), 300));
@@ -255,8 +254,7 @@
         expect(site.outcomes).to.deep.equal(["caller-left"]);
     });
 
-    // The caller of a request that may run once leaves, and no answer comes. The request may still take effect, so it is not cut short; but
-    // past its time nothing can come any more, and the connection and the place that it counts for at the upstream are let go.
+    // Work that may run once is not cut short when its caller leaves; kept past its time, it held a connection and counted as load for good.
     it("that never come after the caller has left are waited for until the request's time is up", async () => {
         let closedAfterMs: number | undefined;
         upstream = await startRawUpstream((_request, socket) => {
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -66,8 +66,7 @@
         expect(statusOf(caller.text)).to.equal(502);
     });
 
-    // The process stood still from before SIGTERM on. Counted from when it was heard, the stop would last until after the platform's kill,
-    // and the caller would get nothing.
+    // Counted from when SIGTERM is heard, the stop of a process that stood still lasts until after the kill, and callers get nothing.
     it("counts its time from when the signal may have been sent", async () => {
         holdLoop(withinMs);
         const stopped = gateway.stop(withinMs);
--- a/test/gateway/workload.test.ts
+++ b/test/gateway/workload.test.ts
@@ -36,8 +36,7 @@
 }
 
 describe("the work that callers ask for", () => {
-    // Callers of one route wait for 5.1 to 6 s, each for a time of its own, and none is refused. Those that wait for less than the most
-    // patient ones were taken for callers that come back: two thirds of a model's work were left out, and its VMs given to another.
+    // Callers that wait for less than the most patient ones were taken for ones that come back, and two thirds of the work left out.
     it("counts all callers, however long each one waits", () => {
         expect(countedShare(1_000, 0)).to.be.closeTo(1, 0.001);
     });
--- a/test/groups/plan.test.ts
+++ b/test/groups/plan.test.ts
@@ -155,8 +155,7 @@
         expect(fleet.upstreams.get(head.id)!.group!.state).to.equal("open");
     });
 
-    // The refusals end after the members have left. The head is reached again, still open and standing still, and its group is ended as far
-    // as the leader knows. Joined to another group at once, it would be in two.
+    // The head is reached again after its members have left, still open: joined to another group at once, it would be in two.
     it("gives a head that refused connections to another group only after it has left its own", () => {
         const fleet = fleetOf({ a: 10 });
         run(fleet, 8_000);
@@ -191,8 +190,7 @@
         expect(orders[0]).to.equal("leave");
     });
 
-    // A new leader takes over a group whose head it has not heard of, and ends it. The head is heard later and is still open: joined to
-    // another group at once, it would be in two.
+    // A new leader ends a group whose head it hears only later, still open: joined to another group at once, it would be in two.
     it("gives a head that it hears late to another group only after it has left its own", () => {
         const fleet = fleetOf({ a: 10 });
         run(fleet, 8_000);
--- a/test/groups/regroup.test.ts
+++ b/test/groups/regroup.test.ts
@@ -32,8 +32,7 @@
         expect(modelsOpen(fleet)).to.deep.equal({ big: 3, small: 6 });
     });
 
-    // The same where a large group takes nearly half of a domain, and VMs announce themselves two at a time, of all domains in turn. Each
-    // pair fills a small group, so that no domain is left with room for a large one; its callers would be refused all day.
+    // VMs announce themselves in pairs, of all domains in turn: each pair fills a small group, and callers of the large model are refused.
     it("gives a model its part though a group of it takes nearly half of a domain", () => {
         const fleet = fleetOf({ a: 18, b: 18, c: 18 }, engineWithBig(8));
         const late = [...fleet.upstreams.keys()].sort((a, b) => Number(a.slice(1)) - Number(b.slice(1)));
--- a/test/platform/wholeSite.test.ts
+++ b/test/platform/wholeSite.test.ts
@@ -137,8 +137,7 @@
         await stopped;
     });
 
-    // Callers keep connections to an entry that is stopped, one that has carried a request and one that was opened ahead: on neither may a
-    // request be taken that is given up when the process leaves.
+    // A request taken on a kept or an unused connection after the listener has closed is given up when the process leaves.
     it("leaves no connection open that an entry could take a late request from", async () => {
         const place = site.entries[0]!;
         const [host, port] = site.callersAddress(place).split(":");
--- a/test/security/tls.test.ts
+++ b/test/security/tls.test.ts
@@ -151,8 +151,7 @@
             expect(await ask(daemon.rpcAddress, readSet(renewed))).to.equal(undefined);
         });
 
-        // Over TLS the bytes of the handshake are received before any request: a connection that was opened ahead, or whose handshake never
-        // ends, must not hold the stop up either.
+        // Bytes of the handshake come before any request: an unused connection, or a handshake that never ends, held the stop up.
         it("stops though connections are open that have carried nothing, one request, or half a handshake", async () => {
             const ca = readFileSync(authority.certificateFile, "utf8");
             const [host, port] = daemon.callersAddress!.split(":") as [string, string];
--- a/test/siteControl/groupLeader.test.ts
+++ b/test/siteControl/groupLeader.test.ts
@@ -106,8 +106,7 @@
         expect(orders).to.deep.equal([]);
     });
 
-    // A busy quorum confirms the lease late, again and again, and nobody else is elected. A member goes dark meanwhile: callers at its
-    // group would wait until the lease has been held for as long as a new leader waits.
+    // A busy quorum confirms the lease late, again and again: beginning anew each time, the leader repaired no group at all.
     it("goes on at once where its lease lapses for a moment in one term", async () => {
         const { state, log, leader, orders, head, run } = leaderOverTornGroup();
         await run(2_000);
@@ -124,8 +123,7 @@
         expect(orders[0]!.atMs - state.darkFromMs).to.be.at.most(1_500);
     });
 
-    // Groups were ordered, the lease lapsed for a moment, and a VM was lost. Counted from the start of the term again, the epochs would
-    // name two groups each, and engines would refuse to join the second one.
+    // Counted from the start of the term again after a lapse, epochs name two groups each, and engines refuse to join the second.
     it("gives no epoch to two groups where its lease lapses in one term", async () => {
         const { log, gone, orders, run } = leaderOver([...fleetOf({ a: 4 }).upstreams.values()]);
         await run(3_000);
@@ -138,8 +136,7 @@
         expect([...formed]).to.deep.equal(["1048577 of a0 a1 a2 a3", "1048578 of a1 a2"]);
     });
 
-    // Another process led meanwhile: what this one knows of groups is void, and VMs that it has not heard since may be in groups of that
-    // one. Used at once, they would be in two.
+    // Another process led meanwhile: VMs used at once by what this one knew before would be in two groups.
     it("waits and begins anew where it leads again in another term", async () => {
         const { state, log, orders, run } = leaderOver([...fleetOf({ a: 4 }).upstreams.values()]);
         await run(3_000);
