--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -254,7 +254,7 @@
         expect(site.outcomes).to.deep.equal(["caller-left"]);
     });
 
-    // Work that may run once is not cut short when its caller leaves; kept past its time, it held a connection and counted as load for good.
+    // Kept past its time after its caller has left, work that may run once held a connection and counted as load for good.
     it("that never come after the caller has left are waited for until the request's time is up", async () => {
         let closedAfterMs: number | undefined;
         upstream = await startRawUpstream((_request, socket) => {
--- a/test/gateway/siteView.test.ts
+++ b/test/gateway/siteView.test.ts
@@ -18,7 +18,7 @@
         view.take({ kind: "upstreams", upstreams: [upstreamAt("10.0.0.1:80", "u1"), upstreamAt("10.0.0.2:80", "u2")] });
     });
 
-    // Taken for the end of a life, a link that refuses for some seconds keeps the upstream, and every group with it, from this entry for good.
+    // Taken for the end of a life, a link that refuses for seconds keeps the upstream, and every group with it, from this entry for good.
     it("has an upstream that refused connections again once it has been heard after that", async () => {
         await pause();
         view.noteRefusing(view.candidates("orders", undefined)[0]!.upstream);
