Refuse what waits behind a long answer in a stop, and end all requests of a caller that leaves

What callers saw: a request that was sure to be final in time was taken behind a stream that was not, ran, and its answer was lost with the connection. Requests that wait behind another of a caller that has left ran on, and each later stop waited its full time for them. Cause: the check looked at the request's own time only, though answers are sent in order; and Node tells nothing of the end of a response that was never given its socket. Why it works: what runs is kept by connection. The check takes the latest time of the requests up to this one, and the end of the connection ends all. An answer that has been sent whole no longer counts as cut off; one with unsent bytes does.

--- a/src/gateway/answer.ts
+++ b/src/gateway/answer.ts
@@ -9,6 +9,8 @@
 export interface CallerAnswer {
     readonly isStarted: boolean;
     readonly isOver: boolean;
+    /** Bytes of it wait for their caller to read. */
+    readonly isUnsent: boolean;
     /** Starts an answer whose body follows in pieces. */
     start(status: number, headers: string[]): void;
     /** False: the caller reads too slowly, `drained` is called when it has caught up. */
@@ -52,6 +54,9 @@
         get isOver() {
             return isOver;
         },
+        get isUnsent() {
+            return response.writableLength > 0;
+        },
         start(status, headers) {
             if (!isStarted && !isOver) {
                 begin(status, headers);
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -6,6 +6,7 @@
  */
 
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { arrivedRead, type ConnectionPlace, createHttpConnections } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { type CallerAnswer, createAnswer } from "./answer.js";
@@ -60,10 +61,14 @@
 /** A request that is not over. */
 interface Served {
     readonly attemptId: string | undefined;
+    readonly message: IncomingMessage;
+    readonly response: ServerResponse;
     readonly place: ConnectionPlace;
     readonly answer: CallerAnswer;
     /** Undefined until the request has been read whole. */
     request: RunningRequest | undefined;
+    /** When its answer is final at the latest; 0 until its head has been read. */
+    giveUpAtMs: number;
     hasLeft: boolean;
 }
 
@@ -74,12 +79,31 @@
     /** From then on only what is sure to be final in time is taken. */
     let onlySureFromMs = Infinity;
     const running = new Set<Served>();
+    /** What runs on each connection, in the order in which it came. */
+    const runningOn = new Map<Socket, Set<Served>>();
     const connections = createHttpConnections();
     const record = createStopRecord({ logger: parts.logger, nowMs: parts.nowMs, count: parts.whileStopping });
 
-    /** Whether a request's answer is sure to be final before a stop may cut it off. */
-    function isFinalInTime(giveUpAtMs: number): boolean {
-        return parts.nowMs() < onlySureFromMs || giveUpAtMs + lastAnswerMs <= untilMs;
+    /** When an answer can be sent at the latest: those to the requests before it on its connection go first. */
+    function sentAtMs(served: Served): number {
+        const onIts = [...runningOn.get(served.message.socket) ?? []];
+        return Math.max(...onIts.slice(0, onIts.indexOf(served) + 1).map(({ giveUpAtMs }) => giveUpAtMs));
+    }
+
+    /** Whether a request's answer is sure to be sent before a stop may cut it off. */
+    function isFinalInTime(served: Served): boolean {
+        return parts.nowMs() < onlySureFromMs || sentAtMs(served) + lastAnswerMs <= untilMs;
+    }
+
+    function over(served: Served) {
+        if (!running.delete(served)) {
+            return;
+        }
+        runningOn.get(served.message.socket)?.delete(served);
+        served.hasLeft = true;
+        if (!served.response.writableFinished) {
+            served.request?.callerLeft();
+        }
     }
 
     function refuseEarly({ attemptId, answer }: Served, refused: Refused) {
@@ -105,7 +129,8 @@
             refuseEarly(served, head.refused);
             return;
         }
-        if (!isFinalInTime(head.asked.giveUpAtMs)) {
+        served.giveUpAtMs = head.asked.giveUpAtMs;
+        if (!isFinalInTime(served)) {
             refuseStopping(served);
             return;
         }
@@ -118,7 +143,7 @@
             return;
         }
         // The body may have come late.
-        if (!isFinalInTime(head.asked.giveUpAtMs)) {
+        if (!isFinalInTime(served)) {
             refuseStopping(served);
             return;
         }
@@ -136,15 +161,10 @@
             headers: attemptId === undefined ? [] : [parts.names.attemptId, attemptId],
             drained: () => served.request?.drained(),
         });
-        const served: Served = { attemptId, place, answer, request: undefined, hasLeft: false };
+        const served: Served = { attemptId, message, response, place, answer, request: undefined, giveUpAtMs: 0, hasLeft: false };
         running.add(served);
-        response.once("close", () => {
-            running.delete(served);
-            served.hasLeft = true;
-            if (!response.writableFinished) {
-                served.request?.callerLeft();
-            }
-        });
+        runningOn.get(message.socket)?.add(served);
+        response.once("close", () => over(served));
         return served;
     }
 
@@ -168,6 +188,15 @@
         });
     });
     connections.watch(server);
+    server.on("connection", socket => {
+        const onIt = new Set<Served>();
+        runningOn.set(socket, onIt);
+        socket.once("close", () => {
+            // A response that waits behind others has never had the socket, and tells nothing of its end.
+            onIt.forEach(over);
+            runningOn.delete(socket);
+        });
+    });
     server.headersTimeout = 3_000;
     server.keepAliveTimeout = 15_000;
     const { host, port } = splitAddress(address);
@@ -191,7 +220,8 @@
             return connections.endQuiet();
         },
         endRunning() {
-            [...running].forEach(({ attemptId, place, answer, request }) => {
+            const isUnanswered = ({ answer }: Served) => !answer.isOver || answer.isUnsent;
+            [...running].filter(isUnanswered).forEach(({ attemptId, place, answer, request }) => {
                 record.cutOff({ attemptId, carried: place.carried, upstream: request?.upstreamId });
                 if (request === undefined) {
                     answer.own(stopRefusal.status, stopRefusal.reason, stopRefusal.retryAfterMs);
