--- a/test/platform/controlApi.test.ts
+++ b/test/platform/controlApi.test.ts
@@ -49,7 +49,9 @@
     it("doesn't wait for long", async () => {
         operator.send(put);
         await until("it is being accepted", () => published === 1);
+        const begunMs = performance.now();
         await stop();
+        expect(performance.now() - begunMs).to.be.below(2_000);
         await until("the connection ends", () => operator.isEnded);
         expect(operator.text).to.equal("");
     });
--- a/test/platform/wholeSite.test.ts
+++ b/test/platform/wholeSite.test.ts
@@ -142,12 +142,15 @@
     it("leaves no connection open that an entry could take a late request from", async () => {
         const place = site.entries[0]!;
         const [host, port] = site.callersAddress(place).split(":");
-        const [kept, unused] = [await openCaller(Number(port), host), await openCaller(Number(port), host)];
+        const kept = await openCaller(Number(port), host);
         const read = (id: string) => requestBytes("GET", "/read/1", { id });
         kept.send(read("kept-1"));
         await until("the first answer has come", () => kept.text.includes("HTTP/1.1 200"));
         const stopped = site.signal(place.id, "SIGTERM");
         await until("the entry stops", () => site.output(place.id).includes("\"message\":\"stopping\""));
+        // Opened before, it could reach the limit for a first request, which Node ends it at, just as the listener closes.
+        await new Promise(resolve => setTimeout(resolve, 1_000));
+        const unused = await openCaller(Number(port), host);
         kept.send(read("kept-2"));
         await until("the kept connection ends with its answer", () => kept.isEnded);
         expect(kept.text.match(/HTTP\/1\.1 200/g)).to.have.length(2);
@@ -155,6 +158,6 @@
         await stopped;
         const closed = site.output(place.id).split("\n").find(line => line.includes("\"message\":\"listener closed\""))!;
         expect(JSON.parse(closed)).to.include({ closed: 1, connections: 0, running: 0 });
-        expect(unused.isEnded).to.equal(true);
+        await until("the unused connection ends", () => unused.isEnded);
     });
 });
