Read on after a body that was too large

What callers saw: after a 413 the connection hung, and the next request on it was never read. Cause: leaving the iterator over the body early destroys the message, and Node reads nothing more on its connection. Why it works: the body is read by events, and what is beyond the limit is dropped; the answer waits for the rest as other refusals do. Not run on it: the rest of test/gateway, test/platform, test/security.

--- a/src/gateway/asked.ts
+++ b/src/gateway/asked.ts
@@ -100,15 +100,22 @@
 }
 
 /** Reads the body whole; undefined when it is larger than `maxBytes`. Rejects when the caller breaks off. */
-export async function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    for await (const chunk of message) {
-        bytes += (chunk as Buffer).length;
-        if (bytes > maxBytes) {
-            return undefined;
+export function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+    return new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        function take(chunk: Buffer) {
+            bytes += chunk.length;
+            chunks.push(chunk);
+            if (bytes > maxBytes) {
+                // Not an iterator: left early it destroys the message, and nothing more is read on its connection.
+                message.off("data", take);
+                resolve(undefined);
+            }
         }
-        chunks.push(chunk as Buffer);
-    }
-    return Buffer.concat(chunks);
+        message.on("data", take);
+        message.once("end", () => resolve(Buffer.concat(chunks)));
+        message.once("error", reject);
+        message.once("close", () => reject(new Error("the caller broke off")));
+    });
 }
--- a/test/gateway/leaving.test.ts
+++ b/test/gateway/leaving.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import type { Socket } from "node:net";
-import { openCaller, requestBytes, startGateway, upstreamAt } from "../support/gatewaySite.js";
+import { openCaller, requestBytes, siteWith, startGateway, upstreamAt } from "../support/gatewaySite.js";
 import { until } from "../support/platformSite.js";
 import { startRawUpstream } from "../support/rawUpstream.js";
 
@@ -26,3 +26,20 @@
         await upstream.close();
     });
 });
+
+describe("a caller whose body is too large", () => {
+    // The rest of the body was not read, so its connection hung, and what came next on it was never read.
+    it("is answered, and so is its next request on the connection", async () => {
+        const upstream = await startRawUpstream(() => undefined);
+        const limits = { ...siteWith().limits, maxBodyBytes: 1_000 };
+        const site = await startGateway([upstreamAt(upstream.address, "u1")], siteWith({ limits }));
+        const caller = await openCaller(site.port);
+        caller.send(requestBytes("POST", "/read/1", { body: "x".repeat(500_000) }));
+        caller.send(requestBytes("GET", "/nowhere/1"));
+        await until("both are answered", () => caller.text.includes("404"));
+        expect(caller.text).to.match(/^HTTP\/1.1 413 [^]*HTTP\/1.1 404 /);
+        caller.close();
+        site.stop();
+        await upstream.close();
+    });
+});
