--- /dev/null
+++ b/test/gateway/leaving.test.ts
@@ -0,0 +1,45 @@
+import { expect } from "chai";
+import type { Socket } from "node:net";
+import { openCaller, requestBytes, siteWith, startGateway, upstreamAt } from "../support/gatewaySite.js";
+import { until } from "../support/platformSite.js";
+import { startRawUpstream } from "../support/rawUpstream.js";
+
+const read = (id: string) => requestBytes("POST", "/read/1", { id, body: "x" });
+
+describe("a caller that leaves", () => {
+    // Requests wait behind another on its connection. Nothing told that their caller has gone: their work went on until its time was up,
+    // and each stop waited for them.
+    it("ends the work of all its requests", async () => {
+        const open = new Set<Socket>();
+        const upstream = await startRawUpstream((_request, socket) => {
+            open.add(socket);
+            socket.once("close", () => open.delete(socket));
+        });
+        const site = await startGateway([upstreamAt(upstream.address, "u1")]);
+        const caller = await openCaller(site.port);
+        caller.send(read("a1") + read("a2") + read("a3"));
+        await until("all run", () => upstream.requests.length === 3);
+        caller.close();
+        await until("nothing runs", () => site.server.running === 0 && open.size === 0);
+        expect(site.outcomes).to.deep.equal(["caller-left", "caller-left", "caller-left"]);
+        site.stop();
+        await upstream.close();
+    });
+});
+
+describe("a caller whose body is too large", () => {
+    // The rest of the body was not read, so its connection hung, and what came next on it was never read.
+    it("is answered, and so is its next request on the connection", async () => {
+        const upstream = await startRawUpstream(() => undefined);
+        const limits = { ...siteWith().limits, maxBodyBytes: 1_000 };
+        const site = await startGateway([upstreamAt(upstream.address, "u1")], siteWith({ limits }));
+        const caller = await openCaller(site.port);
+        caller.send(requestBytes("POST", "/read/1", { body: "x".repeat(500_000) }));
+        caller.send(requestBytes("GET", "/nowhere/1"));
+        await until("both are answered", () => caller.text.includes("404"));
+        expect(caller.text).to.match(/^HTTP\/1.1 413 [^]*HTTP\/1.1 404 /);
+        caller.close();
+        site.stop();
+        await upstream.close();
+    });
+});
