--- a/test/gateway/leaving.test.ts
+++ b/test/gateway/leaving.test.ts
@@ -7,8 +7,7 @@
 const read = (id: string) => requestBytes("POST", "/read/1", { id, body: "x" });
 
 describe("a caller that leaves", () => {
-    // Requests wait behind another on its connection. Nothing told that their caller has gone: their work went on until its time was up,
-    // and each stop waited for them.
+    // Nothing told that the caller of requests that wait behind another has gone: their work went on, and each stop waited for them.
     it("ends the work of all its requests", async () => {
         const open = new Set<Socket>();
         const upstream = await startRawUpstream((_request, socket) => {
--- a/test/gateway/loopTurns.test.ts
+++ b/test/gateway/loopTurns.test.ts
@@ -2,8 +2,7 @@
 import { createLoopTurns } from "../../src/gateway/loopTurns.js";
 
 describe("the time of a signal", () => {
-    // The process stood still while SIGTERM came. Its timers run before it hears the signal, so the last turn is later than the signal; a
-    // stop that counted from there would take requests that the platform's kill cuts off.
+    // After a pause timers run before signals are heard: counted from the last turn, a stop would outlast the platform's kill.
     it("is taken to be before a pause that ended just now", () => {
         let nowMs = 0;
         const turns = createLoopTurns(() => nowMs);
--- a/test/gateway/stopping.test.ts
+++ b/test/gateway/stopping.test.ts
@@ -96,8 +96,7 @@
         expect(upstream.requests).to.have.length(0);
     });
 
-    // The process stood still while a request came. It is whole and unread when the listener closes, and its connection looks unused: it
-    // was ended, and the caller of a request that could have been served got no answer.
+    // A whole request is unread when the listener closes, and its connection looks unused: it was ended without an answer.
     it("answers a request that has arrived unread when its listener closes", async () => {
         await startPlain();
         caller.send(read("a1"));
@@ -139,8 +138,7 @@
         expect(caller.text.length).to.be.above(count * 200_000);
     });
 
-    // All answers are in the kernel's hands, and another request crosses the end of their connection. Destroyed by then, the connection was
-    // reset, and its caller lost what it had not read.
+    // Another request crosses the end of the connection: destroyed by then it was reset, and a slow reader lost its answers.
     it("lets a slow caller read answers whole though a request of its crosses the end", async () => {
         const count = 6;
         await startPlain("y".repeat(400_000));
@@ -158,8 +156,7 @@
         expect(upstream.requests).to.have.length(count);
     });
 
-    // Requests come one behind the other before the first is answered. An end that the first answer announces would cut off the others,
-    // which run by then.
+    // An end that is announced with the first of several requests cuts off the others, which run by then.
     it("answers all requests that were sent one behind the other, and announces the end with the last", async () => {
         await startPlain();
         drain(longMs);
@@ -194,8 +191,7 @@
         expect(caller.text).to.contain("Connection: close");
     });
 
-    // The head of a request is half here when the listener closes. Its answer may come after the process is gone: its caller must not wait
-    // for that, and may go elsewhere at once, since nothing has run.
+    // A head is half here when the listener closes: taken, the request may be given up when the process leaves.
     it("refuses at once what it may be unable to finish", async () => {
         await startPlain();
         const bytes = read("a1");
@@ -221,8 +217,7 @@
         expect(upstream.requests).to.have.length(0);
     });
 
-    // Its own time is up before the stop's, but its answer can only be sent behind a stream that may run for longer: it would run, and its
-    // answer be lost.
+    // An answer can only be sent behind a stream that may outlast the stop: the request would run, and its answer be lost.
     it("refuses what comes behind a stream that may not end in time", async () => {
         const stream = await startStream(longMs);
         caller.send(caption("a1", { "Zinnialanding-Deadline-Ms": String(longMs) }));
@@ -273,8 +268,7 @@
         expect(upstream.requests).to.have.length(0);
     });
 
-    // The refusal is written while its caller still sends a body. Closed with bytes unread the connection is reset, and the caller may see
-    // a broken connection, which promises nothing, in place of the refusal.
+    // Closed with bytes of a body unread, the connection is reset, and the caller sees a broken connection in place of the refusal.
     it("lets a caller that still sends its body read the refusal", async () => {
         await startPlain();
         const [bytes, slow] = [read("a1", "x".repeat(400_000)), await openCallerThatReadsLater(site.port)];
@@ -296,8 +290,7 @@
         expect(statuses(slow.text)).to.deep.equal([503]);
     });
 
-    // What still runs when the stop's time is over gets an answer that promises nothing, where it got a closed connection: callers that may
-    // repeat it do so at once, and the others know that it may have run.
+    // Callers whose requests still ran at the end of the stop got a closed connection, and waited before they asked elsewhere.
     it("answers what it can't wait for any longer", async () => {
         upstream = await startRawUpstream(() => undefined);
         site = await startGateway([upstreamAt(upstream.address, "u1")]);
