Let processes without a disk take part in forming a cluster, without a vote

Voters on more VMs are needed than have a place in every data centre with a disk, so some control daemons have none. Cause: the log knew voters only: every process named in the settings had to be one. Change: a process without a disk never votes and writes nothing; it says so in its greetings, learns from voters who votes, and tells whoever asks. Where no process of the settings has a disk, the lowest of them names one disk that forms the cluster alone; the others are invited. Each guard against a second cluster stands beside the failure that it answers. Ruled out: the memory of any other process as a witness, since all VMs may lose power at that moment.

--- a/src/consensus/bootstrap.ts
+++ b/src/consensus/bootstrap.ts
@@ -1,40 +1,67 @@
 /**
  * How a process without a vote comes to one: it announces itself, and either the cluster forms, or a leader takes it in. A cluster
- * forms only when every voter of the settings answers that it is empty; the lowest id writes the first entry.
+ * forms only when every process of the settings answers that it knows of none; the lowest id with a disk writes the first entry.
  *
  * @module
  */
 
+import { chooseFirstVoter, learnVoters } from "./diskless.js";
 import { startPreVote } from "./election.js";
-import type { Identity, Membership, MessageOf } from "./messages.js";
+import type { Identity, Membership, Message, MessageOf, Voter } from "./messages.js";
 import { lastIndexOf, withEntries } from "./entries.js";
 import { invite } from "./membership.js";
 import { freshProgress, withProgress } from "./replication.js";
-import type { ConsensusState, ConsensusStep, Effect } from "./state.js";
-import { chain, isVoter, persist, send, set } from "./steps.js";
+import type { ConsensusState, ConsensusStep, Effect, PeerAnswer, SettingsPeer } from "./state.js";
+import { chain, isVoter, otherPeers, persist, send, set, settingsIds } from "./steps.js";
 
-export function isEmpty(state: ConsensusState): boolean {
-    return lastIndexOf(state.log) === 0;
+/** Whether this process knows of no cluster: nothing is on its disk, or, without a disk, it has heard of no voters. */
+function isEmpty(state: ConsensusState): boolean {
+    return state.options.diskless ? state.knownVoters.length === 0 : lastIndexOf(state.log) === 0;
 }
 
-function settingsIds(state: ConsensusState): string[] {
-    return state.options.peers.map(peer => peer.id).sort();
+function saysHello(state: ConsensusState): boolean {
+    return !isVoter(state) || isForgotten(state);
 }
 
-function otherPeers(state: ConsensusState) {
-    return state.options.peers.filter(peer => peer.id !== state.options.self.voterId);
+/** The processes of the settings that don't vote: nobody else tells them who does. */
+function strangers(state: ConsensusState): readonly SettingsPeer[] {
+    return isVoter(state) ? otherPeers(state).filter(peer => !state.membership!.voters.some(voter => voter.voterId === peer.id)) : [];
 }
 
-/** Announces this process to the voters of the settings for as long as its disk has no vote. */
+/** Whether this process has something to say each time a greeting is due. */
+export function speaksAtHello(state: ConsensusState): boolean {
+    return !isVoter(state) || strangers(state).length > 0;
+}
+
+/** Announces this process: to the processes of the settings for as long as its disk has no vote, and as a voter to those that have none. */
 export function sayHello(state: ConsensusState, random: number): ConsensusStep {
-    if ((isVoter(state) && !isForgotten(state)) || state.nowMs < state.helloDueMs) {
+    if (state.nowMs < state.helloDueMs || !(saysHello(state) || speaksAtHello(state))) {
         return { state, effects: [] };
     }
-    const voterIds = settingsIds(state);
-    const hello = { kind: "hello" as const, empty: isEmpty(state), address: state.options.address, voterIds };
-    const effects: Effect[] = [...otherPeers(state), ...state.namedPeers].map(peer => ({ kind: "announce", toVoterId: peer.id, message: hello }));
     const asked: ConsensusState = { ...state, helloDueMs: state.nowMs + state.options.timings.helloMs };
-    return chain(asked, next => ({ state: next, effects }), noteAwaited, next => formIfAllEmpty(next, random));
+    return chain(asked, tellVoters, next => saysHello(next) ? greet(next, random) : { state: next, effects: [] });
+}
+
+/**
+ * Processes without a disk forget the voters when they restart, and may be all that the settings of others name. Were they not told
+ * again, entries and disks that start from them would look for the voters in vain.
+ */
+function tellVoters(state: ConsensusState): ConsensusStep {
+    const message = helloResponse(state);
+    return { state, effects: strangers(state).map(peer => ({ kind: "announce", toVoterId: peer.id, message })) };
+}
+
+function greet(state: ConsensusState, random: number): ConsensusStep {
+    const { diskless, mayForm, address } = state.options;
+    const hello: Message = {
+        kind: "hello", empty: isEmpty(state), address, voterIds: settingsIds(state),
+        ...diskless ? { diskless: true } : {}, ...mayForm ? { mayForm: true } : {},
+    };
+    // Without a disk there is nobody to be admitted by: only who votes is asked for.
+    const audience = [...otherPeers(state), ...diskless ? state.knownVoters : state.namedPeers];
+    const ids = new Set(audience.map(peer => peer.id));
+    const effects = [...ids].map((toVoterId): Effect => ({ kind: "announce", toVoterId, message: hello }));
+    return chain(state, next => ({ state: next, effects }), noteAwaited, next => formIfAllEmpty(next, random));
 }
 
 /** Whether this voter has heard no leader for so long that the others may count it out. */
@@ -45,6 +72,9 @@
 
 /** Logs whom this process waits for, once for each change. */
 function noteAwaited(state: ConsensusState): ConsensusStep {
+    if (state.options.diskless) {
+        return { state, effects: [] };
+    }
     const silent = otherPeers(state).filter(peer => state.peerAnswers[peer.id] === undefined).map(peer => peer.id);
     const differing = otherPeers(state).filter(peer => state.peerAnswers[peer.id]?.sameVoters === false).map(peer => peer.id);
     const holding = otherPeers(state).filter(peer => state.peerAnswers[peer.id]?.empty === false).map(peer => peer.id);
@@ -61,28 +91,45 @@
     return { state: { ...state, awaited: line }, effects: [{ kind: "log", line }] };
 }
 
+/** The processes of the settings that have a disk, once all of them have answered that they know of no cluster. */
+function emptyPeers(state: ConsensusState): readonly Voter[] | undefined {
+    const { self, peers } = state.options;
+    const voters: Voter[] = [];
+    for (const peer of peers) {
+        const answer = state.peerAnswers[peer.id];
+        if (peer.id === self.voterId) {
+            voters.push({ ...self, address: peer.address });
+        }
+        else if (!answer?.empty || !answer.sameVoters) {
+            return undefined;
+        }
+        else if (!answer.diskless) {
+            voters.push({ voterId: peer.id, address: peer.address, diskId: answer.diskId });
+        }
+    }
+    return voters;
+}
+
 /**
  * A majority whose disks were wiped looks like a new region to itself. Were it to form a cluster, everything accepted before
- * would be gone while the third voter still holds it. So one voter that holds anything, or does not answer, stops the forming.
+ * would be gone while another voter still holds it. So one voter that holds anything, or does not answer, stops the forming, as
+ * does a process without a disk that knows of voters. The lowest id alone writes the first entry, or two entries would meet.
+ *
+ * Where no process of the settings has a disk, a disk that is not among them forms the cluster alone, if the lowest of them has
+ * chosen it and no other: two that took it on themselves would form two clusters.
  */
 function formIfAllEmpty(state: ConsensusState, random: number): ConsensusStep {
-    const { self, mayForm, peers } = state.options;
-    if (!mayForm || !peers.some(peer => peer.id === self.voterId)) {
-        return { state, effects: [] };
-    }
-    const lowest = settingsIds(state)[0] === self.voterId;
-    const ready = otherPeers(state).every(peer => state.peerAnswers[peer.id]?.empty && state.peerAnswers[peer.id]?.sameVoters);
-    if (!lowest || !ready || !isEmpty(state) || state.membershipIndex > 0) {
+    const { self, diskless, mayForm, address } = state.options;
+    const withDisks = diskless || !mayForm || !isEmpty(state) || state.membershipIndex > 0 ? undefined : emptyPeers(state);
+    const lowest = state.peerAnswers[settingsIds(state)[0]!];
+    const isChosen = withDisks?.length === 0 && lowest?.firstDiskId === self.diskId;
+    const voters = isChosen ? [{ ...self, address }] : withDisks;
+    const first = voters?.map(voter => voter.voterId).sort()[0];
+    if (voters === undefined || first !== self.voterId) {
         return { state, effects: [] };
     }
     const membership: Membership = {
-        clusterId: `${self.diskId.slice(0, 8)}-${Math.floor(random * 0x1_0000_0000).toString(16)}`,
-        formed: false,
-        voters: state.options.peers.map(peer => ({
-            voterId: peer.id,
-            address: peer.address,
-            diskId: peer.id === self.voterId ? self.diskId : state.peerAnswers[peer.id]!.diskId,
-        })),
+        clusterId: `${self.diskId.slice(0, 8)}-${Math.floor(random * 0x1_0000_0000).toString(16)}`, formed: false, voters: [...voters],
     };
     const term = Math.max(1, state.term);
     const entry = { index: 1, term, payload: { kind: "membership" as const, membership } };
@@ -95,16 +142,34 @@
     );
 }
 
+/** What this process knows of the cluster. */
+function helloResponse(state: ConsensusState): MessageOf<"hello-response"> {
+    const { diskless } = state.options;
+    const voters = diskless
+        ? state.knownVoters.map(({ id, address }) => ({ id, address }))
+        : state.membership?.voters.map(voter => ({ id: voter.voterId, address: voter.address }));
+    return {
+        kind: "hello-response", empty: isEmpty(state), voterIds: settingsIds(state), ...voters === undefined ? {} : { voters },
+        ...diskless ? { diskless: true } : {}, ...state.firstDiskId === undefined ? {} : { firstDiskId: state.firstDiskId },
+    };
+}
+
 export function onHello(state: ConsensusState, from: Identity, message: MessageOf<"hello">): ConsensusStep {
-    const voterIds = settingsIds(state);
-    const voters = state.membership?.voters.map(voter => ({ id: voter.voterId, address: voter.address }));
     const answered = { ...state, namedPeers: withPeer(state, { id: from.voterId, address: message.address }) };
-    const response = send(from, { kind: "hello-response", empty: isEmpty(state), voterIds, ...voters === undefined ? {} : { voters } });
     return chain(
         answered,
-        next => ({ state: next, effects: [response] }),
-        next => invite(next, from, message.address),
-        next => ({ state: takeInLearner(next, from, message.address), effects: [] }),
+        next => chooseFirstVoter(next, from, message),
+        next => ({ state: next, effects: [send(from, helloResponse(next))] }),
+        // A process without a disk would forget what it acknowledged.
+        next => message.diskless ? { state: next, effects: [] } : welcome(next, from, message.address),
+    );
+}
+
+function welcome(state: ConsensusState, from: Identity, address: string): ConsensusStep {
+    return chain(
+        state,
+        next => invite(next, from, address),
+        next => ({ state: takeInLearner(next, from, address), effects: [] }),
     );
 }
 
@@ -134,12 +199,20 @@
         return { state, effects: [] };
     }
     const sameVoters = message.voterIds.join("\n") === settingsIds(state).join("\n");
-    const answer = { diskId: from.diskId, empty: message.empty, sameVoters };
-    const named = (message.voters ?? []).reduce((next, peer) => ({ ...next, namedPeers: withPeer(next, peer) }), state);
+    const answer: PeerAnswer = {
+        diskId: from.diskId, empty: message.empty, sameVoters, diskless: message.diskless ?? false, firstDiskId: message.firstDiskId,
+    };
     return chain(
-        named,
+        state,
         next => set(next, { peerAnswers: { ...next.peerAnswers, [from.voterId]: answer } }),
+        next => next.options.diskless
+            ? learnVoters(next, from, message.voters)
+            : set(next, { namedPeers: withPeers(next, message.voters ?? []) }),
         noteAwaited,
         next => formIfAllEmpty(next, random),
     );
 }
+
+function withPeers(state: ConsensusState, peers: readonly SettingsPeer[]): ConsensusState["namedPeers"] {
+    return peers.reduce((next, peer) => ({ ...next, namedPeers: withPeer(next, peer) }), state).namedPeers;
+}
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -43,13 +43,17 @@
     data: z.unknown(),
 });
 
-/** Sent by a process that does not vote yet, until it does. */
+/** Sent by a process that does not vote, until it does. */
 const helloSchema = z.strictObject({
     kind: z.literal("hello"),
     empty: z.boolean(),
     address: z.string(),
     /** The voters that the sender's settings name, sorted. */
     voterIds: z.array(z.string()),
+    /** The sender has no disk and can't vote. `empty` then says that it knows no voters. */
+    diskless: z.literal(true).optional(),
+    /** The sender's settings allow that a cluster forms. */
+    mayForm: z.literal(true).optional(),
 });
 
 const helloResponseSchema = z.strictObject({
@@ -58,6 +62,9 @@
     voterIds: z.array(z.string()),
     /** Who votes by the newest membership that the sender knows: the settings of the asker may name none of them any more. */
     voters: z.array(z.strictObject({ id: z.string(), address: z.string() })).optional(),
+    diskless: z.literal(true).optional(),
+    /** The disk that the sender, itself without one, has chosen to form the cluster alone. */
+    firstDiskId: z.string().optional(),
 });
 
 const preVoteSchema = z.strictObject({
--- a/src/consensus/node.ts
+++ b/src/consensus/node.ts
@@ -13,21 +13,22 @@
 import { holdsLease } from "./lease.js";
 import type { Letter } from "./messages.js";
 import { createConsensusReducer, nextTickMs } from "./reducer.js";
-import { openStorage, type Storage } from "./storage.js";
+import { createNoStorage, openStorage, type Storage } from "./storage.js";
 import {
     type Answer, type ConsensusEvent, type ConsensusLimits, type ConsensusOptions, type ConsensusState, type ConsensusTimings,
     defaultLimits, defaultTimings, type Effect, type SettingsPeer, startedState, type StateMachine,
 } from "./state.js";
 import { addressOf } from "./steps.js";
 import { type ConsensusRoutes, createTransport, defaultTransport, type LinkTls, receive, type Transport } from "./transport.js";
-import { type VoterView, voterViews } from "./view.js";
+import { type VoterView, voterAddresses, voterViews } from "./view.js";
 import { createBatcher, createDueTimer, createWaiters } from "./waiters.js";
 
 export interface ReplicatedLogOptions {
     readonly voterId: string;
-    /** The region's voters by the settings, this one among them. */
+    /** The region's voters by the settings, this one among them; in an open cluster any processes to begin with. */
     readonly peers: readonly SettingsPeer[];
-    readonly dataFolder: string;
+    /** Unset, this process never votes and keeps nothing; it tells others who votes. */
+    readonly dataFolder: string | undefined;
     /** Where the other voters reach this one; unset, the settings' list of voters says it. */
     readonly address?: string;
     readonly mayForm?: boolean;
@@ -53,6 +54,8 @@
     /** Mounts what the other voters call. */
     readonly routes: ConsensusRoutes;
     voters(): readonly VoterView[];
+    /** Where voters are reached; without a disk those that have answered lately, if any, or else all that are known. */
+    voterAddresses(): readonly string[];
     addVoter(voterId: string, address: string, timeoutMs: number): Promise<VoterChange>;
     removeVoter(voterId: string, timeoutMs: number): Promise<VoterChange>;
     readonly commitIndex: number;
@@ -71,9 +74,10 @@
 
 /** Opens the data folder and starts to take part. Throws `CorruptionError` or `ForeignFolderError` for a folder it must not use. */
 export async function createReplicatedLog(options: ReplicatedLogOptions): Promise<ConsensusNode> {
-    const storage = await openStorage({
-        folder: options.dataFolder, voterId: options.voterId, ...options.files === undefined ? {} : { files: options.files },
-    });
+    const { dataFolder: folder, voterId } = options;
+    const storage = folder === undefined
+        ? createNoStorage(voterId)
+        : await openStorage({ folder, voterId, ...options.files === undefined ? {} : { files: options.files } });
     const transport = createTransport({ ...defaultTransport, ...options.transport, voterId: options.voterId, tls: options.tls });
     const node = createNode(options, storage, transport);
     if (storage.tornBytes > 0) {
@@ -87,6 +91,7 @@
     const { identity: self } = storage;
     const consensusOptions: ConsensusOptions = {
         self,
+        diskless: options.dataFolder === undefined,
         mayForm: options.mayForm ?? true,
         isOpen: options.isOpen ?? false,
         address: options.address ?? options.peers.find(peer => peer.id === options.voterId)?.address ?? "",
@@ -266,6 +271,7 @@
         stop,
         routes,
         voters: () => voterViews(host.state),
+        voterAddresses: () => voterAddresses(host.state),
         addVoter: (voterId, address, timeoutMs) => changeVoters({ kind: "add-voter", voterId, address }, timeoutMs),
         removeVoter: (voterId, timeoutMs) => changeVoters({ kind: "remove-voter", voterId }, timeoutMs),
         get commitIndex() {
--- a/src/consensus/reducer.ts
+++ b/src/consensus/reducer.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Reducer } from "../runtime/index.js";
-import { onHello, onHelloResponse, sayHello } from "./bootstrap.js";
+import { onHello, onHelloResponse, sayHello, speaksAtHello } from "./bootstrap.js";
 import {
     onPreVote, onPreVoteResponse, onTimeoutNow, onVote, onVoteResponse, startPreVote, startTransfer,
 } from "./election.js";
@@ -71,7 +71,8 @@
 ): ConsensusStep {
     // Meant for the disk that stood here before: an answer would lead the sender astray about the place that this one has reached.
     const forAnother = toDiskId !== undefined && toDiskId !== state.options.self.diskId;
-    if (forAnother || state.storageFault !== undefined || isForeign(state, message)) {
+    const forVoters = state.options.diskless && message.kind !== "hello" && message.kind !== "hello-response";
+    if (forAnother || forVoters || state.storageFault !== undefined || isForeign(state, message)) {
         return { state, effects: [] };
     }
     return onOwnMessage(state, from, message, random);
@@ -162,6 +163,5 @@
 export function nextTickMs(state: ConsensusState): number {
     const { role } = state;
     const due = role.kind === "leader" ? role.heartbeatDueMs : state.electionDeadlineMs;
-    const voting = state.membership?.voters.some(voter => voter.diskId === state.options.self.diskId) ?? false;
-    return voting ? due : Math.min(due, state.helloDueMs);
+    return speaksAtHello(state) ? Math.min(due, state.helloDueMs) : due;
 }
--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -65,8 +65,10 @@
 export interface ConsensusOptions {
     readonly self: Identity;
     readonly address: string;
-    /** The voters named in the settings, this one among them. */
+    /** The processes named in the settings: the voters, or in an open cluster any processes to begin with. */
     readonly peers: readonly SettingsPeer[];
+    /** Whether this process has no disk: it never votes, and tells others who does. */
+    readonly diskless: boolean;
     readonly timings: ConsensusTimings;
     readonly limits: ConsensusLimits;
     /** Whether a new cluster may be formed: false once the site has existed, or wiped disks would begin a history of their own. */
@@ -133,6 +135,14 @@
     readonly diskId: string;
     readonly empty: boolean;
     readonly sameVoters: boolean;
+    readonly diskless: boolean;
+    /** The disk that a peer without one has chosen to form the cluster. */
+    readonly firstDiskId: string | undefined;
+}
+
+/** A voter as a process without a disk knows it. */
+export interface KnownVoter extends SettingsPeer {
+    readonly heardAtMs: number;
 }
 
 /** A read made at a follower; `index` is the leader's confirmed index, once known. */
@@ -143,6 +153,7 @@
 
 export interface ConsensusState {
     readonly options: ConsensusOptions;
+    readonly startedAtMs: number;
     readonly nowMs: number;
     readonly term: number;
     /** The disk id voted for in `term`. */
@@ -170,6 +181,10 @@
     readonly peerAnswers: Readonly<Record<string, PeerAnswer>>;
     /** Voters that others have named and the settings do not. */
     readonly namedPeers: readonly SettingsPeer[];
+    /** Who votes, as a process without a disk was told last. */
+    readonly knownVoters: readonly KnownVoter[];
+    /** The disk that this process, itself without one, has chosen to form the cluster. */
+    readonly firstDiskId: string | undefined;
     /** When the newest process was invited to vote. */
     readonly invitedAtMs: number;
     /** The last line logged about what this process waits for, so that it is logged once. */
@@ -257,6 +272,7 @@
     const alone = membership?.voters.length === 1;
     return {
         options,
+        startedAtMs: nowMs,
         nowMs,
         term: Math.max(disk.term, disk.entries.at(-1)?.term ?? snapshot?.term ?? 0),
         votedFor: disk.votedFor,
@@ -282,6 +298,8 @@
         helloDueMs: nowMs,
         peerAnswers: {},
         namedPeers: [],
+        knownVoters: [],
+        firstDiskId: undefined,
         invitedAtMs: 0,
         awaited: undefined,
         forwardedReads: {},
--- a/src/consensus/steps.ts
+++ b/src/consensus/steps.ts
@@ -60,6 +60,14 @@
     return identity.diskId === state.options.self.diskId;
 }
 
+export function settingsIds(state: ConsensusState): string[] {
+    return state.options.peers.map(peer => peer.id).sort();
+}
+
+export function otherPeers(state: ConsensusState): ConsensusState["options"]["peers"] {
+    return state.options.peers.filter(peer => peer.id !== state.options.self.voterId);
+}
+
 /** Whether this very disk is a voter by the newest membership it knows. */
 export function isVoter(state: ConsensusState): boolean {
     return state.membership?.voters.some(voter => voter.diskId === state.options.self.diskId) ?? false;
@@ -104,9 +112,10 @@
     );
 }
 
-/** The address of an identity's voter, from the newest membership or the settings. */
+/** The address of an identity's voter, from the newest membership, the settings or what others have told. */
 export function addressOf(state: ConsensusState, voterId: string): string | undefined {
     return state.membership?.voters.find(voter => voter.voterId === voterId)?.address ??
         state.options.peers.find(peer => peer.id === voterId)?.address ??
+        state.knownVoters.find(peer => peer.id === voterId)?.address ??
         state.namedPeers.find(peer => peer.id === voterId)?.address;
 }
--- a/src/consensus/storage.ts
+++ b/src/consensus/storage.ts
@@ -11,7 +11,7 @@
 import { type FileOperations, type OpenFile, diskOperations, replaceFile } from "./files.js";
 import { type Entry, entrySchema, type Identity, identitySchema, type Snapshot, snapshotSchema } from "./messages.js";
 import { CorruptionError, decodeSegment, encodeRecord } from "./segment.js";
-import type { DiskImage, PersistEffect } from "./state.js";
+import { type DiskImage, emptyDisk, type PersistEffect } from "./state.js";
 
 const identityName = "identity.json";
 const segmentPattern = /^log-(\d{12})\.seg$/;
@@ -58,6 +58,20 @@
     close(): Promise<void>;
 }
 
+/** In place of a data folder, for a process that never votes: a write would promise what no disk holds. */
+export function createNoStorage(voterId: string): Storage {
+    return {
+        identity: { voterId, diskId: randomUUID() },
+        image: emptyDisk,
+        tornBytes: 0,
+        start: () => undefined,
+        persist() {
+            throw new Error("there is no data folder to write to");
+        },
+        close: async () => undefined,
+    };
+}
+
 /** The data folder belongs to another voter than the settings say. */
 export class ForeignFolderError extends Error {
     override name = "ForeignFolderError";
--- a/src/consensus/view.ts
+++ b/src/consensus/view.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { isAnswering } from "./diskless.js";
 import type { ConsensusState } from "./state.js";
 
 /** One voter or voter to be, as operators see it. */
@@ -38,3 +39,10 @@
         };
     });
 }
+
+/** Where voters are reached; without a disk those that have answered lately, if any, or else all that are known. */
+export function voterAddresses(state: ConsensusState): readonly string[] {
+    const answering = state.knownVoters.filter(voter => isAnswering(state, voter));
+    const known = state.options.diskless ? answering.length > 0 ? answering : state.knownVoters : state.membership?.voters ?? [];
+    return known.map(voter => voter.address);
+}
--- a/test/support/consensusPromises.ts
+++ b/test/support/consensusPromises.ts
@@ -22,6 +22,8 @@
     /** Disks that were taken for lost and may come back. */
     readonly shelf: { readonly diskId: string; readonly disk: DiskImage }[];
     paused: boolean;
+    /** How often it was started. */
+    lives: number;
     /** How fast its clock runs. */
     readonly rate: number;
 }
--- a/test/support/consensusWorld.ts
+++ b/test/support/consensusWorld.ts
@@ -42,10 +42,17 @@
 
 type EventBody = ConsensusEvent extends infer Each ? Each extends ConsensusEvent ? Omit<Each, "nowMs" | "random"> : never : never;
 
-export function createWorld(seed: number, ids: readonly string[], spareIds: readonly string[] = []) {
+export interface WorldOptions {
+    /** The leader takes in whoever announces itself, and only a process's first life may form a cluster. */
+    readonly isOpen?: boolean;
+    readonly disklessIds?: readonly string[];
+}
+
+export function createWorld(seed: number, ids: readonly string[], spareIds: readonly string[] = [], more: WorldOptions = {}) {
+    const { isOpen = false, disklessIds = [] } = more;
     const peers = ids.map(id => ({ id, address: `${id}:1` }));
     const nodes: Node[] = [...ids, ...spareIds].map((voterId, place) => ({
-        voterId, diskId: `${voterId}0`, disk: emptyDisk, state: undefined, writes: [], shelf: [], paused: false,
+        voterId, diskId: `${voterId}0`, disk: emptyDisk, state: undefined, writes: [], shelf: [], paused: false, lives: 0,
         rate: 1 + (place - 1) * 0.04,
     }));
     const network: Packet[] = [];
@@ -81,8 +88,10 @@
         const own = { id: node.voterId, address: `${node.voterId}:1` };
         const options = {
             self: { voterId: node.voterId, diskId: node.diskId }, address: own.address, timings, limits,
-            peers: ids.includes(node.voterId) ? peers : [...peers, own], mayForm: true, isOpen: false,
+            peers: isOpen || ids.includes(node.voterId) ? peers : [...peers, own], diskless: disklessIds.includes(node.voterId),
+            mayForm: !isOpen || node.lives === 0, isOpen,
         };
+        node.lives++;
         node.state = startedState(options, machine, node.disk, clockOf(node), random());
     }
 
@@ -279,6 +288,7 @@
 
     return {
         nodes,
+        disklessIds,
         actions,
         promises,
         leader: () => nodes.find(node => node.state !== undefined && holdsLease(node.state, clockOf(node))),
