--- a/src/config/siteSettings.ts
+++ b/src/config/siteSettings.ts
@@ -15,7 +15,7 @@
         id: z.string().min(1),
         dataCentre: z.string().min(1),
         roles: z.array(z.enum(["entry", "control"])).min(1),
-        /** Needed by the control role: the one folder for durable state. */
+        /** The one folder for durable state; a control daemon without it never votes and refers callers to those that do. */
         dataFolder: z.string().optional(),
         logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
         /** How long a stop may take before the daemon is killed. */
--- a/src/consensus/bootstrap.ts
+++ b/src/consensus/bootstrap.ts
@@ -9,8 +9,7 @@
 import { startPreVote } from "./election.js";
 import type { Identity, Membership, Message, MessageOf, Voter } from "./messages.js";
 import { lastIndexOf, withEntries } from "./entries.js";
-import { invite } from "./membership.js";
-import { freshProgress, withProgress } from "./replication.js";
+import { welcome } from "./membership.js";
 import type { ConsensusState, ConsensusStep, Effect, PeerAnswer, SettingsPeer } from "./state.js";
 import { chain, isVoter, otherPeers, persist, send, set, settingsIds } from "./steps.js";
 
@@ -165,14 +164,6 @@
     );
 }
 
-function welcome(state: ConsensusState, from: Identity, address: string): ConsensusStep {
-    return chain(
-        state,
-        next => invite(next, from, address),
-        next => ({ state: takeInLearner(next, from, address), effects: [] }),
-    );
-}
-
 /** How many processes without a vote are remembered, so that they can be answered. */
 const mostNamedPeers = 64;
 
@@ -181,19 +172,6 @@
     return isKnown || peer.id === state.options.self.voterId ? state.namedPeers : [...state.namedPeers, peer].slice(-mostNamedPeers);
 }
 
-/** Lets the leader replicate to a disk that stands for a known voter or for one that is to be added. */
-function takeInLearner(state: ConsensusState, from: Identity, address: string): ConsensusState {
-    const { role, membership } = state;
-    if (role.kind !== "leader" || membership === undefined || role.progress[from.diskId] !== undefined) {
-        return state;
-    }
-    const expected = membership.admitting?.voterId === from.voterId || membership.voters.some(voter => voter.voterId === from.voterId);
-    if (!expected || from.diskId === state.options.self.diskId) {
-        return state;
-    }
-    return withProgress(state, { ...freshProgress(state, { ...from, address }), nextIndex: 1 });
-}
-
 export function onHelloResponse(state: ConsensusState, from: Identity, message: MessageOf<"hello-response">, random: number): ConsensusStep {
     if (isVoter(state)) {
         return { state, effects: [] };
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -8,9 +8,9 @@
 import { lastIndexOf } from "./entries.js";
 import type { Identity, Membership, Voter } from "./messages.js";
 import { becomeFollower } from "./roles.js";
-import { freshProgress, replicate } from "./replication.js";
+import { freshProgress, replicate, withProgress } from "./replication.js";
 import type { Answer, ConsensusState, ConsensusStep, LeaderRole, Progress } from "./state.js";
-import { appendOwn, chain, isVoter, withRole } from "./steps.js";
+import { appendOwn, chain, isVoter, set, withRole } from "./steps.js";
 
 /** Whether the leader may write a change of membership: it stays, the last one is committed, and so is an entry of its own term. */
 function mayChange(state: ConsensusState): boolean {
@@ -77,7 +77,8 @@
     }
     const wiped = caughtUpLearner(state, voter => membership.voters.some(other => other.voterId === voter.voterId));
     if (wiped === undefined || membership.voters.length === 1) {
-        return voteOutSilent(state, membership);
+        const step = voteOutSilent(state, membership);
+        return step.effects.length === 0 ? inviteWaiting(state) : step;
     }
     const voters = membership.voters.filter(voter => voter.voterId !== wiped.voterId);
     const line = `consensus: ${wiped.voterId} came back with a new disk and has caught up; its lost disk votes no more`;
@@ -116,17 +117,48 @@
     return writeMembership(state, { clusterId, formed, voters }, `consensus: ${silent.voterId} has been silent for long; it votes no more`);
 }
 
-/** Writes down that a process that announced itself is to be admitted, where nobody else decides that. */
-export function invite(state: ConsensusState, from: Identity, address: string): ConsensusStep {
+/** Takes in a process that announced itself: it is caught up if it may vote, or is to be admitted where nobody else decides that. */
+export function welcome(state: ConsensusState, from: Identity, address: string): ConsensusStep {
+    return chain(
+        state,
+        next => invite(next, from, address),
+        next => ({ state: takeInLearner(next, from, address), effects: [] }),
+    );
+}
+
+function invite(state: ConsensusState, from: Identity, address: string): ConsensusStep {
     const { membership } = state;
     const isKnown = membership?.voters.some(voter => voter.voterId === from.voterId) ?? true;
-    if (!state.options.isOpen || isKnown || !mayChange(state) || !membership!.formed || membership!.admitting !== undefined) {
+    if (!state.options.isOpen || isKnown || state.role.kind !== "leader") {
         return { state, effects: [] };
     }
-    const invited = { ...state, invitedAtMs: state.nowMs };
+    const others = state.waiting.filter(voter => voter.voterId !== from.voterId);
+    if (!mayChange(state) || !membership!.formed || membership!.admitting !== undefined) {
+        return set(state, { waiting: [...others, { ...from, address, heardAtMs: state.nowMs }] });
+    }
+    const invited = { ...state, invitedAtMs: state.nowMs, waiting: others };
     return writeMembership(invited, { ...membership!, admitting: { voterId: from.voterId, address } }, `consensus: ${from.voterId} announced itself; it votes once it has caught up`);
 }
 
+/** Invites the next of those that announced themselves while another was admitted: acknowledgements rest on few disks until all vote. */
+function inviteWaiting(state: ConsensusState): ConsensusStep {
+    const [next, ...waiting] = state.waiting.filter(voter => state.nowMs - voter.heardAtMs < 2 * state.options.timings.helloMs);
+    return next === undefined ? { state, effects: [] } : welcome({ ...state, waiting }, next, next.address);
+}
+
+/** Lets the leader replicate to a disk that stands for a known voter or for one that is to be added. */
+function takeInLearner(state: ConsensusState, from: Identity, address: string): ConsensusState {
+    const { role, membership } = state;
+    if (role.kind !== "leader" || membership === undefined || role.progress[from.diskId] !== undefined) {
+        return state;
+    }
+    const expected = membership.admitting?.voterId === from.voterId || membership.voters.some(voter => voter.voterId === from.voterId);
+    if (!expected || from.diskId === state.options.self.diskId) {
+        return state;
+    }
+    return withProgress(state, { ...freshProgress(state, { ...from, address }), nextIndex: 1 });
+}
+
 function admit(state: ConsensusState, membership: Membership, learner: Voter): ConsensusStep {
     const voters = [...membership.voters, learner].sort((a, b) => a.voterId < b.voterId ? -1 : 1);
     const { clusterId, formed } = membership;
--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -185,6 +185,8 @@
     readonly knownVoters: readonly KnownVoter[];
     /** The disk that this process, itself without one, has chosen to form the cluster. */
     readonly firstDiskId: string | undefined;
+    /** Processes that announced themselves to this leader while it could not invite them. */
+    readonly waiting: readonly (Voter & { readonly heardAtMs: number })[];
     /** When the newest process was invited to vote. */
     readonly invitedAtMs: number;
     /** The last line logged about what this process waits for, so that it is logged once. */
@@ -300,6 +302,7 @@
         namedPeers: [],
         knownVoters: [],
         firstDiskId: undefined,
+        waiting: [],
         invitedAtMs: 0,
         awaited: undefined,
         forwardedReads: {},
--- a/src/feed/frames.ts
+++ b/src/feed/frames.ts
@@ -30,7 +30,7 @@
     /** Whether the sender leads: reports go to it. */
     leads: z.boolean(),
     /** Entries that watch the sender or did lately: bounds that hold for all entries together are split among so many. */
-    entries: z.number().int().min(0),
+    entries: z.number().int().min(0).optional(),
 });
 
 /** The control daemons that the sender knows, by the address of their listener for daemons. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -110,7 +110,7 @@
             if (frame.kind === "controls") {
                 watcher.watch(frame.addresses);
             }
-            if (frame.kind === "alive") {
+            if (frame.kind === "alive" && frame.entries !== undefined) {
                 entries.told(address, frame.entries);
             }
         },
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -11,7 +11,7 @@
 import { createGateway, type Gateway, type HeaderNames } from "./gateway/index.js";
 import { createPeerConnections, createRpcServer, type RpcServer, splitAddress } from "./rpc/index.js";
 import type { SiteDialect } from "./site/index.js";
-import { createSiteControl, type Engines, type SiteControl } from "./siteControl/index.js";
+import { createReferral, createSiteControl, type Engines, type Referral, type SiteControl } from "./siteControl/index.js";
 import { type BoundedOutput, createBoundedOutput, createLogger, createSiteMetrics, type Logger, type SiteMetrics } from "./telemetry/index.js";
 
 /** What a platform's adapter gives: translations and calls. */
@@ -21,6 +21,8 @@
     createEngines(): Engines;
     /** Serves upstreams' and operators' calls; resolves to the way to stop. */
     serveControl(address: string, control: SiteControl, logger: Logger): Promise<() => Promise<void>>;
+    /** Refers upstreams' and operators' calls to other daemons at the same port; resolves to the way to stop. */
+    serveReferrals(address: string, referral: Referral): Promise<() => Promise<void>>;
     /** Answers the balancer's questions; resolves to the way to stop. */
     serveReady(address: string, isReady: () => boolean): Promise<() => Promise<void>>;
 }
@@ -70,7 +72,7 @@
             dialect: platform.dialect, names: platform.names, repeats: settings.repeats, logger, metrics,
         })).singleton(),
         log: asFunction(({ logger }: Parts) => createReplicatedLog({
-            voterId: hostOf(listen.rpc!), address: listen.rpc!, dataFolder: daemon.dataFolder!,
+            voterId: hostOf(listen.rpc!), address: listen.rpc!, dataFolder: daemon.dataFolder,
             peers: peerAddresses(settings).map(address => ({ id: hostOf(address), address })),
             mayForm: controlSettings.firstStart, isOpen: true,
             limits: { snapshotEntries, trailingEntries },
@@ -83,7 +85,7 @@
     logger.info("starting", { roles: daemon.roles, dataCentre: daemon.dataCentre });
 
     if (daemon.roles.includes("control")) {
-        stops.push(await startControl());
+        stops.push(daemon.dataFolder === undefined ? await startReferral() : await startControl());
     }
     const gateway = isEntry ? await container.cradle.gateway : undefined;
     if (gateway !== undefined) {
@@ -123,6 +125,23 @@
         };
     }
 
+    async function startReferral(): Promise<() => Promise<void>> {
+        const log = await container.cradle.log;
+        const referral = createReferral(log);
+        const rpc = await createRpcServer(listen.rpc!, router => {
+            log.routes(router);
+            referral.feed.routes(router);
+        });
+        referral.start();
+        const stopApi = await platform.serveReferrals(listen.control!, referral);
+        return async () => {
+            await log.stop();
+            referral.stop();
+            await stopApi();
+            await rpc.stop(true);
+        };
+    }
+
     return {
         reload(next) {
             logger.info("settings read again", { seeds: next.control.seeds });
--- a/standin/platform/daemons.ts
+++ b/standin/platform/daemons.ts
@@ -14,6 +14,7 @@
     /** A loopback address of its own, so that ports may be equal. */
     readonly host: string;
     readonly dataCentre: string;
+    readonly hasDisk: boolean;
 }
 
 export interface SiteProcesses {
@@ -36,6 +37,8 @@
 export interface SiteProcessesOptions {
     readonly folder: string;
     readonly controls: number;
+    /** Places of control daemons without a disk. */
+    readonly diskless?: readonly number[];
     readonly entries: number;
     /** The last two parts of the loopback addresses begin here, apart from other sites on the machine. */
     readonly net: number;
@@ -51,8 +54,7 @@
 id = ${place.id}
 data_centre = ${place.dataCentre}
 roles = ${place.role}
-data_folder = ${join(options.folder, place.id)}
-stop_s = 4
+${place.hasDisk ? `data_folder = ${join(options.folder, place.id)}\n` : ""}stop_s = 4
 [listen]
 ${listen}
 [control]
@@ -70,6 +72,7 @@
     const { folder, port, net } = options;
     const place = (role: "entry" | "control", index: number): DaemonPlace => ({
         id: `${role}-${index}`, role, host: `127.${net}.${role === "control" ? 1 : 2}.${index + 1}`, dataCentre: `dc-${index % 3}`,
+        hasDisk: role === "control" && options.diskless?.includes(index) !== true,
     });
     const controls = Array.from({ length: options.controls }, (_, index) => place("control", index));
     const entries = Array.from({ length: options.entries }, (_, index) => place("entry", index));
--- a/test/consensus/openCluster.test.ts
+++ b/test/consensus/openCluster.test.ts
@@ -112,7 +112,7 @@
         }), runs);
     });
 
-    // Every disk is lost but the operators haven't begun anew: what is empty must not form a cluster, and nobody without a disk may choose one.
+    // Every disk is lost. What comes back empty must not form a cluster that knows nothing, nor be chosen to by a process without a disk.
     it("forms no cluster of disks that were all lost", () => {
         const clusters = openClusters(fc.integer({ min: 0, max: 3 }), fc.integer({ min: 1, max: 3 }));
         fc.assert(fc.property(clusters, cluster => {
--- a/test/support/platformSite.ts
+++ b/test/support/platformSite.ts
@@ -29,8 +29,12 @@
     readonly port: number;
     /** Engines; two of them make a group. */
     readonly pool: number;
+    /** Control daemons; three by default. */
+    readonly controls?: number;
     /** Control daemons that are laid out and not started with the others. */
     readonly spareControls?: number;
+    /** Places of control daemons without a disk. */
+    readonly diskless?: readonly number[];
 }
 
 export interface PlatformSite {
@@ -44,11 +48,11 @@
     stop(): Promise<void>;
 }
 
-/** Starts three control daemons, two entries, two upstreams of a plain service and the engines; resolves once captions are served. */
+/** Starts the control daemons, two entries, two upstreams of a plain service and the engines; resolves once captions are served. */
 export async function startPlatformSite(options: PlatformSiteOptions): Promise<PlatformSite> {
-    const { net, port, spareControls = 0 } = options;
+    const { net, port, controls = 3, spareControls = 0, diskless = [] } = options;
     const folder = mkdtempSync(join(tmpdir(), "site-"));
-    const processes = createSiteProcesses({ folder, controls: 3 + spareControls, entries: 2, net, port });
+    const processes = createSiteProcesses({ folder, controls: controls + spareControls, diskless, entries: 2, net, port });
     const runners: Runner[] = [];
     let requests = 0;
 
@@ -80,7 +84,7 @@
         },
     };
 
-    [...processes.controls.slice(0, 3), ...processes.entries].forEach(place => processes.start(place.id, { firstStart: true }));
+    [...processes.controls.slice(0, controls), ...processes.entries].forEach(place => processes.start(place.id, { firstStart: true }));
     await run(2, "orders");
     await run(options.pool, "pool", "d0");
     await until("a configuration is accepted", async () => await site.publish(configurationText(1)) === 200);
