Keep no more than the identity of a waiting process in the membership

Cause: when a process that waited was heard went into the written membership with it; other voters refused letters with a field that their schema does not know. Evidence: the test world now checks every letter against the schema, and fails on the code before. Why it works: the membership takes the three fields of a voter.

--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -143,7 +143,11 @@
 /** Invites the next of those that announced themselves while another was admitted: acknowledgements rest on few disks until all vote. */
 function inviteWaiting(state: ConsensusState): ConsensusStep {
     const [next, ...waiting] = state.waiting.filter(voter => state.nowMs - voter.heardAtMs < 2 * state.options.timings.helloMs);
-    return next === undefined ? { state, effects: [] } : welcome({ ...state, waiting }, next, next.address);
+    if (next === undefined) {
+        return { state, effects: [] };
+    }
+    const { voterId, diskId, address } = next;
+    return welcome({ ...state, waiting }, { voterId, diskId }, address);
 }
 
 /** Lets the leader replicate to a disk that stands for a known voter or for one that is to be added. */
--- a/test/support/consensusWorld.ts
+++ b/test/support/consensusWorld.ts
@@ -8,7 +8,7 @@
 
 import { applyCommand, type ChangeResult, type ClusterState, type Command, emptyCluster } from "../../src/cluster/index.js";
 import { holdsLease } from "../../src/consensus/lease.js";
-import type { Identity, Membership, Message } from "../../src/consensus/messages.js";
+import { type Identity, type Membership, type Message, messageSchema } from "../../src/consensus/messages.js";
 import { createConsensusReducer, nextTickMs } from "../../src/consensus/reducer.js";
 import {
     type Answer, type ConsensusEvent, type Effect, emptyDisk, startedState, type StateMachine,
@@ -124,6 +124,9 @@
     }
 
     function post(node: Node, toVoterId: string, toDiskId: string | undefined, message: Message) {
+        if (!messageSchema.safeParse(message).success) {
+            fail(`${node.voterId} sends what no other takes: ${JSON.stringify(message)}`);
+        }
         if (!cuts.has(`${node.voterId}>${toVoterId}`)) {
             network.push({ from: { voterId: node.voterId, diskId: node.diskId }, toVoterId, toDiskId, message });
         }
