Send control daemons nothing over the feed that they have from the log

Cause: each control daemon watched the feed of each other one and was sent the text of the site with every version. Change: the site goes to entries alone. Bytes between data centres were not measured again after it.

--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -40,6 +40,9 @@
     nowMs(): number;
 }
 
+/** What other control daemons learn from the feed; the rest they have from the log, and a site's text is large. */
+const kindsForControls: readonly Frame["kind"][] = ["upstreams", "alive"];
+
 /** Creates the sending side. */
 export function createFeedServer(options: FeedServerOptions): FeedServer {
     const watchers = new Set<Watcher>();
@@ -54,12 +57,16 @@
     }
 
     async function* watch({ daemonId, isEntry }: WatchSiteRequest, signal: AbortSignal) {
-        const waiting: Frame[] = [...options.greeting()];
+        const concerns = (frame: Frame) => isEntry || kindsForControls.includes(frame.kind);
+        const waiting: Frame[] = options.greeting().filter(concerns);
         let wake: (() => void) | undefined;
         let isEnding = false;
         let isCutOff = false;
         const watcher: Watcher = {
             push(frame) {
+                if (!concerns(frame)) {
+                    return;
+                }
                 waiting.push(frame);
                 isCutOff ||= waiting.length > mostWaitingFrames;
                 wake?.();
