--- a/src/consensus/bootstrap.ts
+++ b/src/consensus/bootstrap.ts
@@ -51,10 +51,10 @@
 }
 
 function greet(state: ConsensusState, random: number): ConsensusStep {
-    const { diskless, mayForm, address } = state.options;
+    const { diskless, mayForm, isOpen, address } = state.options;
     const hello: Message = {
         kind: "hello", empty: isEmpty(state), address, voterIds: settingsIds(state),
-        ...diskless ? { diskless: true } : {}, ...mayForm ? { mayForm: true } : {},
+        ...diskless ? { diskless: true } : {}, ...mayForm && isOpen ? { mayForm: true } : {},
     };
     // Without a disk there is nobody to be admitted by: only who votes is asked for.
     const audience = [...otherPeers(state), ...diskless ? state.knownVoters : state.namedPeers];
--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -52,7 +52,7 @@
     voterIds: z.array(z.string()),
     /** The sender has no disk and can't vote. `empty` then says that it knows no voters. */
     diskless: z.literal(true).optional(),
-    /** The sender's settings allow that a cluster forms. */
+    /** The sender's settings allow that an open cluster forms. */
     mayForm: z.literal(true).optional(),
 });
 
--- a/src/consensus/view.ts
+++ b/src/consensus/view.ts
@@ -42,7 +42,9 @@
 
 /** Where voters are reached; without a disk those that have answered lately, if any, or else all that are known. */
 export function voterAddresses(state: ConsensusState): readonly string[] {
+    if (!state.options.diskless) {
+        return state.membership?.voters.map(voter => voter.address) ?? [];
+    }
     const answering = state.knownVoters.filter(voter => isAnswering(state, voter));
-    const known = state.options.diskless ? answering.length > 0 ? answering : state.knownVoters : state.membership?.voters ?? [];
-    return known.map(voter => voter.address);
+    return (answering.length > 0 ? answering : state.knownVoters).map(voter => voter.address);
 }
