Wait for what any control daemon has said, and one line above two properties

Cause: the test of control daemons without a disk waited for two lines in the output of one daemon, which a change of the leader between them splits; it then waited in vain. It now waits for both in the output of all, and for the second after the first. The check of what is asked (the vote of each disk, the way back of a wiped one) is as strict.

--- a/test/consensus/openCluster.test.ts
+++ b/test/consensus/openCluster.test.ts
@@ -41,8 +41,7 @@
 }
 
 describe("an open cluster", () => {
-    // A change is acknowledged by as few voters as may do, and at that moment as many disks as the cluster bears are lost among those that
-    // hold it, while all others lose power: an acknowledgement that rests on fewer synced disks would be lost with them.
+    // An acknowledgement that rests on fewer synced disks than a majority is lost with those disks, when all other VMs lose power.
     for (const [voters, others, lost] of [[6, 3, 2], [5, 2, 2], [3, 0, 1]] as const) {
         it(`keeps what ${voters} voters acknowledged when ${lost} of their disks are lost while all others lose power`, () => {
             const clusters = fc.tuple(openClusters(fc.constant(0), fc.constant(others)), fc.nat(999), fc.nat(2));
@@ -94,8 +93,7 @@
         });
     }
 
-    // Processes die and come back while the cluster forms. Two that each thought the other gone could form a cluster each; it may rightly
-    // not form at all, since a process that has lived before may not begin one.
+    // Two processes that each think the other gone could form a cluster each; it may rightly not form at all.
     it("never forms two clusters while processes die", () => {
         const deaths = fc.array(fc.tuple(fc.nat(8), fc.nat(2), fc.nat(20)), { maxLength: 6 });
         const clusters = fc.tuple(openClusters(fc.integer({ min: 0, max: 3 }), fc.integer({ min: 1, max: 4 })), deaths);
--- a/test/platform/disklessControls.test.ts
+++ b/test/platform/disklessControls.test.ts
@@ -5,12 +5,13 @@
 describe("a site whose settings name control daemons without a disk", function () {
     this.timeout(90_000);
     let site: PlatformSite;
+    /** What all control daemons have said: the leader, who tells of voters, may change. */
+    const said = () => site.processes.controls.map(({ id }) => site.processes.output(id)).join("");
 
     // The three that everybody starts from have no disk: three disks that none of the settings name must find each other through them.
     before(async () => {
         site = await startPlatformSite({ net: 74, port: 21_800, pool: 5, controls: 6, diskless: [0, 1, 2] });
-        const { controls, output } = site.processes;
-        await until("three vote", () => controls.some(({ id }) => output(id).split("votes from now on").length === 3));
+        await until("three vote", () => said().split("votes from now on").length >= 3);
     });
 
     after(() => site.stop());
@@ -65,8 +66,7 @@
         await processes.signal(place.id, "SIGKILL");
         processes.wipe(place.id);
         processes.start(place.id);
-        await until("it votes again", () => processes.controls.some(control =>
-            processes.output(control.id).includes(`${place.host} has caught up and votes from now on`) &&
-            processes.output(control.id).includes(`${place.host} came back with a new disk`)));
+        await until("it votes again", () => said().includes(`${place.host} came back with a new disk`) &&
+            said().lastIndexOf(`${place.host} has caught up and votes from now on`) > said().lastIndexOf(`${place.host} came back with a new disk`));
     });
 });
