Receive published sites from one control daemon and heartbeats from the others

Each entry watched every voter for all frames. Every published text therefore reached each entry once per voter, four of five copies from another data centre, and each voter told each watcher twice a second when it had heard every upstream (13.2 KB per frame at 380 upstreams, ten frames per second at an entry with five voters). Published texts of some hundred kilobytes in quick succession saturated the links of entries, and a slow watcher was sent each of them in turn.

An entry receives the frames that grow with the site (published texts, upstreams, and the times at which upstreams were heard) from one control daemon, selected by src/feed/follow.ts: one in its own data centre that is in touch with a leader. From the others it receives heartbeats (`alive` frames), which carry the newest site version that the sender has applied. In `heard` frames, control daemons tell each other only about upstreams that they have heard themselves since the previous frame. A directory is copied once per frame instead of once per upstream.

Alternative rejected. Following one daemon without heartbeats from the others: a voter that is cut off keeps sending heartbeats, and its entries would stay on an old site.

The tests fail on the previous code, which has neither the watch scopes nor the selection.

--- a/src/feed/frames.ts
+++ b/src/feed/frames.ts
@@ -23,14 +23,26 @@
 
 const upstreamsFrameSchema = z.strictObject({ kind: z.literal("upstreams"), upstreams: z.array(carriedUpstreamSchema) });
 
-/** Upstreams heard lately without news, which answer a probe or not, and a sign of life of the sender. */
+/** Upstreams heard since the previous frame of this kind, whether or not anything about them changed. */
+const heardFrameSchema = z.strictObject({
+    kind: z.literal("heard"),
+    heard: z.array(z.strictObject({ id: z.string(), agoMs: z.number() })),
+});
+
+/** The sender's heartbeat, with the state from which watchers choose the control daemon to follow. */
 const aliveFrameSchema = z.strictObject({
     kind: z.literal("alive"),
-    heard: z.array(z.strictObject({ id: z.string(), agoMs: z.number() })),
     /** Whether the sender leads: reports go to it. */
     leads: z.boolean(),
     /** Entries that watch the sender or did lately: bounds that hold for all entries together are split among so many. */
     entries: z.number().int().min(0).optional(),
+    dataCentre: z.string(),
+    /** Whether the sender serves published sites and upstreams; daemons without a disk have neither. */
+    hasContent: z.boolean(),
+    /** Whether the sender knows a leader, and so receives what a majority commits. */
+    isInTouch: z.boolean(),
+    /** Version of the newest published site that the sender has applied; -1 if there is none. */
+    siteVersion: z.number().int(),
 });
 
 /** The control daemons that the sender knows, by the address of their listener for daemons. */
@@ -44,9 +56,10 @@
 });
 
 export const frameSchema = z.discriminatedUnion("kind", [
-    siteFrameSchema, evacuatedFrameSchema, upstreamsFrameSchema, aliveFrameSchema, controlsFrameSchema, judgedFrameSchema,
+    siteFrameSchema, evacuatedFrameSchema, upstreamsFrameSchema, heardFrameSchema, aliveFrameSchema, controlsFrameSchema, judgedFrameSchema,
 ]);
 export type Frame = z.infer<typeof frameSchema>;
+export type AliveFrame = z.infer<typeof aliveFrameSchema>;
 
 /** What one entry has seen since its last report. */
 export const reportSchema = z.strictObject({
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -23,19 +23,25 @@
     return later.sequence > earlier.sequence;
 }
 
-function withUpstream(state: DirectoryState, upstream: Upstream): DirectoryState {
-    const next = new Map(state);
-    next.set(upstream.id, upstream);
-    if (!upstream.isGone) {
-        // Addresses are used again: whoever held this one before is there no more.
-        for (const other of state.values()) {
-            if (other.id !== upstream.id && other.address === upstream.address && (!other.isGone || other.hasLeft)) {
-                const isOlder = other.bornMs <= upstream.bornMs;
-                const loser = isOlder ? other : upstream;
-                next.set(loser.id, { ...loser, isGone: true, hasLeft: false });
-            }
+/** Sets an upstream in `directory`, which is modified in place. */
+function setUpstream(directory: Map<string, Upstream>, upstream: Upstream): void {
+    directory.set(upstream.id, upstream);
+    if (upstream.isGone) {
+        return;
+    }
+    // Addresses are reused: the older of two upstreams at one address no longer exists.
+    for (const other of directory.values()) {
+        if (other.id !== upstream.id && other.address === upstream.address && (!other.isGone || other.hasLeft)) {
+            const isOlder = other.bornMs <= upstream.bornMs;
+            const loser = isOlder ? other : upstream;
+            directory.set(loser.id, { ...loser, isGone: true, hasLeft: false });
         }
     }
+}
+
+function withUpstream(state: DirectoryState, upstream: Upstream): DirectoryState {
+    const next = new Map(state);
+    setUpstream(next, upstream);
     return next;
 }
 
@@ -51,19 +57,30 @@
     return withUpstream(state, { ...announcement, heardAtMs: nowMs, coldUntilMs, ...fate });
 }
 
-/** Takes in an upstream that another process carries here. */
-export function takeCarried(state: DirectoryState, carried: CarriedUpstream, nowMs: number): DirectoryState {
+/** Merges upstreams carried from another process. */
+export function takeCarried(state: DirectoryState, carried: readonly CarriedUpstream[], nowMs: number): DirectoryState {
+    const next = new Map(state);
+    for (const upstream of carried) {
+        const merged = mergeCarried(next.get(upstream.id), upstream, nowMs);
+        if (merged !== undefined) {
+            setUpstream(next, merged);
+        }
+    }
+    return next;
+}
+
+/** Returns the upstream with what another process carries of it merged in; undefined if nothing changes. */
+function mergeCarried(known: Upstream | undefined, carried: CarriedUpstream, nowMs: number): Upstream | undefined {
     const { heardAgoMs, isGone, hasLeft, ...announcement } = carried;
-    const known = state.get(carried.id);
     const isSameLife = known !== undefined && known.bornMs === carried.bornMs;
     const goneHere = isSameLife && known.isGone;
     const leftHere = isSameLife && known.hasLeft;
     if (known !== undefined && !supersedes(announcement, known)) {
-        return isGone && isSameLife && !known.isGone ? withUpstream(state, { ...known, isGone, hasLeft }) : state;
+        return isGone && isSameLife && !known.isGone ? { ...known, isGone, hasLeft } : undefined;
     }
     const heardAtMs = nowMs - heardAgoMs;
     const coldUntilMs = heardAtMs + announcement.coldForMs;
-    return withUpstream(state, { ...announcement, heardAtMs, coldUntilMs, isGone: isGone || goneHere, hasLeft: hasLeft || leftHere });
+    return { ...announcement, heardAtMs, coldUntilMs, isGone: isGone || goneHere, hasLeft: hasLeft || leftHere };
 }
 
 /** An upstream's goodbye. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -105,6 +105,7 @@
     const watcher = createFeedWatcher({
         daemonId: options.daemonId,
         isEntry: true,
+        dataCentre: options.dataCentre,
         take(frame, address) {
             view.take(frame, address);
             if (frame.kind === "controls") {
@@ -115,6 +116,7 @@
             }
         },
         changed: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
+        followedChanged: (address, previous) => logger.info("followed control daemon changed", { address, previous }),
     });
     watcher.watch(options.controls);
 
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -119,12 +119,14 @@
                     }
                     break;
                 case "upstreams":
-                    directory = frame.upstreams.reduce((state, upstream) => takeCarried(state, upstream, performance.now()), directory);
+                    directory = takeCarried(directory, frame.upstreams, performance.now());
                     break;
-                case "alive":
+                case "heard":
                     directory = refresh(directory, frame.heard, performance.now());
                     forgetRefusals();
                     return;
+                case "alive":
+                    return;
                 case "controls":
                     controls = frame.addresses;
                     return;
--- a/src/siteControl/referral.ts
+++ b/src/siteControl/referral.ts
@@ -16,7 +16,7 @@
 }
 
 /** Creates the role; `start` begins to tell. */
-export function createReferral(log: Pick<ConsensusNode, "voterAddresses">): Referral {
+export function createReferral(log: Pick<ConsensusNode, "voterAddresses">, dataCentre: string): Referral {
     let told = "";
     let next = Math.floor(Math.random() * 1_000);
     let timer: NodeJS.Timeout | undefined;
@@ -26,7 +26,7 @@
         return addresses.length === 0 ? [] : [{ kind: "controls", addresses }];
     }
 
-    const alive: Frame = { kind: "alive", heard: [], leads: false };
+    const alive: Frame = { kind: "alive", leads: false, dataCentre, hasContent: false, isInTouch: false, siteVersion: -1 };
 
     const feed = createFeedServer({
         greeting: () => [...voters(), alive],
@@ -38,7 +38,7 @@
         const addresses = log.voterAddresses().join(",");
         if (addresses !== told) {
             told = addresses;
-            voters().forEach(feed.publish);
+            voters().forEach(frame => feed.publish(frame));
         }
         feed.publish(alive);
     }
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -19,6 +19,7 @@
 
 export interface SiteControlOptions {
     readonly daemonId: string;
+    readonly dataCentre: string;
     /** This daemon's listener for other daemons. */
     readonly address: string;
     readonly log: ConsensusNode;
@@ -68,6 +69,10 @@
     let told: { version: number; evacuated: string; lost: string; controls: string } = { version: -1, evacuated: "", lost: "", controls: "" };
     let timers: NodeJS.Timeout[] = [];
     let forgetAtMs = 0;
+    /** Upstreams that this daemon itself has heard since the last `heard` frame. Other control daemons receive only these. */
+    const heardDirectly = new Set<string>();
+    /** Upstreams that any control daemon has heard since the last `heard` frame. Entries receive all of them. */
+    const heardByAny = new Set<string>();
 
     let wakeTimer: NodeJS.Timeout | undefined;
 
@@ -104,10 +109,17 @@
             { kind: "evacuated", index: log.appliedIndex, dataCentres: [...evacuated] },
             { kind: "upstreams", upstreams: [...directory.values()].map(upstream => carry(upstream, nowMs())) },
             ...leads() ? [judged()] : [],
-            { kind: "alive", heard: [], leads: leads(), entries: feed.entries },
+            alive(),
         ];
     }
 
+    function alive(): Frame {
+        return {
+            kind: "alive", leads: leads(), entries: feed.entries, dataCentre: options.dataCentre, hasContent: true, isInTouch: inTouch(),
+            siteVersion: log.state.published.site?.version ?? -1,
+        };
+    }
+
     const feed: FeedServer = createFeedServer({ greeting, report, nowMs });
 
     function report(_daemonId: string, taken: Report) {
@@ -134,12 +146,14 @@
     const watcher: FeedWatcher = createFeedWatcher({
         daemonId: options.daemonId,
         isEntry: false,
+        dataCentre: options.dataCentre,
         take(frame) {
             if (frame.kind === "upstreams") {
-                update(frame.upstreams.reduce((state, upstream) => takeCarried(state, upstream, nowMs()), directory));
+                update(takeCarried(directory, frame.upstreams, nowMs()));
             }
-            if (frame.kind === "alive") {
+            if (frame.kind === "heard") {
                 directory = refresh(directory, frame.heard, nowMs());
+                frame.heard.forEach(({ id }) => heardByAny.add(id));
             }
         },
         changed: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
@@ -179,6 +193,7 @@
         const names = evacuated.join(",");
         if (site !== undefined && site.version !== told.version) {
             feed.publish({ kind: "site", version: site.version, text: site.text });
+            feed.publish(alive(), "entry");
             logger.info("site applied", { version: site.version, index: log.appliedIndex, term: log.term, leader: log.leaderAddress });
         }
         if (names !== told.evacuated) {
@@ -198,13 +213,19 @@
     }
 
     function tellAlive() {
-        const heard = [...directory.values()]
-            .filter(upstream => !upstream.isGone)
-            .map(upstream => ({ id: upstream.id, agoMs: Math.round(nowMs() - upstream.heardAtMs) }));
-        feed.publish({ kind: "alive", heard, leads: leads(), entries: feed.entries });
+        feed.publish(heardFrame(heardDirectly), "control");
+        feed.publish(heardFrame(heardByAny), "entry");
+        heardDirectly.clear();
+        heardByAny.clear();
+        feed.publish(alive());
         tellApplied();
     }
 
+    function heardFrame(ids: ReadonlySet<string>): Frame {
+        const present = [...ids].map(id => directory.get(id)).filter(upstream => upstream !== undefined && !upstream.isGone);
+        return { kind: "heard", heard: present.map(upstream => ({ id: upstream!.id, agoMs: Math.round(nowMs() - upstream!.heardAtMs) })) };
+    }
+
     function tellJudged() {
         const lost = [...groupLeader.lostIds, ...barred()].join(",");
         if (lost !== told.lost) {
@@ -279,6 +300,8 @@
                 return true;
             }
             update(announce(directory, announcement, nowMs()));
+            heardDirectly.add(announcement.id);
+            heardByAny.add(announcement.id);
             return true;
         },
         depart(id) {
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -104,8 +104,8 @@
         const log = await container.cradle.log;
         const connections = createPeerConnections();
         const control = createSiteControl({
-            daemonId: daemon.id, address: listen.rpc!, log, dialect: platform.dialect, engines: platform.createEngines(),
-            connections, logger, metrics,
+            daemonId: daemon.id, dataCentre: daemon.dataCentre, address: listen.rpc!, log, dialect: platform.dialect,
+            engines: platform.createEngines(), connections, logger, metrics,
             isFirstStart: controlSettings.firstStart,
         });
         const rpc: RpcServer = await createRpcServer(listen.rpc!, router => {
@@ -127,7 +127,7 @@
 
     async function startReferral(): Promise<() => Promise<void>> {
         const log = await container.cradle.log;
-        const referral = createReferral(log);
+        const referral = createReferral(log, daemon.dataCentre);
         const rpc = await createRpcServer(listen.rpc!, router => {
             log.routes(router);
             referral.feed.routes(router);
--- a/test/feed/server.test.ts
+++ b/test/feed/server.test.ts
@@ -1,16 +1,27 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
-import { createFeedServer, createFeedWatcher, type Frame } from "../../src/feed/index.js";
-import { createRpcServer } from "../../src/rpc/index.js";
+import { type AliveFrame, createFeedServer, createFeedWatcher, type FeedServer, type FeedWatcher, type Frame } from "../../src/feed/index.js";
+import {
+    createRpcServer, type RpcServer, type SiteFrame, type SiteService, type WatchSiteRequest, WatchScope, WatchSiteRequestSchema,
+} from "../../src/rpc/index.js";
 import { until } from "../support/platformSite.js";
 
+const alive: AliveFrame = {
+    kind: "alive", leads: false, entries: 1, dataCentre: "a", hasContent: true, isInTouch: true, siteVersion: 1,
+};
+const nowMs = () => performance.now();
+const siteFrame = (version: number): Frame => ({ kind: "site", version, text: `text ${version}` });
+
 describe("a feed that ends", () => {
     // Frames that waited when a control daemon stopped were dropped: entries went on sending to an upstream whose leave was acknowledged.
     it("sends what it was given before", async () => {
         const taken: Frame[] = [];
-        const alive = { kind: "alive" as const, heard: [], leads: false, entries: 1 };
-        const feed = createFeedServer({ greeting: () => [alive], report: () => undefined, nowMs: () => performance.now() });
+        const feed = createFeedServer({ greeting: () => [alive], report: () => undefined, nowMs });
         const rpc = await createRpcServer("127.0.0.1:0", feed.routes);
-        const watcher = createFeedWatcher({ daemonId: "entry-1", isEntry: true, take: frame => taken.push(frame), changed: () => undefined });
+        const watcher = createFeedWatcher({
+            daemonId: "entry-1", isEntry: true, dataCentre: "a", take: frame => taken.push(frame), changed: () => undefined,
+        });
         watcher.watch([rpc.address]);
         await until("the watcher is greeted", () => taken.length > 0);
         feed.publish({ kind: "controls", addresses: ["127.0.0.1:1"] });
@@ -21,3 +32,90 @@
         expect(taken.slice(1).map(frame => frame.kind === "controls" && frame.addresses)).to.deep.equal([["127.0.0.1:1"], ["127.0.0.1:2"]]);
     });
 });
+
+describe("a feed server with a slow watcher", () => {
+    // Guards against queueing superseded sites, which would delay the newest one by seconds.
+    it("sends only the newest of the published sites that are queued", async () => {
+        const feed = createFeedServer({ greeting: () => [siteFrame(0)], report: () => undefined, nowMs });
+        const frames = watchDirectly(feed, { isEntry: true, scope: WatchScope.CONTENT });
+        const first = await frames.next();
+        Array.from({ length: 40 }, (_, index) => siteFrame(index + 1)).forEach(frame => feed.publish(frame));
+        feed.close();
+        const rest: Frame[] = [];
+        for await (const frame of frames) {
+            rest.push(frame);
+        }
+        expect([first.value, ...rest]).to.deep.equal([siteFrame(0), siteFrame(40)]);
+    });
+});
+
+describe("an entry that watches several control daemons", () => {
+    let feeds: FeedServer[];
+    let servers: RpcServer[];
+    let aliveFrames: AliveFrame[];
+    let watcher: FeedWatcher;
+    let taken: { readonly frame: Frame; readonly from: number }[];
+
+    const siteCountFrom = (index: number) => taken.filter(({ frame, from }) => from === index && frame.kind === "site").length;
+    const followedIndex = () => servers.findIndex(({ address }) => address === watcher.followed);
+
+    beforeEach(async () => {
+        taken = [];
+        aliveFrames = ["b", "a", "c"].map(dataCentre => ({ ...alive, dataCentre }));
+        feeds = aliveFrames.map((_, index) =>
+            createFeedServer({ greeting: () => [siteFrame(1), aliveFrames[index]!], report: () => undefined, nowMs }));
+        servers = await Promise.all(feeds.map(feed => createRpcServer("127.0.0.1:0", feed.routes)));
+        watcher = createFeedWatcher({
+            daemonId: "entry-1", isEntry: true, dataCentre: "a", changed: () => undefined,
+            take: (frame, address) => taken.push({ frame, from: servers.findIndex(server => server.address === address) }),
+        });
+        watcher.watch(servers.map(({ address }) => address));
+        await until("all daemons are heard and the local one is followed", () =>
+            watcher.heard.length === 3 && followedIndex() === 1 && siteCountFrom(1) === 1);
+    });
+
+    afterEach(async () => {
+        watcher.close();
+        feeds.forEach(feed => feed.close());
+        await Promise.all(servers.map(server => server.stop(true)));
+    });
+
+    function publishSite(version: number, indices: readonly number[]) {
+        for (const index of indices) {
+            aliveFrames[index] = { ...aliveFrames[index]!, siteVersion: version };
+            feeds[index]!.publish(siteFrame(version));
+            feeds[index]!.publish(aliveFrames[index]!);
+        }
+    }
+
+    // Guards against receiving each published text once per control daemon, which saturates the links of entries.
+    it("receives a published site once, from the control daemon of its own data centre", async () => {
+        publishSite(2, [0, 1, 2]);
+        await until("the site has been received", () => siteCountFrom(1) === 2);
+        expect([siteCountFrom(0), siteCountFrom(2)]).to.deep.equal([0, 0]);
+    });
+
+    // Guards against staying on an old site when the followed daemon is cut off from the others but keeps sending `alive` frames.
+    it("switches to another control daemon when the followed one falls behind", async () => {
+        publishSite(2, [0, 2]);
+        await until("the site has been received from another daemon", () => siteCountFrom(0) + siteCountFrom(2) === 1);
+        expect(followedIndex()).not.to.equal(1);
+    });
+
+    it("switches to another control daemon when the followed one is lost", async () => {
+        await servers[1]!.stop(true);
+        await until("another daemon has sent its site", () => siteCountFrom(0) + siteCountFrom(2) === 1);
+        expect(followedIndex()).not.to.equal(1);
+    });
+});
+
+/** Calls the watch method of `feed` directly, without a network connection. */
+async function* watchDirectly(feed: FeedServer, request: Pick<WatchSiteRequest, "isEntry" | "scope">): AsyncGenerator<Frame> {
+    type Watch = (request: WatchSiteRequest, context: { signal: AbortSignal }) => AsyncIterable<SiteFrame>;
+    let watch: Watch | undefined;
+    const router = { service: (_service: typeof SiteService, methods: { watch: Watch }) => watch = methods.watch };
+    feed.routes(router as unknown as ConnectRouter);
+    for await (const { frame } of watch!(create(WatchSiteRequestSchema, request), { signal: new AbortController().signal })) {
+        yield JSON.parse(Buffer.from(frame).toString("utf8")) as Frame;
+    }
+}
--- a/test/fleet/directory.test.ts
+++ b/test/fleet/directory.test.ts
@@ -52,7 +52,7 @@
             const shuffled = [...items].sort((a, b) => rankOf(a) - rankOf(b));
             const direct = items.reduce((state, item) => announce(state, said(item), 0), nobody);
             const carriedOf = (item: Partial<Announcement>) => carry(announce(nobody, said(item), 0).get("u1")!, 0);
-            const carried = shuffled.reduce((state, item) => takeCarried(state, carriedOf(item), 0), nobody);
+            const carried = shuffled.reduce((state, item) => takeCarried(state, [carriedOf(item)], 0), nobody);
             expect(carried.get("u1")).to.deep.equal(direct.get("u1"));
         }), { seed: 11 });
     });
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -29,6 +29,7 @@
         });
         const greeting: Frame[] = [
             { kind: "site", version: 1, text: "" }, { kind: "upstreams", upstreams: [upstreamAt(upstream.address, "u1")] },
+            { kind: "alive", leads: true, dataCentre: "a", hasContent: true, isInTouch: true, siteVersion: 1 },
         ];
         const feed = createFeedServer({ greeting: () => greeting, report: () => undefined, nowMs: () => performance.now() });
         closeFeed = () => feed.close();
--- a/test/gateway/siteView.test.ts
+++ b/test/gateway/siteView.test.ts
@@ -8,7 +8,7 @@
     let view: SiteView;
 
     const ids = () => view.candidates("orders", undefined).map(({ upstream }) => upstream.id);
-    const heard = (id: string, agoMs: number) => view.take({ kind: "alive", heard: [{ id, agoMs }], leads: true, entries: 1 });
+    const heard = (id: string, agoMs: number) => view.take({ kind: "heard", heard: [{ id, agoMs }] });
     const pause = () => new Promise(resolve => setTimeout(resolve, 20));
 
     beforeEach(() => {
