Retry elsewhere without using a second send when no connection could be opened

An attempt for which no connection could be opened took 0.7 s and then used a second send from the budget shared by all entries. The budget is meant to limit what reaches upstreams; these attempts had not sent a single byte.

A request whose attempt sent no byte is retried elsewhere without using a second send. The connect timeout is now 0.25 s: round trips take some ms, and a lost opening packet is retransmitted only after a second. An upstream to which no connection can be opened is reported to the control leader at once as a suspect to be probed; previously, an idle head that had become unreachable was detected only by its missing heartbeats, after 1.9 s.

Test: "from a second upstream use no second send when no connection to the first can be opened" gave 503 before the change.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -22,8 +22,8 @@
 
 /** What an attempt that brought no answer says about its request. */
 export type Ending =
-    /** It certainly has not run and will not. */
-    | { readonly kind: "not-run"; readonly reason: string; readonly isUpstreamAtFault: boolean }
+    /** It certainly has not run and will not. `isUnsent`: no byte of it was sent to the upstream. */
+    | { readonly kind: "not-run"; readonly reason: string; readonly isUpstreamAtFault: boolean; readonly isUnsent: boolean }
     /** It may have run, and no usable answer came. `isCrash`: the connection broke, as it does when the upstream crashes. */
     | { readonly kind: "unknown"; readonly reason: string; readonly isCrash: boolean }
     /** The upstream ran it and says that it failed. */
@@ -207,7 +207,7 @@
         if (isAnother) {
             view.noteGone(upstream);
         }
-        over({ kind: "not-run", reason: "it was sent to the wrong upstream", isUpstreamAtFault: true });
+        over({ kind: "not-run", reason: "it was sent to the wrong upstream", isUpstreamAtFault: true, isUnsent: false });
     }
 
     function deliver() {
@@ -232,7 +232,7 @@
             return;
         }
         if (!isPassingOn && valueOf(rawHeaders, names.notRun) !== undefined) {
-            over({ kind: "not-run", reason: `the upstream refused it with ${status}`, isUpstreamAtFault: status === 503 });
+            over({ kind: "not-run", reason: `the upstream refused it with ${status}`, isUpstreamAtFault: status === 503, isUnsent: false });
             return;
         }
         if (!isPassingOn && status >= 500) {
@@ -250,7 +250,8 @@
         if ((error as NodeJS.ErrnoException).code === "ECONNREFUSED") {
             view.noteRefusing(upstream);
         }
-        over({ kind: "not-run", reason: error.message, isUpstreamAtFault: true });
+        balance.unreachable(upstream);
+        over({ kind: "not-run", reason: error.message, isUpstreamAtFault: true, isUnsent: true });
     }
 
     const sent: Exchange = {
--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -45,10 +45,12 @@
     event(upstream: Upstream, isFirst: boolean): void;
     toldLoad(upstream: Upstream, running: number, waiting: number): void;
     failed(upstream: Upstream): void;
+    /** No connection to it could be opened: it becomes a suspect, so that the control leader probes its group. */
+    unreachable(upstream: Upstream): void;
     succeeded(upstream: Upstream): void;
     /** `isWaiting`: for a stream without any event yet, which loses nothing by going elsewhere. */
     isStill(upstream: Upstream, isWaiting?: boolean): boolean;
-    /** Heads that may stand still. */
+    /** Heads that may stand still, and upstreams to which no connection could be opened lately. */
     readonly suspectIds: readonly string[];
     readonly movingIds: readonly string[];
 }
@@ -181,6 +183,9 @@
             state.failedAtMs = nowMs();
             state.avoidUntilMs = nowMs() + Math.min(mostAvoidMs, avoidMs * 2 ** Math.min(4, state.failures - 1));
         },
+        unreachable(upstream) {
+            standing(upstream).unreachableAtMs = nowMs();
+        },
         succeeded(upstream) {
             const state = standing(upstream);
             state.avoidUntilMs = 0;
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -12,7 +12,7 @@
 import { splitAddress } from "../rpc/index.js";
 
 /** A new connection takes one round trip, some ms; a lost opening packet is sent again after a second, too late for most requests. */
-const connectTimeoutMs = 700;
+const connectTimeoutMs = 250;
 /** A connection idle for longer is not used again: well below the idle timeouts seen, and most requests come within it. */
 const reuseMs = 1_000;
 
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -210,7 +210,9 @@
         // A caller that has left waits for no answer: sent on, work that may run once would take effect after that.
         const mayTry = !isOver && canGoOn && (ending.kind === "not-run" || mayRunAgain) && runs < route.maxAttempts &&
             attempts < route.maxAttempts + mostNotRun && asked.giveUpAtMs - parts.nowMs() > leastAttemptMs;
-        const goesOn = mayTry && (hasSecondSend || parts.mayRepeat(service));
+        // The budget limits the load of second sends on upstreams: after an attempt that sent nothing, the next one is not charged to it.
+        const isUnsent = ending.kind === "not-run" && ending.isUnsent;
+        const goesOn = mayTry && (isUnsent || hasSecondSend || parts.mayRepeat(service));
         hasSecondSend = false;
         const reason = ending.kind === "ran-failed" ? `status ${ending.answer.status}` : ending.reason;
         logger.info("attempt ended without an answer", {
--- a/src/gateway/standing.ts
+++ b/src/gateway/standing.ts
@@ -13,6 +13,8 @@
 const suspectMs = 200;
 /** A request that has waited so long behind others is a sign that no more should: callers leave a stream without an event after 2 s. */
 const lateStuckMs = 500;
+/** How long an upstream remains a suspect after a connection to it could not be opened. */
+const unreachableSuspectMs = 500;
 /** Two events' time: a head whose last event is older is not known to move, and each 0.1 s more would delay a repair by as much. */
 const movingMs = 120;
 /** A load told longer ago says nothing about now: about the length of a request. */
@@ -37,6 +39,7 @@
     failures: number;
     failedAtMs: number;
     coldSentAtMs: number[];
+    unreachableAtMs: number;
 }
 
 /** An upstream of which nothing has been seen in its life. */
@@ -45,6 +48,7 @@
         bornMs, running: 0, lateSentAtMs: [], lateBlockedUntilMs: 0, streaming: 0, begun: 0,
         lastEventAtMs: 0, stillSinceMs: 0, load: 0, loadAtMs: Number.NEGATIVE_INFINITY,
         avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [],
+        unreachableAtMs: Number.NEGATIVE_INFINITY,
     };
 }
 
@@ -80,9 +84,9 @@
     return isSilent(state, nowMs, isWaiting ? doubtMs : stillMs, stillMs);
 }
 
-/** Whether it may stand still: its members had better be asked. */
+/** Whether it may stand still or be out of reach, so that its members should be probed. */
 export function isSuspect(state: Standing, nowMs: number): boolean {
-    return isSilent(state, nowMs, suspectMs, doubtMs);
+    return isSilent(state, nowMs, suspectMs, doubtMs) || nowMs - state.unreachableAtMs < unreachableSuspectMs;
 }
 
 export function isMoving(state: Standing, nowMs: number): boolean {
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { freePorts } from "../../bench/processes.js";
 import type { Socket } from "node:net";
 import type { RawRequest, RawUpstream } from "../support/rawUpstream.js";
 import { startRawUpstream } from "../support/rawUpstream.js";
@@ -191,6 +192,15 @@
         expect(site.outcomes).to.deep.equal(["delivered"]);
     });
 
+    // Guards against refusals when several upstreams become unreachable at once and failed connections exhaust the budget of second sends.
+    it("from a second upstream use no second send when no connection to the first can be opened", async () => {
+        upstream = await startRawUpstream((request, socket) => socket.write(ok(request.header("Zinnialanding-Attempt-Id"), "done")));
+        const [closed] = await freePorts(1);
+        site = await startGateway([upstreamAt(`127.0.0.1:${closed}`, "u1"), upstreamAt(upstream.address, "u2")], siteWith(), 0);
+        const answer = await exchangeRaw(site.port, requestBytes("POST", "/charge/1", { body: "x" }));
+        expect([statusOf(answer), upstream.requests.length, site.outcomes]).to.deep.equal([200, 1, ["delivered"]]);
+    });
+
     // The only events of an upstream stop, and another one could go on; but no second send is left in the budget. Left, the stream would
     // end there and then with a failure. It stays, and the caller gets the rest as soon as the upstream moves again.
     it("that stand still are not left while no second send is left", async () => {
--- a/test/gateway/balance.test.ts
+++ b/test/gateway/balance.test.ts
@@ -32,6 +32,16 @@
         expect(chosen()).to.equal("u1");
     });
 
+    // Guards against detecting the failure of an idle head only by its missing heartbeats.
+    it("reports an upstream as a suspect as soon as no connection to it can be opened", () => {
+        let nowMs = 1_000;
+        const balance = createBalance(() => nowMs, () => 0, () => 1);
+        balance.unreachable(candidate("u1").upstream);
+        expect([...balance.suspectIds]).to.deep.equal(["u1"]);
+        nowMs = 2_000;
+        expect([...balance.suspectIds]).to.deep.equal([]);
+    });
+
     // Nothing moves at a head whose group has lost a member. It gets nothing more while another one does move.
     it("avoids a head at which streams stand still", () => {
         let nowMs = 0;
