Make the cost of planning groups grow only with the number of VMs

The control leader was too busy to keep its own lease: it logged "leads no more" and "leads" about once per second, and orders were answered after 406 ms at the median and 704 ms at p90 over links with a latency of a few ms. A planning step searched all VMs for each group member, and recomputed the free VMs of a domain from all groups each time a single domain was requested. That one function (freeByDomain) took half of the step's time.

Change. src/groups/table.ts holds the groups of a step, with an index by domain and the members of all groups, both updated with every change. The view provides upstreams by id.

--- a/src/groups/adopt.ts
+++ b/src/groups/adopt.ts
@@ -34,9 +34,9 @@
  * leader before it, cut off, may have formed them since. A member alone is taken over as well and has to leave: its head may serve on, out
  * of this leader's reach. Only where this leader itself has seen the group end are its members free at once.
  */
-export function adoptGroups(groups: ReadonlyMap<string, PlannedGroup>, overNames: readonly string[], view: GroupsView): PlannedGroup[] {
-    const strays = view.upstreams.filter(upstream => upstream.group !== undefined && !groups.has(upstream.group.name));
+export function adoptGroups(groups: ReadonlyMap<string, PlannedGroup>, overNames: ReadonlySet<string>, view: GroupsView): PlannedGroup[] {
+    const strays = [...view.upstreams.values()].filter(upstream => upstream.group !== undefined && !groups.has(upstream.group.name));
     return [...reportedGroups(strays).values()]
-        .filter(reported => !isStandby(reported.name) && !overNames.includes(reported.name))
+        .filter(reported => !isStandby(reported.name) && !overNames.has(reported.name))
         .map(reported => adopted(reported, view));
 }
--- a/src/groups/coverage.ts
+++ b/src/groups/coverage.ts
@@ -30,7 +30,7 @@
 
 /** Sums a step up. */
 export function coverageOf(draft: Draft): Coverage {
-    const groups = [...draft.groups.values()];
+    const groups = [...draft.groupTable.groups.values()];
     const countOf = (model: string, phase: GroupPhase) => groups.filter(group => group.model === model && group.phase === phase).length;
     return {
         models: draft.view.engine.models.map(model => ({
--- a/src/groups/draft.ts
+++ b/src/groups/draft.ts
@@ -7,7 +7,8 @@
 
 import { isStandby, type Upstream } from "../fleet/index.js";
 import type { EngineModel } from "../site/index.js";
-import type { GroupsState, GroupsView, Heating, OrderTo, PlannedGroup, Reservation, Staging } from "./types.js";
+import type { GroupTable } from "./table.js";
+import type { GroupsState, GroupsView, Heating, OrderTo, Reservation, Staging } from "./types.js";
 
 /** One spare for this many VMs of a domain: over a repair's 15 s about one VM in eight is lost on the heaviest days seen. */
 const vmsPerSpare = 8;
@@ -21,13 +22,13 @@
     /** VMs that may be put into a group, by id and by domain. */
     readonly usable: ReadonlyMap<string, Upstream>;
     readonly usableByDomain: ReadonlyMap<string, readonly Upstream[]>;
-    readonly groups: Map<string, PlannedGroup>;
+    readonly groupTable: GroupTable;
     readonly orders: OrderTo[];
     readonly lastModels: GroupsState["lastModels"];
     readonly staging: Map<string, Staging>;
     readonly heating: Map<string, Heating>;
     /** Groups that this leader has seen end, those of this step with them. */
-    readonly overNames: string[];
+    readonly overNames: Set<string>;
     lastEpoch: number;
     shortSince: GroupsState["shortSince"];
     readonly reserved: Map<string, Reservation>;
@@ -46,10 +47,17 @@
 export function usableOf(view: GroupsView): Pick<Draft, "usable" | "usableByDomain"> {
     const usable = new Map<string, Upstream>();
     const usableByDomain = new Map<string, Upstream[]>();
-    for (const upstream of view.upstreams) {
-        if (upstream.domain !== undefined && isUsable(upstream, view)) {
-            usable.set(upstream.id, upstream);
-            usableByDomain.set(upstream.domain, [...usableByDomain.get(upstream.domain) ?? [], upstream]);
+    for (const upstream of view.upstreams.values()) {
+        if (upstream.domain === undefined || !isUsable(upstream, view)) {
+            continue;
+        }
+        usable.set(upstream.id, upstream);
+        const domainUpstreams = usableByDomain.get(upstream.domain);
+        if (domainUpstreams === undefined) {
+            usableByDomain.set(upstream.domain, [upstream]);
+        }
+        else {
+            domainUpstreams.push(upstream);
         }
     }
     return { usable, usableByDomain };
@@ -75,28 +83,29 @@
 
 /** Whether a VM reports a group that this leader does not know. A leader that is cut off from this one may have formed it: it may serve. */
 function isInUnknownGroup({ group }: Upstream, draft: Draft): boolean {
-    return group !== undefined && !isStandby(group.name) && !draft.overNames.includes(group.name);
+    return group !== undefined && !isStandby(group.name) && !draft.overNames.has(group.name);
 }
 
-/** VMs of `domains` that are in no group. */
-export function freeByDomain(draft: Draft, domains: Iterable<string> = draft.usableByDomain.keys()): Map<string, Upstream[]> {
-    const taken = new Set([...draft.groups.values()].flatMap(group => group.memberIds));
-    return new Map([...domains].map(domain => [
-        domain, (draft.usableByDomain.get(domain) ?? []).filter(upstream => !taken.has(upstream.id) && !isInUnknownGroup(upstream, draft)),
-    ]));
+/** Usable VMs that are in no group, by domain. */
+export function freeByDomain(draft: Draft): Map<string, Upstream[]> {
+    return new Map([...draft.usableByDomain.keys()].map(domain => [domain, freeIn(domain, draft)]));
 }
 
 export function freeIn(domain: string, draft: Draft): Upstream[] {
-    return freeByDomain(draft, [domain]).get(domain)!;
+    const usable = draft.usableByDomain.get(domain) ?? [];
+    return usable.filter(upstream => !draft.groupTable.isInGroup(upstream.id) && !isInUnknownGroup(upstream, draft));
 }
 
 /** VMs in living groups of a model, where they may serve. */
-export function vmsOf(model: EngineModel, { view, groups }: Draft): number {
-    const living = [...groups.values()].filter(group => group.model === model.name && group.phase !== "ending");
-    const isEvacuated = (id: string) => view.evacuated.includes(view.upstreams.find(upstream => upstream.id === id)?.dataCentre ?? "");
-    return living
-        .filter(group => view.evacuated.length === 0 || !isEvacuated(group.memberIds[0]!))
-        .reduce((sum, group) => sum + group.memberIds.length, 0);
+export function vmsOf(model: EngineModel, { view, groupTable }: Draft): number {
+    const isEvacuated = (id: string) => view.evacuated.includes(view.upstreams.get(id)?.dataCentre ?? "");
+    let vms = 0;
+    for (const { model: groupModel, phase, memberIds } of groupTable.groups.values()) {
+        if (groupModel === model.name && phase !== "ending" && (view.evacuated.length === 0 || !isEvacuated(memberIds[0]!))) {
+            vms += memberIds.length;
+        }
+    }
+    return vms;
 }
 
 /** How many VMs a model's work keeps busy; where nothing is known, the shares that the site states, whose unit cancels out. */
--- a/src/groups/follow.ts
+++ b/src/groups/follow.ts
@@ -70,7 +70,7 @@
 }
 
 export function membersOf(group: PlannedGroup, view: GroupsView): Members {
-    return group.memberIds.map(id => view.upstreams.find(upstream => upstream.id === id));
+    return group.memberIds.map(id => view.upstreams.get(id));
 }
 
 /**
--- a/src/groups/form.ts
+++ b/src/groups/form.ts
@@ -48,7 +48,7 @@
 /** Whether the group may be formed now, given what it leaves of spares and what it has to load. */
 function isWorthwhile(choice: Choice, model: EngineModel, draft: Draft): boolean {
     const { view } = draft;
-    const isServed = [...draft.groups.values()].some(group => group.model === model.name && group.phase !== "ending");
+    const isServed = [...draft.groupTable.groups.values()].some(group => group.model === model.name && group.phase !== "ending");
     if (!isServed) {
         return true;
     }
@@ -67,7 +67,7 @@
     const epoch = draft.lastEpoch;
     const name = groupNameOf(model.name, epoch);
     const memberIds = choice.members.map(member => member.id);
-    draft.groups.set(name, {
+    draft.groupTable.put({
         name, epoch, model: model.name, domain: choice.domain, memberIds,
         bornMs: choice.members.map(member => member.bornMs), phase: "forming", sinceMs: view.nowMs, isGentle: false,
     });
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -15,6 +15,7 @@
 import { endGroup, type Followed, followGroup } from "./follow.js";
 import { formGroups } from "./form.js";
 import { regroup } from "./regroup.js";
+import { createGroupTable } from "./table.js";
 import { heatSpares, stageEmpty, stageSecond } from "./spares.js";
 import type { GroupPhase, GroupsState, GroupsView, OrderTo, PlannedGroup, SentOrder, Staging } from "./types.js";
 
@@ -51,10 +52,9 @@
 
 /** Leaves out orders that were sent a moment ago. */
 function unsent(orders: readonly OrderTo[], state: GroupsState, view: GroupsView): { due: OrderTo[]; sent: Map<string, SentOrder> } {
-    const alive = new Set(view.upstreams.map(upstream => upstream.id));
-    const sent = new Map([...state.sent].filter(([id]) => alive.has(id)));
+    const sent = new Map([...state.sent].filter(([id]) => view.upstreams.has(id)));
     const due = orders.filter(({ upstreamId, order }) => {
-        const born = view.upstreams.find(upstream => upstream.id === upstreamId)?.bornMs;
+        const born = view.upstreams.get(upstreamId)?.bornMs;
         const text = `${born} ${JSON.stringify(order)}`;
         const last = sent.get(upstreamId);
         if (last?.text === text && view.nowMs - last.atMs < resendMs) {
@@ -68,7 +68,7 @@
 
 function noteLastModels(state: GroupsState, view: GroupsView): GroupsState["lastModels"] {
     const next = new Map<string, { bornMs: number; model: string }>();
-    for (const { id, bornMs, group } of view.upstreams) {
+    for (const { id, bornMs, group } of view.upstreams.values()) {
         const known = state.lastModels.get(id);
         const reached = group !== undefined && group.state !== "joining" ? modelOfGroup(group.name) : undefined;
         if (reached !== undefined) {
@@ -86,9 +86,8 @@
 
 /** The loads that may still be under way. */
 function stillStaging(state: GroupsState, view: GroupsView): Map<string, Staging> {
-    const born = new Map(view.upstreams.map(upstream => [upstream.id, upstream]));
     return new Map([...state.staging].filter(([id, { model, atMs, bornMs }]) => {
-        const upstream = born.get(id);
+        const upstream = view.upstreams.get(id);
         const loadMs = view.engine.models.find(candidate => candidate.name === model)?.loadMs ?? 0;
         const isDone = upstream?.bornMs !== bornMs || upstream.stagedModels.includes(model);
         return !isDone && view.nowMs - atMs < loadMs * stagingPatience;
@@ -102,13 +101,13 @@
         notes.push({ group: group.name, memberIds: group.memberIds, from: group.phase, to: followed.group?.phase ?? "over", reason: followed.reason });
     }
     if (followed.group === undefined) {
-        draft.groups.delete(group.name);
+        draft.groupTable.remove(group.name);
         if (followed.mayReturn !== true) {
-            draft.overNames.push(group.name);
+            draft.overNames.add(group.name);
         }
         return;
     }
-    draft.groups.set(group.name, followed.group);
+    draft.groupTable.put(followed.group);
 }
 
 /** Plans one step. */
@@ -117,19 +116,19 @@
     const draft: Draft = {
         view,
         ...usableOf(view),
-        groups: new Map(state.groups),
+        groupTable: createGroupTable(state.groups),
         orders: [],
         lastModels: noteLastModels(state, view),
         staging: stillStaging(state, view),
-        overNames: [...state.overNames],
-        heating: new Map([...state.heating].filter(([id]) => view.upstreams.some(upstream => upstream.id === id))),
+        overNames: new Set(state.overNames),
+        heating: new Map([...state.heating].filter(([id]) => view.upstreams.has(id))),
         lastEpoch: state.lastEpoch,
         shortSince: state.shortSince,
         reserved: new Map([...state.reserved].filter(([, { untilMs }]) => view.nowMs < untilMs)),
     };
     if (view.nowMs - view.leadsSinceMs >= settleMs) {
-        adoptGroups(draft.groups, state.overNames, view).forEach(group => draft.groups.set(group.name, group));
-        for (const group of [...draft.groups.values()]) {
+        adoptGroups(draft.groupTable.groups, draft.overNames, view).forEach(draft.groupTable.put);
+        for (const group of [...draft.groupTable.groups.values()]) {
             takeStep(group, followGroup(group, view), draft, notes);
         }
         formGroups(draft);
@@ -144,9 +143,9 @@
     const { due, sent } = unsent(draft.orders, state, view);
     return {
         state: {
-            groups: draft.groups, lastEpoch: draft.lastEpoch, sent, lastModels: draft.lastModels, staging: draft.staging,
+            groups: draft.groupTable.groups, lastEpoch: draft.lastEpoch, sent, lastModels: draft.lastModels, staging: draft.staging,
             heating: draft.heating, shortSince: draft.shortSince, reserved: draft.reserved,
-            overNames: draft.overNames.slice(-rememberedOver),
+            overNames: [...draft.overNames].slice(-rememberedOver),
         },
         orders: due,
         notes,
--- a/src/groups/regroup.ts
+++ b/src/groups/regroup.ts
@@ -39,8 +39,10 @@
 
 /** VMs of groups that are ending and those that are free, where they may be used. */
 function soonFree(domain: string, draft: Draft): Upstream[] {
-    const ending = [...draft.groups.values()].filter(group => group.phase === "ending").flatMap(group => membersOf(group, draft));
-    return [...freeIn(domain, draft), ...ending.filter(upstream => upstream.domain === domain)];
+    const ending = draft.groupTable.groupsInDomain(domain)
+        .filter(group => group.phase === "ending")
+        .flatMap(group => membersOf(group, draft));
+    return [...freeIn(domain, draft), ...ending];
 }
 
 function membersOf(group: PlannedGroup, draft: Draft): Upstream[] {
@@ -90,7 +92,7 @@
 
 /** The fewest groups of other models to break in `domain`, so that one of `model` has room there. */
 function moveIn(domain: string, model: EngineModel, draft: Draft): Move | undefined {
-    const others = [...draft.groups.values()].filter(group => group.domain === domain && group.model !== model.name && group.phase !== "ending");
+    const others = draft.groupTable.groupsInDomain(domain).filter(group => group.model !== model.name && group.phase !== "ending");
     const able = (group: PlannedGroup) => joinable(membersOf(group, draft), model, draft).length;
     const order = others.sort((a, b) => able(b) - able(a) || (a.name < b.name ? -1 : 1));
     const room = soonFree(domain, draft);
--- a/src/groups/spares.ts
+++ b/src/groups/spares.ts
@@ -48,8 +48,8 @@
  * VMs that are left of a group stand still already.
  */
 function needIn(domain: string, model: EngineModel, draft: Draft): number {
-    const working = [...draft.groups.values()]
-        .filter(group => group.domain === domain && group.model === model.name && group.phase !== "ending")
+    const working = draft.groupTable.groupsInDomain(domain)
+        .filter(group => group.model === model.name && group.phase !== "ending")
         .reduce((sum, group) => sum + group.memberIds.length, 0);
     const free = freeIn(domain, draft);
     const left = free.filter(upstream => isRepair([upstream], model, draft));
@@ -80,7 +80,7 @@
 
 /** VMs whose weights on the host are those on the accelerator, or none: spares first, since they are used first. */
 function withRoomOnHost(draft: Draft): Upstream[] {
-    const members = [...draft.groups.values()].filter(group => group.phase === "open").flatMap(group => group.memberIds);
+    const members = [...draft.groupTable.groups.values()].filter(group => group.phase === "open").flatMap(group => group.memberIds);
     const working = members.map(id => draft.usable.get(id)).filter(upstream => upstream !== undefined);
     return [...[...freeByDomain(draft).values()].flat(), ...working].filter(upstream => {
         const held = onAccelerator(upstream, draft);
--- a/src/groups/types.ts
+++ b/src/groups/types.ts
@@ -89,8 +89,8 @@
     /** Since when this process has led. */
     readonly leadsSinceMs: number;
     readonly engine: EngineSpec;
-    /** All living upstreams of the service. */
-    readonly upstreams: readonly Upstream[];
+    /** All living upstreams of the service, by id. */
+    readonly upstreams: ReadonlyMap<string, Upstream>;
     /** Upstreams that don't answer this leader, among them those at whose address nothing seems to listen. */
     readonly isLost: (id: string) => boolean;
     readonly isRefusing: (id: string) => boolean;
--- a/src/siteControl/groupLeader.ts
+++ b/src/siteControl/groupLeader.ts
@@ -117,7 +117,7 @@
         });
     }
 
-    function viewOf(engine: EngineSpec, upstreams: readonly Upstream[]): GroupsView {
+    function viewOf(engine: EngineSpec, upstreams: ReadonlyMap<string, Upstream>): GroupsView {
         const directory = options.directory();
         return {
             nowMs: nowMs(),
@@ -129,7 +129,7 @@
             isLifeOver: id => isLifeOver(directory, id),
             isMoving: id => nowMs() - (movingAtMs.get(id) ?? Number.NEGATIVE_INFINITY) < movingMs,
             evacuated: log.state.published.evacuated,
-            demand: demand.read(nowMs(), engine.models, upstreams.length),
+            demand: demand.read(nowMs(), engine.models, upstreams.size),
             hasTraffic,
         };
     }
@@ -148,7 +148,7 @@
         }
     }
 
-    function planService(service: string, engine: EngineSpec, upstreams: readonly Upstream[]) {
+    function planService(service: string, engine: EngineSpec, upstreams: ReadonlyMap<string, Upstream>) {
         const known = states.get(service) ?? { ...noGroups, lastEpoch: firstEpochOf(planTerm) };
         const planned = planGroups(known, viewOf(engine, upstreams));
         states.set(service, planned.state);
@@ -167,7 +167,8 @@
             const living = running.filter(upstream => !prober.isRefusing(upstream.id));
             for (const { name, engine } of table.site.services) {
                 if (engine !== undefined && engine.models.length > 0) {
-                    planService(name, engine, living.filter(upstream => upstream.service === name));
+                    const upstreams = living.filter(upstream => upstream.service === name);
+                    planService(name, engine, new Map(upstreams.map(upstream => [upstream.id, upstream])));
                 }
             }
         },
--- a/test/groups/builders.ts
+++ b/test/groups/builders.ts
@@ -74,7 +74,7 @@
 }
 
 function viewOf(fleet: Fleet): GroupsView {
-    const upstreams = [...fleet.upstreams.values()].filter(({ id }) => !fleet.refusing.has(id) && !fleet.unknown.has(id));
+    const upstreams = new Map([...fleet.upstreams].filter(([id]) => !fleet.refusing.has(id) && !fleet.unknown.has(id)));
     return {
         nowMs: fleet.nowMs, leadsSinceMs: fleet.leadsSinceMs, engine: fleet.engine, upstreams, evacuated: [], demand: fleet.demand,
         hasTraffic: fleet.hasTraffic,
