Do not count answers as missing that a busy process has not yet read

Node.js runs expired timers before it reads what has arrived. When the event loop of a control leader was blocked for longer than the probe timeout of 0.15 s, the leader treated the probed upstreams as silent although their answers were already in its sockets. After two such probes it ended groups that were serving, which caused more orders and more probes.

Change. startAnswerTimeout extends a timeout by the time by which the process itself was late, by at most the timeout itself each time and at most three times.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -10,6 +10,7 @@
 import { connect as connectTcp, type Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
 import { splitAddress } from "../rpc/index.js";
+import { startAnswerTimeout } from "../runtime/index.js";
 
 /** A new connection takes one round trip, some ms; a lost opening packet is sent again after a second, too late for most requests. */
 const connectTimeoutMs = 250;
@@ -91,14 +92,15 @@
             keepAliveMaxTimeout: 2 * reuseMs,
             connect(_options, callback) {
                 const socket: Socket = connectTcp({ host, port, noDelay: true });
-                const timer = setTimeout(() => socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`)), connectTimeoutMs);
+                const cancelTimeout = startAnswerTimeout(connectTimeoutMs, () =>
+                    socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`)));
                 const onFailed = (error: Error) => {
-                    clearTimeout(timer);
+                    cancelTimeout();
                     callback(error, noSocket);
                 };
                 socket.once("error", onFailed);
                 socket.once("connect", () => {
-                    clearTimeout(timer);
+                    cancelTimeout();
                     socket.off("error", onFailed);
                     // The library takes a reset after an answer without a length for its proper end: the flag tells them apart.
                     socket.on("error", () => {
