Limit the time that planning and probing take in the control leader

Every change triggered a planning step 10 ms later. On the large site a step took 10 to 15 ms of a VM that the leader shares with an entry, so the log's heartbeats, leases, announcements and orders waited behind planning steps. Each upstream that stays silent was probed once per second indefinitely: 45 of them while a part of the site is cut off.

An upstream that stays silent is probed after 1, 2 and 4 s and then every 8 s, and at once when it is heard again. Control daemons tell each other which upstreams they have heard every 0.2 s instead of every 0.5 s, so that upstreams do not seem overdue when they are not.

--- a/src/siteControl/prober.ts
+++ b/src/siteControl/prober.ts
@@ -22,8 +22,9 @@
 
 /** One heartbeat and a half without news: by then the next one is overdue also with its usual spread. */
 const overdueMs = 1_900;
-/** A question a second to one that stays silent, in case it comes back. */
+/** Delay before a silent upstream is asked again; doubles with each further unanswered probe. A new heartbeat triggers a probe at once. */
 const againMs = 1_000;
+const maxAgainMs = 8_000;
 /** Questions in a row without an answer before an upstream counts as lost: a single packet may be lost. */
 const silentProbes = 2;
 
@@ -73,6 +74,10 @@
         options.judged(upstream, result);
     }
 
+    function retryDelayMs({ silent }: Asked): number {
+        return Math.min(maxAgainMs, againMs * 2 ** Math.max(0, silent - silentProbes));
+    }
+
     function memoryOf(upstream: Upstream): Asked {
         const known = asked.get(upstream.id);
         if (known !== undefined && known.bornMs === upstream.bornMs) {
@@ -92,7 +97,7 @@
                 const isDoubted = suspects.has(upstream.id) || (memory.silent > 0 && memory.result === undefined);
                 // A heartbeat may have been seconds on its way, so one that is lost is asked again rather than believed.
                 const isHeardAgain = memory.result !== undefined && upstream.heardAtMs > memory.atMs;
-                const isDue = isDoubted || isHeardAgain || (isOverdue && nowMs - memory.atMs > againMs);
+                const isDue = isDoubted || isHeardAgain || (isOverdue && nowMs - memory.atMs > retryDelayMs(memory));
                 if (isDue && !memory.isAsking) {
                     void ask(upstream, memory);
                 }
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -15,6 +15,7 @@
 import { createSiteTable, type DecodedSite, type SiteDialect, type SiteFinding, type SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createGroupLeader, type Engines } from "./groupLeader.js";
+import { createPlanPacer } from "./planPacer.js";
 import { createProposer, operatorTimeoutMs } from "./proposals.js";
 
 export interface SiteControlOptions {
@@ -53,6 +54,8 @@
 
 /** How often groups are planned when nothing is learnt: orders that got lost wait for it. */
 const planIntervalMs = 150;
+/** How often `heard` frames are sent to other control daemons: short compared with the heartbeat interval of upstreams. */
+const heardIntervalMs = 200;
 /** After news a step comes this soon, one for all that is learnt meanwhile: each phase of a repair waits for it. */
 const wakeMs = 10;
 const forgetIntervalMs = 10_000;
@@ -76,13 +79,14 @@
 
     let wakeTimer: NodeJS.Timeout | undefined;
 
+    const pacer = createPlanPacer(nowMs);
     const groupLeader = createGroupLeader({ ...options, nowMs, directory: () => directory, wake });
 
     function wake() {
         wakeTimer ??= setTimeout(() => {
             wakeTimer = undefined;
-            plan();
-        }, wakeMs);
+            pacer.runIfDue(plan);
+        }, Math.max(wakeMs, Math.ceil(pacer.waitMs) + 1));
     }
 
     /** Takes a new directory and tells watchers what is new in it. */
@@ -212,10 +216,16 @@
         told = { ...told, version: site?.version ?? -1, evacuated: names, controls: addresses.join(",") };
     }
 
+    /** Runs more often than `tellAlive`: the leader probes upstreams that seem overdue because a `heard` frame is late. */
+    function tellHeard() {
+        if (heardDirectly.size > 0) {
+            feed.publish(heardFrame(heardDirectly), "control");
+            heardDirectly.clear();
+        }
+    }
+
     function tellAlive() {
-        feed.publish(heardFrame(heardDirectly), "control");
         feed.publish(heardFrame(heardByAny), "entry");
-        heardDirectly.clear();
         heardByAny.clear();
         feed.publish(alive());
         tellApplied();
@@ -314,7 +324,11 @@
         start() {
             observe();
             log.subscribe(() => tellApplied());
-            timers = [setInterval(plan, planIntervalMs), setInterval(tellAlive, aliveMs)];
+            timers = [
+                setInterval(() => pacer.runIfDue(plan), planIntervalMs),
+                setInterval(tellAlive, aliveMs),
+                setInterval(tellHeard, heardIntervalMs),
+            ];
             tellApplied();
         },
         stop() {
--- a/test/siteControl/prober.test.ts
+++ b/test/siteControl/prober.test.ts
@@ -29,6 +29,26 @@
         expect(prober.isLost(upstream.id)).to.equal(true);
     });
 
+    // Guards against a leader that is kept busy by probing each unreachable upstream once per second for as long as it is cut off.
+    it("asks a silent upstream at increasing intervals, and at once after a new heartbeat", async () => {
+        const { state, prober, upstream, look } = proberOf([]);
+        const askedAtMs: number[] = [];
+        const recordingProber = createProber({
+            nowMs: () => state.nowMs, judged: () => undefined,
+            probe: () => {
+                askedAtMs.push(state.nowMs);
+                return Promise.resolve("silent");
+            },
+        });
+        for (state.nowMs = 2_000; state.nowMs < 30_000; state.nowMs += 100) {
+            recordingProber.look([{ ...upstream, heardAtMs: state.nowMs >= 29_000 ? 29_000 : 0 }]);
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        expect(askedAtMs).to.deep.equal([2_000, 2_100, 3_200, 5_300, 9_400, 17_500, 25_600, 29_000]);
+        await look(0);
+        expect(prober.isLost(upstream.id)).to.equal(false);
+    });
+
     it("takes a VM back as soon as it answers after a heartbeat", async () => {
         const { state, prober, upstream, look } = proberOf(["silent", "silent", "answered"]);
         prober.suspect([upstream.id]);
