--- a/test/runtime/answerTimeout.test.ts
+++ b/test/runtime/answerTimeout.test.ts
@@ -16,7 +16,8 @@
             });
         });
         worker.postMessage("question");
-        holdLoop(500);
+        // Blocks between the check phase and the timers, so that an expired timer would run before the answer is read.
+        setImmediate(() => holdLoop(500));
         expect(await outcome).to.equal("answer");
         await worker.terminate();
     });
