Name the silent voters when a leader loses its quorum, and count voters

The line names both now, and two gauges show how many disks vote and how many of them the leader has not heard. No logic changes.

--- a/src/consensus/lease.ts
+++ b/src/consensus/lease.ts
@@ -38,7 +38,10 @@
     if (!handingOver && isQuorum(membership, new Set([...heard, state.options.self.diskId]))) {
         return { state, effects: [] };
     }
-    const line = handingOver ? "consensus: no voter took over, stepping down" : "consensus: lost the quorum, stepping down";
+    const silent = membership.voters.filter(voter => voter.diskId !== state.options.self.diskId && !heard.includes(voter.diskId));
+    const line = handingOver
+        ? "consensus: no voter took over, stepping down"
+        : `consensus: lost the quorum, stepping down; silent: ${silent.map(voter => voter.voterId).join(", ")}; of ${membership.voters.length} voters`;
     return andThen({ state, effects: [{ kind: "log", line }] }, next => becomeFollower(next, next.term, undefined));
 }
 
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -265,6 +265,8 @@
     function observe() {
         const { metrics } = options;
         metrics.observe("zinnialanding_term", () => log.term);
+        metrics.observe("zinnialanding_voters", () => log.voters().filter(voter => voter.voting).length);
+        metrics.observe("zinnialanding_voters_silent", () => log.voters().filter(voter => voter.voting && voter.reachable === false).length);
         metrics.observe("zinnialanding_leads", () => Number(leads()));
         metrics.observe("zinnialanding_site_version", () => log.state.published.site?.version ?? 0);
         metrics.observe("zinnialanding_upstreams_known", () => [...directory.values()].filter(upstream => !upstream.isGone).length);
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -33,6 +33,8 @@
     zinnialanding_control_daemons_heard: "Control daemons from which something has come lately.",
     zinnialanding_log_lines_left_out: "Log lines left out because nobody read them.",
     zinnialanding_term: "Term of the replicated log.",
+    zinnialanding_voters: "Disks that vote, by the newest membership known here.",
+    zinnialanding_voters_silent: "Voters that the leader has not heard within an election timeout; 0 at other daemons.",
     zinnialanding_leads: "1 while this daemon leads, else 0.",
     zinnialanding_upstreams_known: "Upstreams that have announced themselves and have not left.",
     zinnialanding_upstreams_lost: "Upstreams that answer nobody.",
