Open a log whose removed segments are back in part after a loss of power

With a gap between two that came back, opening refused the log as damaged, though the newest segment voids all of them. Change: opening reads back from the newest segment to the one that voids what stands before it, and no further. Test: "opens a log whose removed segments are back in part" failed before with the error above.

--- a/src/consensus/storage.ts
+++ b/src/consensus/storage.ts
@@ -149,18 +149,15 @@
     const snapshot = await readSnapshot(files, folder, names);
     const identity = await openIdentity(files, folder, options.voterId, segments.length > 0 || snapshot !== undefined);
     let vote: Vote = { term: 0 };
-    let entries: Entry[] = [];
+    const entries: Entry[] = [];
     let tornBytes = 0;
-    for (const name of segments) {
-        const file = path.join(folder, name);
+    const live: { readonly file: string; readonly records: readonly LogRecord[] }[] = [];
+    // From the newest back to the one that voids all before it: of those, a loss of power may have brought back any.
+    for (let place = segments.length - 1; place >= 0 && live[0]?.records[0]?.resetTo === undefined; place--) {
+        const file = path.join(folder, segments[place]!);
         const bytes = await files.read(file) ?? Buffer.alloc(0);
-        const { records, soundBytes } = decodeSegment(file, bytes, name === segments.at(-1));
-        for (const content of records) {
-            const record = parseJson(recordSchema, content, file, 0);
-            entries = record.resetTo === undefined ? entries : [];
-            vote = record.vote ?? vote;
-            record.parts.forEach(part => replaceTail(entries, part, file));
-        }
+        const { records, soundBytes } = decodeSegment(file, bytes, place === segments.length - 1);
+        live.unshift({ file, records: records.map(content => parseJson(recordSchema, content, file, 0)) });
         if (soundBytes < bytes.byteLength) {
             tornBytes = bytes.byteLength - soundBytes;
             const handle = await files.openForAppend(file);
@@ -169,6 +166,12 @@
             await handle.close();
         }
     }
+    for (const { file, records } of live) {
+        for (const record of records) {
+            vote = record.vote ?? vote;
+            record.parts.forEach(part => replaceTail(entries, part, file));
+        }
+    }
     const base = snapshot?.index ?? 0;
     const after = entries.filter(entry => entry.index > base);
     if (after.length > 0 && after[0]!.index !== base + 1) {
--- a/test/consensus/storage.test.ts
+++ b/test/consensus/storage.test.ts
@@ -133,6 +133,23 @@
         expect((await fs.readdir(folder)).filter(name => name.endsWith(".snap"))).to.have.length(1);
     });
 
+    // After a loss of power some of the removed segments may be back, with a gap between them, and the voter would never start again.
+    it("opens a log whose removed segments are back in part", async () => {
+        for (const index of [1, 2, 3]) {
+            const storage = await open();
+            await writeAll(storage, [{ entries: [entry(index)] }]);
+            await storage.close();
+        }
+        const [first, , third] = await segmentNames();
+        const kept = await Promise.all([first!, third!].map(async name => ({ name, bytes: await fs.readFile(path.join(folder, name)) })));
+        const snapshot: Snapshot = { index: 3, term: 1, membership, data: { state: 3 } };
+        const storage = await open();
+        await writeAll(storage, [{ snapshot: { snapshot, after: [] } }, { entries: [entry(4)] }]);
+        await storage.close();
+        await Promise.all(kept.map(({ name, bytes }) => fs.writeFile(path.join(folder, name), bytes)));
+        expect((await reopened()).image).to.deep.equal({ term: 0, votedFor: undefined, snapshot, entries: [entry(4)] });
+    });
+
     // The disk fills up in the middle of a write. Nothing is reported until there is room again; then all of it is there, once.
     it("loses nothing on a full disk and goes on when there is room", async () => {
         let refusals = 3;
