--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -58,7 +58,7 @@
     forgottenMs: 3_000,
     readMs: 3_000,
     helloMs: 500,
-    snapshotRetryMs: 5_000,
+    snapshotRetryMs: 2_000,
 };
 
 export const defaultLimits: ConsensusLimits = {
--- a/test/consensus/lostVoters.test.ts
+++ b/test/consensus/lostVoters.test.ts
@@ -127,6 +127,26 @@
         expect(world.leader(), "a leader").to.not.equal(undefined);
     });
 
+    // A snapshot that was lost on its way was sent again only after the site could bear the next loss.
+    it("takes a successor in before the next loss though the first snapshot to it was lost", () => {
+        const world = formed(3, 3, 1);
+        const [gone, other] = world.nodes.filter(node => node.voterId.startsWith("v") && node !== world.leader());
+        const successor = world.nodes.at(-1)!;
+        Array.from({ length: 12 }, () => accept(world));
+        world.actions.retire(gone!);
+        wait(world, 1_300);
+        world.actions.cut(world.leader()!, successor);
+        world.actions.restart(successor);
+        wait(world, 1_000);
+        world.actions.mend();
+        wait(world, catchUpMs[0] - 1_000);
+        const version = accept(world);
+        world.actions.lose(other!);
+        wait(world, recoverMs);
+        expect(world.leader(), "a leader").to.not.equal(undefined);
+        expect(world.versionAt(world.leader()!)).to.equal(version);
+    });
+
     // Losses in a row, each within what the site bears, may leave the voters without a majority, or without what was accepted.
     for (const [voters, most] of [[3, 1], [5, 2], [6, 2]] as const) {
         it(`reads back what ${voters} voters accepted, whatever they lose ${most} at a time`, () => {
