Let a control daemon that waits for its vote use seeds that its settings name later

Cause: changed settings were handed to the entry alone; the log kept the seeds of its start. Change: changed seeds are greeted too. Whether a cluster may form still rests on those named at the start, so that two daemons with different lists can't each form one. Test: "whose settings name the voters only after its start" fails with the change taken out ("expected v0, v1, v2 to include w0"). test/consensus and test/platform/disklessControls: 54 passing.

--- a/src/consensus/bootstrap.ts
+++ b/src/consensus/bootstrap.ts
@@ -26,7 +26,8 @@
 /** The processes of the settings that don't vote: nobody else tells them who does. */
 function strangers(state: ConsensusState): readonly SettingsPeer[] {
     const speaks = isVoter(state) && state.storageFault === undefined;
-    return speaks ? otherPeers(state).filter(peer => !state.membership!.voters.some(voter => voter.voterId === peer.id)) : [];
+    const named = [...otherPeers(state), ...state.seeds];
+    return speaks ? named.filter(peer => !state.membership!.voters.some(voter => voter.voterId === peer.id)) : [];
 }
 
 /** Whether this process has something to say each time a greeting is due. */
@@ -59,8 +60,8 @@
         ...diskless ? { diskless: true } : {}, ...mayForm && isOpen ? { mayForm: true } : {},
     };
     // Without a disk there is nobody to be admitted by: only who votes is asked for.
-    const audience = [...otherPeers(state), ...diskless ? state.knownVoters : state.namedPeers];
-    const ids = new Set(audience.map(peer => peer.id));
+    const audience = [...otherPeers(state), ...state.seeds, ...diskless ? state.knownVoters : state.namedPeers];
+    const ids = new Set(audience.map(peer => peer.id).filter(id => id !== state.options.self.voterId));
     const effects = [...ids].map((toVoterId): Effect => ({ kind: "announce", toVoterId, message: hello }));
     return chain(state, next => ({ state: next, effects }), noteAwaited, next => formIfAllEmpty(next, random));
 }
@@ -166,6 +167,11 @@
     );
 }
 
+/** Greets the processes that the settings name by now: those named at the start may all be gone. */
+export function onSeedsChanged(state: ConsensusState, seeds: readonly SettingsPeer[]): ConsensusStep {
+    return set(state, { namedPeers: withPeers(state, seeds), seeds });
+}
+
 /** How many processes without a vote are remembered, so that they can be answered. */
 const mostNamedPeers = 64;
 
--- a/src/consensus/node.ts
+++ b/src/consensus/node.ts
@@ -63,6 +63,8 @@
     readonly term: number;
     /** Why this voter acknowledges nothing; undefined while its disk takes writes. */
     readonly storageFault: string | undefined;
+    /** The settings name these processes from now on. */
+    useSeeds(seeds: readonly SettingsPeer[]): void;
     /** Stops as a crash would: hands nothing over. */
     abandon(): Promise<void>;
 }
@@ -286,6 +288,7 @@
         get storageFault() {
             return host.state.storageFault;
         },
+        useSeeds: seeds => dispatch({ kind: "seeds-changed", seeds }),
         abandon,
     };
 }
--- a/src/consensus/reducer.ts
+++ b/src/consensus/reducer.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Reducer } from "../runtime/index.js";
-import { onHello, onHelloResponse, sayHello, speaksAtHello } from "./bootstrap.js";
+import { onHello, onHelloResponse, onSeedsChanged, sayHello, speaksAtHello } from "./bootstrap.js";
 import {
     onPreVote, onPreVoteResponse, onTimeoutNow, onVote, onVoteResponse, startPreVote, startTransfer,
 } from "./election.js";
@@ -52,6 +52,8 @@
             return onRemoveVoter(state, event.proposalId, event.voterId);
         case "transfer":
             return startTransfer(state);
+        case "seeds-changed":
+            return onSeedsChanged(state, event.seeds);
     }
 }
 
--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -185,7 +185,9 @@
     readonly storageFault: string | undefined;
     readonly helloDueMs: number;
     readonly peerAnswers: Readonly<Record<string, PeerAnswer>>;
-    /** Voters that others have named and the settings do not. */
+    /** Processes that the settings name since they changed; none before that. */
+    readonly seeds: readonly SettingsPeer[];
+    /** Processes that others or changed settings have named, and the settings at the start do not. */
     readonly namedPeers: readonly SettingsPeer[];
     /** Who votes, as a process without a disk was told last. */
     readonly knownVoters: readonly KnownVoter[];
@@ -218,6 +220,8 @@
     | { readonly kind: "add-voter"; readonly proposalId: string; readonly voterId: string; readonly address: string }
     | { readonly kind: "remove-voter"; readonly proposalId: string; readonly voterId: string }
     | { readonly kind: "transfer" }
+    /** The settings name these processes from now on. Whether a cluster may form still rests on those named at the start. */
+    | { readonly kind: "seeds-changed"; readonly seeds: readonly SettingsPeer[] }
 );
 
 /** What became of a proposal or voter change, as the core answers it. */
@@ -305,6 +309,7 @@
         storageFault: undefined,
         helloDueMs: nowMs,
         peerAnswers: {},
+        seeds: [],
         namedPeers: [],
         knownVoters: [],
         firstDiskId: undefined,
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -7,7 +7,7 @@
 import { createServer } from "node:http";
 import { asFunction, asValue, createContainer, InjectionMode } from "awilix";
 import type { SiteSettings } from "./config/index.js";
-import { type ConsensusNode, createReplicatedLog } from "./consensus/index.js";
+import { type ConsensusNode, createReplicatedLog, type SettingsPeer } from "./consensus/index.js";
 import { createGateway, type Gateway, type HeaderNames } from "./gateway/index.js";
 import { createPeerConnections, createRpcServer, type RpcServer, splitAddress } from "./rpc/index.js";
 import type { SiteDialect } from "./site/index.js";
@@ -73,7 +73,7 @@
         })).singleton(),
         log: asFunction(({ logger }: Parts) => createReplicatedLog({
             voterId: hostOf(listen.rpc!), address: listen.rpc!, dataFolder: daemon.dataFolder,
-            peers: peerAddresses(settings).map(address => ({ id: hostOf(address), address })),
+            peers: logPeers(settings),
             mayForm: controlSettings.firstStart, isOpen: true,
             limits: { snapshotEntries, trailingEntries },
             logger: line => logger.info(line),
@@ -84,7 +84,8 @@
     const isEntry = daemon.roles.includes("entry");
     logger.info("starting", { roles: daemon.roles, dataCentre: daemon.dataCentre });
 
-    if (daemon.roles.includes("control")) {
+    const controlLog = daemon.roles.includes("control") ? await container.cradle.log : undefined;
+    if (controlLog !== undefined) {
         stops.push(daemon.dataFolder === undefined ? await startReferral() : await startControl());
     }
     const gateway = isEntry ? await container.cradle.gateway : undefined;
@@ -146,6 +147,7 @@
         reload(next) {
             logger.info("settings read again", { seeds: next.control.seeds });
             gateway?.useControls(peerAddresses(next));
+            controlLog?.useSeeds(logPeers(next));
         },
         async stop() {
             logger.info("stopping on request");
@@ -165,6 +167,11 @@
     return settings.control.seeds.map(address => `${hostOf(address)}:${settings.control.rpcPort}`);
 }
 
+/** The control daemons that the settings name, as the log knows them. */
+function logPeers(settings: SiteSettings): SettingsPeer[] {
+    return peerAddresses(settings).map(address => ({ id: hostOf(address), address }));
+}
+
 /** Serves one text at every path. */
 async function serveText(address: string, text: () => Promise<string>, contentType: string): Promise<() => Promise<void>> {
     const server = createServer((_request, response) => {
--- a/test/consensus/lostVoters.test.ts
+++ b/test/consensus/lostVoters.test.ts
@@ -147,6 +147,20 @@
         expect(world.versionAt(world.leader()!)).to.equal(version);
     });
 
+    // The settings at its start named VMs that are gone; those that they name since were never asked, and its disk never voted.
+    it("takes a successor in whose settings name the voters only after its start", () => {
+        const world = formed(5, 3, 1);
+        const late = world.nodes.at(-1)!;
+        world.actions.retire(world.leader()!);
+        world.actions.restartWith(late, ["gone1", "gone2"]);
+        wait(world, 2_000);
+        const voterIds = () => world.leader()!.state!.membership!.voters.map(voter => voter.voterId);
+        expect(voterIds()).to.not.include(late.voterId);
+        world.actions.nameSeeds(late, [world.leader()!.voterId]);
+        wait(world, catchUpMs[0]);
+        expect(voterIds()).to.include(late.voterId);
+    });
+
     // Losses in a row, each within what the site bears, may leave the voters without a majority, or without what was accepted.
     for (const [voters, most] of [[3, 1], [5, 2], [6, 2]] as const) {
         it(`reads back what ${voters} voters accepted, whatever they lose ${most} at a time`, () => {
--- a/test/support/consensusWorld.ts
+++ b/test/support/consensusWorld.ts
@@ -85,13 +85,14 @@
         throw new Error(`${what} (step ${step}, ${nowMs} ms)`);
     }
 
-    function start(node: Node) {
+    function start(node: Node, seedIds?: readonly string[]) {
         if (node.state !== undefined) {
             return;
         }
         const own = { id: node.voterId, address: `${node.voterId}:1` };
         const present = nodes.filter(other => other.lives > 0 && !retired.has(other));
-        const known = retired.size === 0 ? peers : present.slice(0, peers.length).map(peerOf);
+        const named = retired.size === 0 ? peers : present.slice(0, peers.length).map(peerOf);
+        const known = seedIds?.map(voterId => peerOf({ voterId })) ?? named;
         const options = {
             self: { voterId: node.voterId, diskId: node.diskId }, address: own.address, timings, limits,
             peers: isOpen || ids.includes(node.voterId) ? known : [...known, own], diskless: disklessIds.includes(node.voterId),
@@ -220,7 +221,12 @@
             node.writes = [];
             node.paused = false;
         },
-        restart: start,
+        restart: (node: Node) => start(node),
+        /** Starts a node whose settings name other processes. */
+        restartWith: (node: Node, seedIds: readonly string[]) => start(node, seedIds),
+        /** The settings of a running node name these processes from now on. */
+        nameSeeds: (node: Node, ids: readonly string[]) =>
+            feed(node, { kind: "seeds-changed", seeds: ids.map(voterId => peerOf({ voterId })) }),
         /** One direction of one link carries nothing from now on. */
         cut: (from: Node, to: Node) => void cuts.add(`${from.voterId}>${to.voterId}`),
         mend: () => cuts.clear(),
