Keep the limits that upstreams state, divided among the entries

What callers saw: an upstream in need named a limit of 2 requests a second and got 25 in 4 s from entries that it had told, where 17 are allowed (LIMIT); its requests were slow for it. Cause: nothing read the field. It passed to callers like any other header, and each entry went on by load alone. Change: an entry notes the limit of an answer and reports it. The control leader tells all entries the newest limits and the entries among which each is divided: those that report and serve a fair part of the callers. Of a limit, as many entries hold a part as it has requests a second, chosen by rendezvous hashing; what a part leaves no room for goes to another upstream or is refused at once. A division is used for 3 s, an entry that has fallen silent keeps its part for 5 s, and a new leader divides after 3 s, so that no part is held twice by one that is cut off. The end of a limit is told in the same way, to entries too that send nothing there. Why not equal parts of all entries, as for cold upstreams: of 2 a second each of 39 would have one request in 20 s, and all might come at once.

--- a/src/feed/frames.ts
+++ b/src/feed/frames.ts
@@ -5,7 +5,7 @@
  */
 
 import { z } from "zod";
-import { carriedUpstreamSchema } from "../fleet/index.js";
+import { carriedLimitSchema, carriedUpstreamSchema } from "../fleet/index.js";
 
 /** The newest published site that the sender has applied, as its text. */
 const siteFrameSchema = z.strictObject({
@@ -55,8 +55,16 @@
     barred: z.array(z.string()),
 });
 
+/** Limits that upstreams state, and the entries among which each is divided; from the control leader. */
+const limitsFrameSchema = z.strictObject({
+    kind: z.literal("limits"),
+    entryIds: z.array(z.string()),
+    limits: z.array(carriedLimitSchema),
+});
+
 export const frameSchema = z.discriminatedUnion("kind", [
     siteFrameSchema, evacuatedFrameSchema, upstreamsFrameSchema, heardFrameSchema, aliveFrameSchema, controlsFrameSchema, judgedFrameSchema,
+    limitsFrameSchema,
 ]);
 export type Frame = z.infer<typeof frameSchema>;
 export type AliveFrame = z.infer<typeof aliveFrameSchema>;
@@ -72,6 +80,8 @@
     movingIds: z.array(z.string()),
     /** Fingerprints of requests in flight when an upstream crashed under them, and that upstream's life. */
     crashes: z.array(z.strictObject({ fingerprint: z.string(), upstream: z.string() })),
+    /** Limits that upstreams have stated in answers to this entry. */
+    limits: z.array(carriedLimitSchema),
 });
 /** What one entry has seen since its last report. */
 export type Report = z.infer<typeof reportSchema>;
--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -56,7 +56,7 @@
 /** The frame kinds of `WatchScope.CONTENT`. */
 const contentKinds: readonly FrameKind[] = ["site", "upstreams", "heard"];
 /** The frame kinds of `WatchScope.SIGNS`. */
-const signKinds: readonly FrameKind[] = ["controls", "evacuated", "judged", "alive"];
+const signKinds: readonly FrameKind[] = ["controls", "evacuated", "judged", "alive", "limits"];
 
 function kindsForRequest({ isEntry, scope }: WatchSiteRequest): readonly FrameKind[] {
     if (!isEntry) {
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,3 +1,4 @@
 export * from "./directory.js";
 export * from "./groups.js";
+export * from "./limits.js";
 export * from "./types.js";
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -35,6 +35,8 @@
     readonly balance: Balance;
     readonly connections: Connections;
     nowMs(): number;
+    /** Notes the limit that an answer to a request sent at `sentAtMs` states, in requests a second, or that it states none. */
+    statedLimit(upstream: Upstream, perSecond: number | undefined, sentAtMs: number): void;
 }
 
 export interface AttemptOptions {
@@ -92,7 +94,8 @@
     if (isStream) {
         balance.streamStarted(upstream);
     }
-    let ownSinceMs = parts.nowMs();
+    const sentAtMs = parts.nowMs();
+    let ownSinceMs = sentAtMs;
     const stillTimer = options.mayRunAgain ? setInterval(checkStill, stillCheckMs) : undefined;
 
     function leave() {
@@ -154,6 +157,17 @@
         }
     }
 
+    /** A refusal that names no limit says nothing about it: it may come from something before the upstream. */
+    function noteLimit() {
+        const perSecond = Number(valueOf(rawHeaders, names.limit) ?? Number.NaN);
+        if (perSecond >= 0 && Number.isFinite(perSecond)) {
+            parts.statedLimit(upstream, perSecond, sentAtMs);
+        }
+        else if (status < 300) {
+            parts.statedLimit(upstream, undefined, sentAtMs);
+        }
+    }
+
     function onHead(givenStatus: number, raw: string[]) {
         status = givenStatus;
         rawHeaders = raw;
@@ -163,6 +177,7 @@
             abandon(foreign);
             return;
         }
+        noteLimit();
         if (status < 300 && isStream) {
             // A continued stream keeps the headers of its first upstream: `start` does nothing the second time.
             answer.start(status, passedOn(raw, new Set(["date", "content-length"])));
--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -11,7 +11,9 @@
 import type { Upstream } from "../fleet/index.js";
 import { shareOfCold } from "./entryCount.js";
 import type { Candidate } from "./siteView.js";
-import { estimateOf, failuresNow, freshStanding, isLateStuck, isMoving, isStill, isSuspect, lateShare, type Standing } from "./standing.js";
+import {
+    estimateOf, failuresNow, freshStanding, isLateStuck, isMoving, isStill, isSuspect, lateShare, refillLimit, type Standing,
+} from "./standing.js";
 
 /** How long nothing more is sent to wait where a caller left before its turn: overloads that outlast a caller last for seconds more. */
 const lateBlockMs = 3_000;
@@ -72,8 +74,14 @@
  */
 const openWeight = 2;
 
-/** Creates a balance that has seen nothing; `random` is uniform in [0, 1), `entries` how many entries share what a cold upstream bears. */
-export function createBalance(nowMs: () => number, random: () => number, entries: () => number): Balance {
+/**
+ * Creates a balance that has seen nothing; `random` is uniform in [0, 1), `entries` how many entries share what a cold upstream bears,
+ * `shareOfLimit` gives the requests a second that this entry may send to an upstream that states a limit, undefined for any other.
+ */
+export function createBalance(
+    nowMs: () => number, random: () => number, entries: () => number,
+    shareOfLimit: (upstream: Upstream) => number | undefined = () => undefined,
+): Balance {
     const standings = new Map<string, Standing>();
 
     function standing(upstream: Upstream): Standing {
@@ -96,6 +104,18 @@
         return state.coldSentAtMs.length < count;
     }
 
+    /** Whether one more request now stays within this entry's part of the limit that an upstream states. */
+    function isWithinLimit(upstream: Upstream, state: Standing): boolean {
+        const perSecond = shareOfLimit(upstream);
+        if (perSecond === undefined) {
+            state.limitTokens = 0;
+            state.limitAtMs = nowMs();
+            return true;
+        }
+        refillLimit(state, perSecond, nowMs());
+        return state.limitTokens >= 1;
+    }
+
     return {
         choose(candidates, options) {
             let best: Candidate | undefined;
@@ -103,7 +123,8 @@
             for (const candidate of candidates) {
                 const { upstream } = candidate;
                 const state = standing(upstream);
-                if (options.without.has(upstream.id) || !isWithinCold(upstream, state, options.coldRequestsPerSecond)) {
+                if (options.without.has(upstream.id) || !isWithinCold(upstream, state, options.coldRequestsPerSecond) ||
+                    !isWithinLimit(upstream, state)) {
                     continue;
                 }
                 const isAvoided = state.avoidUntilMs > nowMs() || isStill(state, nowMs()) || candidate.isDoubtful;
@@ -146,6 +167,7 @@
             const state = standing(upstream);
             state.running++;
             state.load++;
+            state.limitTokens = Math.max(0, state.limitTokens - 1);
             if (isCold) {
                 state.coldSentAtMs.push(nowMs());
             }
--- a/src/gateway/entryCount.ts
+++ b/src/gateway/entryCount.ts
@@ -1,5 +1,6 @@
 /**
- * How many entries share the bounds that hold for all of them together, and what this entry's part of each is.
+ * How many entries share the bounds that hold for all of them together, and what this entry's part of each is. Bounds that must hold
+ * from the first request on are split among all entries in equal parts; limits that upstreams state later are divided among a few.
  *
  * The pattern it answers: entries can't ask each other before each send, and some are cut off from the others for seconds. Each therefore
  * keeps to a fixed part, so that the sum stays within the bound whoever is cut off; control daemons count the entries that watch them, also
@@ -8,6 +9,8 @@
  * @module
  */
 
+import { hashText, rank } from "../routing/index.js";
+
 /** Taken until a control daemon has told: more than sites of today have. */
 const untoldEntries = 24;
 /** Entries that may have been added since the count was told. */
@@ -45,6 +48,16 @@
     return { most, start: most / 2 };
 }
 
+/**
+ * One entry's part of the requests a second that an upstream takes from all entries together; 0 where others hold all of it. With one
+ * part for each request a second no part is so small that its entry's callers come too rarely to use it, and the bursts of all
+ * parts together stay below half of the limit.
+ */
+export function shareOfLimit(perSecond: number, upstreamId: string, entryId: string, entryIds: readonly string[]): number {
+    const count = Math.max(1, Math.min(entryIds.length, Math.floor(perSecond)));
+    return rank(hashText(upstreamId), entryIds, hashText, count).includes(entryId) ? perSecond / count : 0;
+}
+
 /** How many requests one entry may send to a cold upstream in how long, where all entries together may send `perSecond` in a second. */
 export function shareOfCold(perSecond: number, entries: number): { readonly count: number; readonly windowMs: number } {
     const own = perSecond / entries;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import { createEntryCount, shareOfSlack } from "./entryCount.js";
 import type { HeaderNames } from "./headers.js";
 import { createLoopTurns } from "./loopTurns.js";
+import { createLimits } from "./limits.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSiteView } from "./siteView.js";
 import { roomAt } from "./work.js";
@@ -64,7 +65,8 @@
     const nowMs = () => performance.now();
     const view = createSiteView(options.dialect, logger);
     const entries = createEntryCount(nowMs);
-    const balance = createBalance(nowMs, Math.random, () => entries.most);
+    const limits = createLimits(options.daemonId, logger, nowMs);
+    const balance = createBalance(nowMs, Math.random, () => entries.most, limits.shareOf);
     const connections = createConnections();
     const crashes = createCrashes(nowMs);
     const workload = createWorkload();
@@ -85,6 +87,7 @@
         reportedSuspects = suspectIds;
         watcher.report({
             workByModel: workload.take(), requests, suspectIds: [...suspectIds], movingIds: [...movingIds], crashes: [...crashes.recent],
+            limits: limits.carry(),
         });
         requests = 0;
     }
@@ -108,6 +111,9 @@
         dataCentre: options.dataCentre,
         take(frame, address) {
             view.take(frame, address);
+            if (frame.kind === "limits") {
+                limits.take(frame);
+            }
             if (frame.kind === "controls") {
                 watcher.watch(frame.addresses);
             }
@@ -123,6 +129,7 @@
     const server: GatewayServer = await listenForCallers(options.callers, {
         names: options.names, view, balance, connections, logger, dataCentre: options.dataCentre, nowMs, random: Math.random, roomAt,
         mayRepeat: service => budgetOf(service).tryRetry(nowMs()) === undefined,
+        statedLimit: limits.seen,
         crashed: (asked, upstream) => crashes.note(asked, upstream),
         isBarred: asked => view.barred.size > 0 && view.barred.has(fingerprintOf(asked)),
         attemptEnded: ending => metrics.attemptEnded(ending),
@@ -145,6 +152,7 @@
     metrics.observe("zinnialanding_caller_connections_unused", () => server.connections.unused);
     metrics.observe("zinnialanding_upstream_connections", () => connections.open);
     metrics.observe("zinnialanding_site_version", () => view.version);
+    metrics.observe("zinnialanding_upstreams_limited", () => limits.count);
     metrics.observe("zinnialanding_control_daemons_heard", () => watcher.heard.length);
 
     const turns = createLoopTurns(nowMs);
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -22,6 +22,8 @@
     /** Present where the upstream did not run the request. */
     readonly notRun: string;
     readonly load: string;
+    /** Requests a second that an upstream in need takes from all entries together. */
+    readonly limit: string;
     readonly model: string;
     readonly tokens: string;
     readonly lastEventId: string;
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -126,6 +126,7 @@
                     forgetRefusals();
                     return;
                 case "alive":
+                case "limits":
                     return;
                 case "controls":
                     controls = frame.addresses;
--- a/src/gateway/standing.ts
+++ b/src/gateway/standing.ts
@@ -39,6 +39,9 @@
     failures: number;
     failedAtMs: number;
     coldSentAtMs: number[];
+    /** Requests that may be sent at once under the limit that it states, and since when that is counted. */
+    limitTokens: number;
+    limitAtMs: number;
     unreachableAtMs: number;
 }
 
@@ -47,7 +50,7 @@
     return {
         bornMs, running: 0, lateSentAtMs: [], lateBlockedUntilMs: 0, streaming: 0, begun: 0,
         lastEventAtMs: 0, stillSinceMs: 0, load: 0, loadAtMs: Number.NEGATIVE_INFINITY,
-        avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [],
+        avoidUntilMs: 0, failures: 0, failedAtMs: 0, coldSentAtMs: [], limitTokens: 0, limitAtMs: 0,
         unreachableAtMs: Number.NEGATIVE_INFINITY,
     };
 }
@@ -68,6 +71,16 @@
     return nowMs < lateBlockedUntilMs || (oldestMs !== undefined && nowMs - oldestMs > lateStuckMs);
 }
 
+/** How much of its part of a limit an entry may save up: a request that comes a moment late does not lose its turn. */
+const mostLimitTokens = 1.5;
+
+/** Counts up what may be sent under a part of `perSecond`. */
+export function refillLimit(state: Standing, perSecond: number, nowMs: number) {
+    const earned = (nowMs - state.limitAtMs) / 1_000 * perSecond;
+    state.limitTokens = Math.min(mostLimitTokens, state.limitTokens + earned);
+    state.limitAtMs = nowMs;
+}
+
 export function failuresNow(state: Standing, nowMs: number): number {
     return state.failures * 0.5 ** ((nowMs - state.failedAtMs) / failureHalfLifeMs);
 }
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -15,6 +15,7 @@
 import { createSiteTable, type DecodedSite, type SiteDialect, type SiteFinding, type SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createGroupLeader, type Engines } from "./groupLeader.js";
+import { createLimitBoard } from "./limitBoard.js";
 import { createPlanPacer } from "./planPacer.js";
 import { createProposer, operatorTimeoutMs } from "./proposals.js";
 
@@ -78,8 +79,8 @@
     const heardByAny = new Set<string>();
 
     let wakeTimer: NodeJS.Timeout | undefined;
-
     const pacer = createPlanPacer(nowMs);
+    const limitBoard = createLimitBoard(nowMs);
     const groupLeader = createGroupLeader({ ...options, nowMs, directory: () => directory, wake });
 
     function wake() {
@@ -126,8 +127,9 @@
 
     const feed: FeedServer = createFeedServer({ greeting, report, nowMs });
 
-    function report(_daemonId: string, taken: Report) {
+    function report(daemonId: string, taken: Report) {
         groupLeader.report(taken);
+        limitBoard.report(daemonId, taken, tellLimits);
         void noteCrashes(taken.crashes);
     }
 
@@ -228,6 +230,7 @@
         feed.publish(heardFrame(heardByAny), "entry");
         heardByAny.clear();
         feed.publish(alive());
+        tellLimits();
         tellApplied();
     }
 
@@ -236,6 +239,10 @@
         return { kind: "heard", heard: present.map(upstream => ({ id: upstream!.id, agoMs: Math.round(nowMs() - upstream!.heardAtMs) })) };
     }
 
+    function tellLimits() {
+        limitBoard.frames(leads()).forEach(frame => feed.publish(frame, "entry"));
+    }
+
     function tellJudged() {
         const lost = [...groupLeader.lostIds, ...barred()].join(",");
         if (lost !== told.lost) {
@@ -271,9 +278,9 @@
         metrics.observe("zinnialanding_site_version", () => log.state.published.site?.version ?? 0);
         metrics.observe("zinnialanding_upstreams_known", () => [...directory.values()].filter(upstream => !upstream.isGone).length);
         metrics.observe("zinnialanding_upstreams_lost", () => groupLeader.lostIds.length);
-        metrics.observe("zinnialanding_groups_open", () => groupLeader.countOf("open"));
-        metrics.observe("zinnialanding_groups_forming", () => groupLeader.countOf("forming"));
-        metrics.observe("zinnialanding_groups_ending", () => groupLeader.countOf("ending"));
+        for (const phase of ["open", "forming", "ending"] as const) {
+            metrics.observe(`zinnialanding_groups_${phase}`, () => groupLeader.countOf(phase));
+        }
         const byModel = (valueOf: (coverage: ModelCoverage) => number) =>
             new Map(groupLeader.coverage.map(coverage => [coverage.model, valueOf(coverage)]));
         metrics.observeModels("zinnialanding_model_groups_open", () => byModel(({ groups }) => groups.open));
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -32,6 +32,7 @@
     zinnialanding_site_version: "Version of the site in force here.",
     zinnialanding_control_daemons_heard: "Control daemons from which something has come lately.",
     zinnialanding_log_lines_left_out: "Log lines left out because nobody read them.",
+    zinnialanding_upstreams_limited: "Upstreams that state a limit on the requests that they take.",
     zinnialanding_term: "Term of the replicated log.",
     zinnialanding_voters: "Disks that vote, by the newest membership known here.",
     zinnialanding_voters_silent: "Voters that the leader has not heard within an election timeout; 0 at other daemons.",
--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -36,6 +36,8 @@
     readonly id: string;
     readonly runner: string;
     readonly tenant: string | undefined;
+    /** When it began, on the clock of `performance.now()`. */
+    readonly atMs: number;
 }
 
 export interface Runner {
@@ -53,6 +55,8 @@
     breakAfter: number | undefined;
     /** Ends the process whenever a request with this path begins to run; it is back under the same id after a moment. */
     crashPath: string | undefined;
+    /** The requests a second that its answers name as its limit; undefined for none. */
+    limitPerSecond: number | undefined;
     /** How often it has crashed. */
     readonly crashes: number;
     drain(): Promise<void>;
@@ -106,6 +110,7 @@
         lateOrdersMs: 0,
         breakAfter: undefined,
         crashPath: undefined,
+        limitPerSecond: undefined,
         get crashes() {
             return crashes;
         },
@@ -207,9 +212,13 @@
         });
     }
 
+    function limitHeader(): Record<string, string> {
+        return runner.limitPerSecond === undefined ? {} : { "server-limit": String(runner.limitPerSecond) };
+    }
+
     async function serve(message: IncomingMessage, response: ServerResponse) {
         const id = message.headers["zinnialanding-attempt-id"] as string;
-        const echo = { "zinnialanding-attempt-id": id, "zinnialanding-served-by": options.id, "zinnialanding-instance-load": "1,0,8" };
+        const echo = { "zinnialanding-attempt-id": id, "zinnialanding-served-by": options.id, "zinnialanding-instance-load": "1,0,8", ...limitHeader() };
         const wanted = message.headers["zinnialanding-target-instance"];
         await bodyOf(message);
         if (wanted !== undefined && wanted !== options.id) {
@@ -218,7 +227,7 @@
         }
         const tenant = message.headers["zinnialanding-tenant"] as string | undefined;
         if (options.domain === undefined) {
-            runs.push({ id, runner: options.id, tenant });
+            runs.push({ id, runner: options.id, tenant, atMs: performance.now() });
             response.writeHead(200, { ...echo, "zinnialanding-upstream-signature": `${options.id}.${id}` }).end(`done ${id}`);
             return;
         }
@@ -226,7 +235,7 @@
             response.writeHead(421, echo).end();
             return;
         }
-        runs.push({ id, runner: options.id, tenant });
+        runs.push({ id, runner: options.id, tenant, atMs: performance.now() });
         if (message.url === runner.crashPath) {
             crash();
             return;
--- a/test/siteControl/groupLeader.test.ts
+++ b/test/siteControl/groupLeader.test.ts
@@ -68,7 +68,7 @@
     return { ...leaderOver(members, member.id), head };
 }
 
-const nothingElse = { workByModel: {}, requests: 1, crashes: [] };
+const nothingElse = { workByModel: {}, requests: 1, crashes: [], limits: [] };
 
 describe("a control leader over groups", () => {
     // A member goes dark: the streams at its head stand still, and an entry says so 0.2 s later. Two probes of 150 ms tell that it is the
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -82,7 +82,7 @@
         crashed: () => undefined,
         isBarred: () => false,
         refusedEarly: () => undefined,
-        whileStopping: labels => whileStopping.push(labels),
+        statedLimit: () => undefined, whileStopping: labels => whileStopping.push(labels),
     });
     return {
         port, view, outcomes, whileStopping, server,
