Open a link between voters again where nothing is read from its stream

What callers would see: no quorum: two voters that start under load never hear each other, so that no cluster forms ("cannot form yet: awaiting an answer of c", for 20 s). Cause: a peer ended the stream of a link on a connection that went on. The call of the link neither ended nor failed, pings were answered, and the link was taken to stand for good while its letters waited. Change: a link whose letters have waited for 3 s without one being read is closed and opened again. Test: test/consensus/transport.test.ts failed before ("not in time: a second stream").

--- a/src/consensus/transport.ts
+++ b/src/consensus/transport.ts
@@ -51,13 +51,20 @@
     const waiting: ConsensusEnvelope[] = [];
     let wake: (() => void) | undefined;
     let closed = false;
+    /** Since when letters have waited without one being read. */
+    let stuckSinceMs: number | undefined;
     return {
         push(envelope: ConsensusEnvelope) {
             if (waiting.length < limit) {
                 waiting.push(envelope);
             }
+            stuckSinceMs ??= performance.now();
             wake?.();
         },
+        /** For how long letters have waited without one being read, in ms. */
+        get stuckMs() {
+            return waiting.length === 0 || stuckSinceMs === undefined ? 0 : performance.now() - stuckSinceMs;
+        },
         close() {
             closed = true;
             wake?.();
@@ -65,6 +72,7 @@
         async* read(): AsyncGenerator<ConsensusEnvelope> {
             while (!closed) {
                 const next = waiting.shift();
+                stuckSinceMs = waiting.length === 0 ? undefined : performance.now();
                 if (next !== undefined) {
                     yield next;
                     continue;
@@ -96,6 +104,8 @@
 
 /** How long a new link may be without a connection. */
 const connectGraceMs = 1_000;
+/** How long letters may wait for a stream that reads none of them. */
+const mostStuckMs = 3_000;
 
 function openLink(address: string, options: TransportOptions, ended: () => void): Link {
     const { client, session } = openClient(address, options);
@@ -115,9 +125,13 @@
 
     /**
      * A peer that ends leaves its connection closed without an error, the library's state before the first connection as well. The call
-     * on it waits for good; were it taken to stand, a voter that comes back would hear nothing from this one any more.
+     * on it waits for good; were it taken to stand, a voter that comes back would hear nothing from this one any more. The same holds for
+     * a stream that its peer ended on a connection that goes on: nothing is read for it any more.
      */
     function stands(): boolean {
+        if (outbox.stuckMs > mostStuckMs) {
+            return false;
+        }
         const state = session.state();
         const isStarting = state === "closed" && performance.now() - openedAtMs < connectGraceMs;
         return isStarting || (state !== "closed" && state !== "idle" && state !== "error");
