--- a/test/gateway/limits.test.ts
+++ b/test/gateway/limits.test.ts
@@ -73,8 +73,7 @@
         });
     }
 
-    // Many entries are cut off, freeze, restart or end at once, callers fall silent and come back, the leader changes; two that each take
-    // themselves for the holder of a part exceed the limit.
+    // Two entries that each take themselves for the holder of a part exceed the limit.
     it("is kept whatever happens to entries and to the control leader", () => {
         const event = fc.record({
             kind: fc.constantFrom("cut", "cut", "freeze", "restart", "end", "leader", "silence"),
