Let a poll outlast the time to wait in the test of a pending change

Cause: the command waits 1 ms and polls first. A poll that is answered within that millisecond leaves time for a line of progress and a second poll; whether it does is the machine's speed. Nothing is wrong with the command. Change: the stand-in answers the poll after 20 ms here, so the first poll always ends after the time to wait.

--- a/test/cli/changes.test.ts
+++ b/test/cli/changes.test.ts
@@ -74,6 +74,8 @@
     it("says pending when the change is not in force in time", async () => {
         await zinnia(ConfigApply, join(folder, "site.ini"));
         daemon.pollsUntilInForce = 1_000;
+        // Longer than the time to wait: the first poll is the last one.
+        daemon.pollDelayMs = 20;
         const run = await zinnia(DataCentreDrain, "scl-a", "--wait", "--timeout-ms", "1", "--change-id", "c4");
         expect([run.exitCode, run.stderr]).toMatchSnapshot();
     });
--- a/test/cli/fakeOperators.ts
+++ b/test/cli/fakeOperators.ts
@@ -18,6 +18,8 @@
     closeAfterChange: boolean;
     /** Polls until a change is in force. */
     pollsUntilInForce: number;
+    /** How long the answer to a poll takes. */
+    pollDelayMs: number;
     /** The answer of other paths. */
     readonly answers: Map<string, unknown>;
     leaderOperators: string | undefined;
@@ -88,7 +90,7 @@
             return;
         }
         if (call === "GET /v1/status" && !fake.answers.has(call)) {
-            send(response, 200, leaderStatus());
+            setTimeout(() => send(response, 200, leaderStatus()), fake.pollDelayMs);
             return;
         }
         const answer = call === "GET /v1/configuration/history" ? { changes: fake.state.history } : fake.answers.get(call);
@@ -102,6 +104,7 @@
         failure: undefined,
         closeAfterChange: false,
         pollsUntilInForce: 0,
+        pollDelayMs: 0,
         answers: new Map(),
         leaderOperators: undefined,
         close: () => new Promise(resolve => {
