Write a record again after a failed sync instead of giving up the disk

Cause: only a full disk was tried again. After a failed sync the writer stopped for good, since a second sync of the same pages proves nothing. Change: what lies behind the synced part of the segment is cut off, and the record is written anew and synced; the pages are dirty again then, so a sync that returns covers them. The same holds for a part of a record and for a cut that fails itself; before, a failed cut ended the writer as well.

--- a/src/consensus/storage.ts
+++ b/src/consensus/storage.ts
@@ -1,6 +1,7 @@
 /**
  * The voter's data folder: who the disk is, its snapshot and its log. Writes asked for while one is under way go out together as
- * one record and one sync. What is reported as synced is on the disk. A full disk loses nothing: the write waits and is tried again.
+ * one record and one sync. What is reported as synced is on the disk. A write that the disk refuses loses nothing: it waits and is tried
+ * again.
  *
  * @module
  */
@@ -32,8 +33,8 @@
 export interface StorageReports {
     /** `snapshotBytes`: the size of a snapshot that was among the writes. */
     synced(syncId: number, snapshotBytes?: number): void;
-    /** Called when a write fails; `lasting` when only a restart helps. */
-    failed(reason: string, lasting: boolean): void;
+    /** Called each time a write fails. */
+    failed(reason: string): void;
 }
 
 export interface StorageOptions {
@@ -77,11 +78,6 @@
     override name = "ForeignFolderError";
 }
 
-/** A sync failed: what the disk holds of the last write is not known, so trying again would prove nothing. */
-class SyncError extends Error {
-    override name = "SyncError";
-}
-
 const defaultSegmentBytes = 8 * 1024 * 1024;
 const defaultRetryMs = 500;
 
@@ -191,10 +187,6 @@
     readonly nextSegment: number;
 }
 
-function isFull(error: unknown): boolean {
-    return error instanceof Error && "code" in error && (error.code === "ENOSPC" || error.code === "EDQUOT");
-}
-
 function createWriter(options: WriterOptions): Storage {
     const { files, folder } = options;
     const segmentLimitBytes = options.segmentBytes ?? defaultSegmentBytes;
@@ -202,7 +194,10 @@
     let queue: PersistEffect[] = [];
     let reports: StorageReports | undefined;
     let segment: OpenFile | undefined;
+    /** What of the segment is synced. */
     let segmentBytes = 0;
+    /** Whether more than that may be in the segment: a part of a record, or one whose sync failed. */
+    let hasRemains = false;
     let { vote, nextSegment } = options;
     let writing: Promise<void> | undefined;
     let closed = false;
@@ -212,8 +207,18 @@
         return path.join(folder, `log-${String(number).padStart(12, "0")}.seg`);
     }
 
+    /** Cuts off what a failed write left: a bad record before a sound one would make the log unreadable. */
+    async function cutRemains(): Promise<void> {
+        if (segment !== undefined && hasRemains) {
+            await segment.truncate(segmentBytes);
+            await segment.sync();
+            hasRemains = false;
+        }
+    }
+
     /** Begins a segment whose first record stands before anything else in it is relied on. */
     async function beginSegment(first: LogRecord): Promise<void> {
+        await cutRemains();
         await segment?.close();
         segment = undefined;
         const file = segmentFile(nextSegment);
@@ -229,19 +234,12 @@
             await beginSegment({ vote, parts: [] });
         }
         const bytes = encodeRecord(Buffer.from(JSON.stringify(record)));
-        try {
-            await segment!.append(bytes);
-        }
-        catch (error) {
-            await segment!.truncate(segmentBytes);
-            throw error;
-        }
-        try {
-            await segment!.sync();
-        }
-        catch (error) {
-            throw new SyncError((error as Error).message);
-        }
+        await cutRemains();
+        hasRemains = true;
+        await segment!.append(bytes);
+        // A sync that failed may have dropped the written pages: only the record written anew and synced proves that it is on the disk.
+        await segment!.sync();
+        hasRemains = false;
         segmentBytes += bytes.byteLength;
     }
 
@@ -289,12 +287,7 @@
                 await writeBatch();
             }
             catch (error) {
-                const full = isFull(error);
-                reports!.failed((error as Error).message, !full);
-                if (!full) {
-                    closed = true;
-                    return;
-                }
+                reports!.failed((error as Error).message);
                 await new Promise<void>(resolve => {
                     wake = resolve;
                     setTimeout(resolve, retryMs).unref();
