Leave a still upstream only for one that has room for the stream

What callers saw: half of an answer, ended with a failure. A stream whose upstream paused left it for another that its limit, or a cold start, kept this entry from using; nothing else was found, and the stream ended there though its upstream might have gone on. Cause: the question whether another upstream could take the stream left out the shared bounds that the choice of an upstream keeps. Change: one function says whether an upstream has room under these bounds; the choice and that question both ask it. Evidence: the new test failed before (one of two events reached the caller) and passes; answers and balance: 28 passing.

--- a/src/gateway/balance.ts
+++ b/src/gateway/balance.ts
@@ -26,6 +26,8 @@
 export interface Balance {
     /** The best of `candidates`, or undefined when none may be sent to now. */
     choose(candidates: readonly Candidate[], options: ChooseOptions): Candidate | undefined;
+    /** Whether one more request now stays within this entry's parts of what a cold upstream bears and of the limit that it states. */
+    hasRoom(upstream: Upstream, coldRequestsPerSecond: number): boolean;
     /**
      * Requests at an upstream, as far as is known here: those that can be on time, running and waiting, and those that wait behind them.
      * Other entries' are taken to be split like this one's.
@@ -116,17 +118,22 @@
         return state.limitTokens >= 1;
     }
 
+    function hasRoom(upstream: Upstream, coldRequestsPerSecond: number): boolean {
+        const state = standing(upstream);
+        return isWithinCold(upstream, state, coldRequestsPerSecond) && isWithinLimit(upstream, state);
+    }
+
     return {
+        hasRoom,
         choose(candidates, options) {
             let best: Candidate | undefined;
             let bestScore = Infinity;
             for (const candidate of candidates) {
                 const { upstream } = candidate;
-                const state = standing(upstream);
-                if (options.without.has(upstream.id) || !isWithinCold(upstream, state, options.coldRequestsPerSecond) ||
-                    !isWithinLimit(upstream, state)) {
+                if (options.without.has(upstream.id) || !hasRoom(upstream, options.coldRequestsPerSecond)) {
                     continue;
                 }
+                const state = standing(upstream);
                 const isAvoided = state.avoidUntilMs > nowMs() || isStill(state, nowMs()) || candidate.isDoubtful;
                 const far = upstream.dataCentre === options.dataCentre ? 0 : farWeight;
                 const opening = options.hasIdle(upstream) ? 0 : openWeight;
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -73,6 +73,7 @@
     const mayRunAgain = route.kind === "idempotent" || (isStream && route.isResumable);
     const service = chooseService();
     const engine = asked.table.service(service)?.engine;
+    const coldRequestsPerSecond = asked.table.service(service)?.coldRequestsPerSecond ?? 0;
     const model = engine !== undefined && engine.models.length > 0 ? asked.model : undefined;
     const splitter = createEventSplitter();
     const tried = new Set<string>();
@@ -148,7 +149,7 @@
         const all = choices();
         const candidate = balance.choose(all, {
             without: tried,
-            coldRequestsPerSecond: asked.table.service(service)?.coldRequestsPerSecond ?? 0,
+            coldRequestsPerSecond,
             dataCentre: parts.dataCentre,
             hasIdle: upstream => mayRunAgain && parts.connections.hasIdle(upstream.address),
         });
@@ -256,7 +257,8 @@
     function mayLeave(): boolean {
         const mayGoOn = mayRunAgain && (isStream || !answer.isStarted) && runs + 1 < route.maxAttempts;
         const hasElsewhere = mayGoOn && choices().some(({ upstream, isDoubtful }) =>
-            upstream.id !== current?.upstream.id && !tried.has(upstream.id) && !isDoubtful && !balance.isStill(upstream));
+            upstream.id !== current?.upstream.id && !tried.has(upstream.id) && !isDoubtful && !balance.isStill(upstream) &&
+            balance.hasRoom(upstream, coldRequestsPerSecond));
         hasSecondSend = hasElsewhere && parts.mayRepeat(service);
         return hasSecondSend;
     }
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -12,6 +12,16 @@
     return `HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${id}\r\n${signed}${more}Content-Length: ${body.length}\r\n\r\n${body}`;
 }
 
+/** An upstream whose streams have two events, with a long pause between them. */
+function startPausingUpstream(): Promise<RawUpstream> {
+    const event = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
+    return startRawUpstream((request, socket) => {
+        const echo = `Zinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}`;
+        socket.write(`HTTP/1.1 200 OK\r\n${echo}Content-Type: text/event-stream\r\n\r\n${event(1)}`);
+        setTimeout(() => socket.end(event(2)), 1_200);
+    });
+}
+
 describe("answers of upstreams at an entry", () => {
     let upstream: RawUpstream;
     let other: RawUpstream | undefined;
@@ -201,15 +211,22 @@
         expect([statusOf(answer), upstream.requests.length, site.outcomes]).to.deep.equal([200, 1, ["delivered"]]);
     });
 
+    // A stream left its upstream for another whose limit had no room for it, and its caller got half of an answer.
+    it("that stand still are not left while the limit of no other upstream has room", async () => {
+        upstream = await startPausingUpstream();
+        other = await startRawUpstream(() => undefined);
+        const heads = [headAt(upstream.address, "h1", 1), headAt(other.address, "h2", 2)];
+        site = await startGateway(heads, siteWith(), Infinity, { onTime: 100, late: 0 }, { h2: 0 });
+        const bytes = requestBytes("POST", "/caption/1", { body: "x", headers: { "Zinnialanding-Model": "lm" } });
+        const answer = await exchangeRaw(site.port, bytes, 1_500);
+        expect([...answer.matchAll(/id: (\d)/g)].map(match => match[1])).to.deep.equal(["1", "2"]);
+        expect([site.outcomes, other.requests.length]).to.deep.equal([["delivered"], 0]);
+    });
+
     // The only events of an upstream stop, and another one could go on; but no second send is left in the budget. Left, the stream would
     // end there and then with a failure. It stays, and the caller gets the rest as soon as the upstream moves again.
     it("that stand still are not left while no second send is left", async () => {
-        const event = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
-        upstream = await startRawUpstream((request, socket) => {
-            const echo = `Zinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}`;
-            socket.write(`HTTP/1.1 200 OK\r\n${echo}Content-Type: text/event-stream\r\n\r\n${event(1)}`);
-            setTimeout(() => socket.end(event(2)), 1_200);
-        });
+        upstream = await startPausingUpstream();
         other = await startRawUpstream(() => undefined);
         site = await startGateway([headAt(upstream.address, "h1", 1), headAt(other.address, "h2", 2)], siteWith(), 0);
         const bytes = requestBytes("POST", "/caption/1", { body: "x", headers: { "Zinnialanding-Model": "lm" } });
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -58,9 +58,13 @@
     stop(): void;
 }
 
-/** An entry's listener over the given upstreams, without control daemons. */
+/**
+ * An entry's listener over the given upstreams, without control daemons; `limits` by upstream: the requests a second that this entry may
+ * send to it.
+ */
 export async function startGateway(
     upstreams: CarriedUpstream[], site: Site = siteWith(), repeats = Infinity, room: Room = { onTime: 100, late: 0 },
+    limits: Readonly<Record<string, number>> = {},
 ): Promise<GatewaySite> {
     const logger = createLogger("error", "test", new PassThrough().resume());
     const view = createSiteView({ decodeSite: () => ({ site }) }, logger);
@@ -74,7 +78,7 @@
     let left = repeats;
     const server = await listenForCallers(`127.0.0.1:${port}`, {
         names: headerNames, view, logger, connections, dataCentre: "a", nowMs, random: () => 0.5,
-        balance: createBalance(nowMs, () => 0, () => 1),
+        balance: createBalance(nowMs, () => 0, () => 1, ({ id }) => limits[id]),
         mayRepeat: () => left-- > 0,
         roomAt: () => room,
         count: outcome => outcomes.push(outcome),
