Let a voter that lost its vote in a restart greet the voters that its disk names

Cause: a silent voter of an even quorum loses its vote after 1 s, which a planned restart takes. It asks to be taken in again, but greeted only the three processes of its settings; only a leader takes anybody in. Where five or six disks vote and none of those three leads, it never voted again. Two such restarts left three voters of five. Before the vote was taken away so early, a restart was too short for this to matter. Change: such a voter greets all voters that its disk names, and those that their answers name, since the leader may be none of its time. Both cases of the new test failed before (v0 votes no more 6 s after its start); test/consensus: 55 passing.

--- a/src/consensus/bootstrap.ts
+++ b/src/consensus/bootstrap.ts
@@ -59,8 +59,10 @@
         kind: "hello", empty: isEmpty(state), address, voterIds: settingsIds(state),
         ...diskless ? { diskless: true } : {}, ...mayForm && isOpen ? { mayForm: true } : {},
     };
-    // Without a disk there is nobody to be admitted by: only who votes is asked for.
-    const audience = [...otherPeers(state), ...state.seeds, ...diskless ? state.knownVoters : state.namedPeers];
+    // Without a disk there is nobody to be admitted by: only who votes is asked for. A disk that has lost its vote still names the voters
+    // of its time, and only the leader among them can take it in again.
+    const named = diskless ? state.knownVoters : [...state.namedPeers, ...votersNamed(state.membership)];
+    const audience = [...otherPeers(state), ...state.seeds, ...named];
     const ids = new Set(audience.map(peer => peer.id).filter(id => id !== state.options.self.voterId));
     const effects = [...ids].map((toVoterId): Effect => ({ kind: "announce", toVoterId, message: hello }));
     return chain(state, next => ({ state: next, effects }), noteAwaited, next => formIfAllEmpty(next, random));
@@ -144,12 +146,17 @@
     );
 }
 
+/** The voters of a membership as processes to be greeted. */
+function votersNamed(membership: Membership | undefined): SettingsPeer[] {
+    return membership?.voters.map(({ voterId, address }) => ({ id: voterId, address })) ?? [];
+}
+
 /** What this process knows of the cluster. */
 function helloResponse(state: ConsensusState): MessageOf<"hello-response"> {
     const { diskless } = state.options;
     const voters = diskless
         ? state.knownVoters.map(({ id, address }) => ({ id, address }))
-        : state.membership?.voters.map(voter => ({ id: voter.voterId, address: voter.address }));
+        : state.membership === undefined ? undefined : votersNamed(state.membership);
     return {
         kind: "hello-response", empty: isEmpty(state), voterIds: settingsIds(state), ...voters === undefined ? {} : { voters },
         ...diskless ? { diskless: true } : {}, ...state.firstDiskId === undefined ? {} : { firstDiskId: state.firstDiskId },
@@ -182,7 +189,8 @@
 
 export function onHelloResponse(state: ConsensusState, from: Identity, message: MessageOf<"hello-response">, random: number): ConsensusStep {
     if (isVoter(state)) {
-        return { state, effects: [] };
+        // The leader may be none of the voters that this disk still names.
+        return set(state, { namedPeers: withPeers(state, message.voters ?? []) });
     }
     const sameVoters = message.voterIds.join("\n") === settingsIds(state).join("\n");
     const answer: PeerAnswer = {
--- a/test/consensus/lostVoters.test.ts
+++ b/test/consensus/lostVoters.test.ts
@@ -50,6 +50,22 @@
     return world;
 }
 
+/** Lets `node` lead: whoever leads before it is frozen for a moment. */
+function lead(world: World, node: Node) {
+    for (let tries = 0; world.leader() !== node; tries++) {
+        expect(tries, "tries").to.be.below(40);
+        const leader = world.leader();
+        if (leader !== undefined) {
+            leader.paused = true;
+        }
+        wait(world, 1_600);
+        if (leader !== undefined) {
+            leader.paused = false;
+        }
+        wait(world, 5_000);
+    }
+}
+
 function accept(world: World): number {
     const leader = world.leader();
     expect(leader, "a leader that accepts changes").to.not.equal(undefined);
@@ -161,6 +177,28 @@
         expect(voterIds()).to.include(late.voterId);
     });
 
+    // A voter that lost its vote in a restart greeted only the processes of its settings: where none of them led, it never voted again.
+    for (const [what, isKnown] of [["that its settings do not name", true], ["that began to vote while it was away", false]] as const) {
+        it(`gives a voter that restarted its vote again under a leader ${what}`, () => {
+            const world = formed(7, 6, 1);
+            const seeds = world.nodes.slice(0, 3);
+            const [away, ...others] = seeds as [Node, Node, Node];
+            const later = isKnown ? world.nodes[3]! : world.nodes.at(-1)!;
+            world.actions.crash(away, 1);
+            if (!isKnown) {
+                world.actions.restart(later);
+            }
+            wait(world, 3_000);
+            lead(world, later);
+            const voterIds = () => world.leader()!.state!.membership!.voters.map(voter => voter.voterId);
+            expect(voterIds()).to.include.members([later, ...others].map(node => node.voterId)).and.not.include(away.voterId);
+            world.actions.restart(away);
+            wait(world, catchUpMs[1]);
+            expect(world.leader()).to.equal(later);
+            expect(voterIds()).to.include(away.voterId);
+        });
+    }
+
     // Losses in a row, each within what the site bears, may leave the voters without a majority, or without what was accepted.
     for (const [voters, most] of [[3, 1], [5, 2], [6, 2]] as const) {
         it(`reads back what ${voters} voters accepted, whatever they lose ${most} at a time`, () => {
