Split shared bounds by the last known count while cut off

Cause, from reading the constants: an entry out of touch with every control daemon for a minute fell back to a share of one in 24, a figure that held for the sites of the time. On a site of 39 entries, those cut off together could use 1.7 times the bound on second sends and on cold upstreams. Change: the last known counts stay in use while no newer one comes. The default stands only for the moment before the first frame of a control daemon, when no upstream is known either. The new test fails on the code before (24 for 62 with 60 entries) and passes now; the file's other tests are unchanged.

--- a/src/gateway/entryCount.ts
+++ b/src/gateway/entryCount.ts
@@ -11,17 +11,20 @@
 
 import { hashText, rank } from "../routing/index.js";
 
-/** Used until a control daemon has reported a count. Current sites have fewer entries. */
+/** Used until a control daemon has reported a count. The entry knows no upstream before that. */
 const defaultEntries = 24;
 /** Allowance for entries that were added after the count was reported. */
 const addedEntriesMargin = 2;
-/** How long a reported count is used. A control daemon that has become unreachable may still count entries that others don't. */
+/**
+ * How long a reported count is used while there are newer ones. A control daemon that has become unreachable may still count entries that
+ * others don't.
+ */
 const countLifetimeMs = 60_000;
 
 export interface EntryCount {
     /** Records the number of entries that a control daemon counts. */
     update(address: string, entries: number): void;
-    /** The highest count of any control daemon recently, plus an allowance for new entries. */
+    /** The highest count of any control daemon recently, or ever if none was heard recently, plus an allowance for new entries. */
     readonly upperBound: number;
 }
 
@@ -33,10 +36,13 @@
             counts.set(address, { entries, atMs: nowMs() });
         },
         get upperBound() {
-            const recentCounts = [...counts.values()].filter(({ atMs }) => nowMs() - atMs < countLifetimeMs);
-            return recentCounts.length === 0
-                ? defaultEntries
-                : Math.max(1, ...recentCounts.map(({ entries }) => entries)) + addedEntriesMargin;
+            const known = [...counts.values()];
+            if (known.length === 0) {
+                return defaultEntries;
+            }
+            const recent = known.filter(({ atMs }) => nowMs() - atMs < countLifetimeMs);
+            const used = recent.length === 0 ? known : recent;
+            return Math.max(1, ...used.map(({ entries }) => entries)) + addedEntriesMargin;
         },
     };
 }
--- a/test/gateway/entryCount.test.ts
+++ b/test/gateway/entryCount.test.ts
@@ -27,6 +27,19 @@
         expect(count.upperBound).to.equal(10);
     });
 
+    // An entry that is cut off from every control daemon keeps serving. On a site of 60 entries, a share of a default count would let the
+    // entries that are cut off together exceed the bound.
+    it("are split among the last known count however long an entry is cut off", () => {
+        let nowMs = 0;
+        const count = createEntryCount(() => nowMs);
+        count.update("c1", 58);
+        count.update("c2", 60);
+        nowMs = 600_000;
+        expect(count.upperBound).to.equal(62);
+        count.update("c1", 50);
+        expect(count.upperBound).to.equal(52);
+    });
+
     // Entries are partitioned from each other and from the control daemons. Each sees only its own callers and failures, and may be killed
     // once in each window. Whenever they retry, the service must get no more retries than the bound.
     it("hold for retries during partitions and restarts", () => {
