Change the directory of upstreams in place, with an index by address

Cause: each heartbeat copied the whole directory, searched it for the address and compared every upstream: in one process on this machine 0.07, 0.30, 5.3 and 21 ms a heartbeat at 60, 600, 3,000 and 11,000 upstreams; some 2,500 heartbeats a second come to five or six voters. Change: the directory changes in place behind an interface that returns what must be published; groups are compared by field. The former functions are a plain model in test support; a property test compares the two after any sequence of announcements, relays, departures, heard times and expiry (400 sequences, seed 39).

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -5,13 +5,41 @@
  * regardless of the order of arrival. An upstream that has left never returns in the same incarnation. Thus a delayed announcement of a
  * crashed incarnation can't replace the one that has since started at the same address.
  *
+ * Most announcements only repeat what is known. Such an announcement takes constant time however many upstreams there are: the directory
+ * is changed in place and has an index by address.
+ *
  * @module
  */
 
 import type { Announcement, RelayedUpstream, Upstream } from "./types.js";
 
+/** The upstreams by id. */
 export type DirectoryState = ReadonlyMap<string, Upstream>;
 
+/** An upstream that another process has heard from, and how long ago. */
+export interface HeardUpstream {
+    readonly id: string;
+    readonly agoMs: number;
+}
+
+/** A directory that changes in place. Methods that return upstreams return those whose change must be published. */
+export interface Directory {
+    /** The current upstreams; the map changes with the directory. */
+    readonly upstreams: DirectoryState;
+    /** Applies an announcement that was made to this process at `nowMs`. */
+    announce(announcement: Announcement, nowMs: number): readonly Upstream[];
+    /** Merges upstreams relayed by another process. */
+    merge(relayed: readonly RelayedUpstream[], nowMs: number): readonly Upstream[];
+    /** Marks an upstream that has announced its departure as gone. */
+    depart(id: string): readonly Upstream[];
+    /** Marks an upstream as gone because its process has certainly ended. */
+    markEnded(id: string): readonly Upstream[];
+    /** Updates the times at which upstreams were last heard, as reported by another process; their state is unchanged. */
+    updateHeardTimes(heard: readonly HeardUpstream[], nowMs: number): void;
+    /** Removes upstreams that have been gone for longer than the retention time. */
+    removeExpired(nowMs: number): void;
+}
+
 /** How long an ended incarnation is remembered: much longer than the 12 s by which an announcement may be delayed. */
 const goneRetentionMs = 60_000;
 
@@ -23,50 +51,15 @@
     return later.sequence > earlier.sequence;
 }
 
-/** Sets an upstream in `directory`, which is modified in place. */
-function setUpstream(directory: Map<string, Upstream>, upstream: Upstream): void {
-    directory.set(upstream.id, upstream);
-    if (upstream.isGone) {
-        return;
-    }
-    // Addresses are reused, so the older of two upstreams at the same address no longer exists.
-    for (const other of directory.values()) {
-        if (other.id !== upstream.id && other.address === upstream.address && (!other.isGone || other.hasLeft)) {
-            const isOlder = other.bornMs <= upstream.bornMs;
-            const superseded = isOlder ? other : upstream;
-            directory.set(superseded.id, { ...superseded, isGone: true, hasLeft: false });
-        }
-    }
-}
-
-function withUpstream(state: DirectoryState, upstream: Upstream): DirectoryState {
-    const next = new Map(state);
-    setUpstream(next, upstream);
-    return next;
-}
-
-/** Applies an announcement that was made to this process at `nowMs`. */
-export function applyAnnouncement(state: DirectoryState, announcement: Announcement, nowMs: number): DirectoryState {
-    const known = state.get(announcement.id);
+/** Returns the upstream as announced at `nowMs`; undefined if something newer is known. */
+function announcedUpstream(known: Upstream | undefined, announcement: Announcement, nowMs: number): Upstream | undefined {
     if (known !== undefined && !supersedes(announcement, known)) {
-        return state;
+        return undefined;
     }
     const isSameIncarnation = known?.bornMs === announcement.bornMs;
     const coldUntilMs = nowMs + announcement.coldForMs;
     const departure = isSameIncarnation ? { isGone: known.isGone, hasLeft: known.hasLeft } : { isGone: false, hasLeft: false };
-    return withUpstream(state, { ...announcement, heardAtMs: nowMs, coldUntilMs, ...departure });
-}
-
-/** Merges upstreams relayed by another process. */
-export function mergeRelayed(state: DirectoryState, relayed: readonly RelayedUpstream[], nowMs: number): DirectoryState {
-    const next = new Map(state);
-    for (const upstream of relayed) {
-        const merged = mergeUpstream(next.get(upstream.id), upstream, nowMs);
-        if (merged !== undefined) {
-            setUpstream(next, merged);
-        }
-    }
-    return next;
+    return { ...announcement, heardAtMs: nowMs, coldUntilMs, ...departure };
 }
 
 /** Returns the upstream merged with its relayed state; undefined if nothing changes. */
@@ -83,12 +76,6 @@
     return { ...announcement, heardAtMs, coldUntilMs, isGone: isGone || wasGone, hasLeft: hasLeft || hadLeft };
 }
 
-/** Marks an upstream that has announced its departure as gone. */
-export function applyDeparture(state: DirectoryState, id: string): DirectoryState {
-    const known = state.get(id);
-    return known === undefined || known.isGone ? state : withUpstream(state, { ...known, isGone: true, hasLeft: true });
-}
-
 /**
  * Whether an upstream's incarnation has certainly ended: it is unknown, or another incarnation or upstream has replaced it. An upstream
  * that has left may continue to serve and, as the head of a group, still needs the group's members.
@@ -104,30 +91,6 @@
         !upstream.isGone ? [upstream] : upstream.hasLeft ? [{ ...upstream, state: "draining" }] : []);
 }
 
-/** An upstream that another process has heard from, and how long ago. */
-export interface HeardUpstream {
-    readonly id: string;
-    readonly agoMs: number;
-}
-
-/** Updates the times at which upstreams were last heard, as reported by another process; their state is unchanged. */
-export function updateHeardTimes(state: DirectoryState, heard: readonly HeardUpstream[], nowMs: number): DirectoryState {
-    const next = new Map(state);
-    for (const { id, agoMs } of heard) {
-        const known = next.get(id);
-        if (known !== undefined && nowMs - agoMs > known.heardAtMs) {
-            next.set(id, { ...known, heardAtMs: nowMs - agoMs });
-        }
-    }
-    return next;
-}
-
-/** Removes upstreams that have been gone for longer than the retention time. */
-export function removeExpired(state: DirectoryState, nowMs: number): DirectoryState {
-    const kept = [...state].filter(([, upstream]) => !upstream.isGone || nowMs - upstream.heardAtMs < goneRetentionMs);
-    return kept.length === state.size ? state : new Map(kept);
-}
-
 /** Converts an upstream to the form that is relayed to other processes. */
 export function toRelayed(upstream: Upstream, nowMs: number): RelayedUpstream {
     const { heardAtMs, coldUntilMs, ...rest } = upstream;
@@ -138,11 +101,121 @@
 /** Whether a change must be published: anything but the time at which the upstream was heard and the sequence number differs. */
 export function isSignificantChange(before: Upstream | undefined, after: Upstream): boolean {
     return before === undefined || before.bornMs !== after.bornMs || before.isGone !== after.isGone || before.state !== after.state ||
-        before.address !== after.address || before.service !== after.service ||
+        before.address !== after.address || before.service !== after.service || before.slots !== after.slots ||
         (before.coldUntilMs > after.heardAtMs) !== (after.coldUntilMs > after.heardAtMs) ||
-        JSON.stringify(engineStateOf(before)) !== JSON.stringify(engineStateOf(after));
+        !isSameGroup(before.group, after.group) || !isSameList(before.stagedModels, after.stagedModels);
 }
 
-function engineStateOf({ group, stagedModels, slots }: Upstream) {
-    return [group, stagedModels, slots];
+function isSameGroup(a: Upstream["group"], b: Upstream["group"]): boolean {
+    if (a === undefined || b === undefined) {
+        return a === b;
+    }
+    return a.name === b.name && a.epoch === b.epoch && a.rank === b.rank && a.state === b.state;
+}
+
+function isSameList(a: readonly string[], b: readonly string[]): boolean {
+    return a.length === b.length && a.every((item, index) => item === b[index]);
+}
+
+/** Creates an empty directory. */
+export function createDirectory(): Directory {
+    const upstreams = new Map<string, Upstream>();
+    const idsByAddress = new Map<string, Set<string>>();
+
+    function removeFromIndex({ id, address }: Upstream) {
+        const ids = idsByAddress.get(address);
+        ids?.delete(id);
+        if (ids?.size === 0) {
+            idsByAddress.delete(address);
+        }
+    }
+
+    function addToIndex({ id, address }: Upstream) {
+        const ids = idsByAddress.get(address);
+        if (ids === undefined) {
+            idsByAddress.set(address, new Set([id]));
+        }
+        else {
+            ids.add(id);
+        }
+    }
+
+    /** Stores an upstream and adds its id to `changed` if its change must be published. */
+    function put(upstream: Upstream, changed: Set<string>) {
+        const previous = upstreams.get(upstream.id);
+        if (previous !== undefined && previous.address !== upstream.address) {
+            removeFromIndex(previous);
+        }
+        upstreams.set(upstream.id, upstream);
+        addToIndex(upstream);
+        if (isSignificantChange(previous, upstream)) {
+            changed.add(upstream.id);
+        }
+    }
+
+    /** Stores an upstream. Addresses are reused, so the older of two upstreams at the same address no longer exists. */
+    function putAtAddress(upstream: Upstream, changed: Set<string>) {
+        put(upstream, changed);
+        if (upstream.isGone) {
+            return;
+        }
+        for (const id of [...idsByAddress.get(upstream.address)!]) {
+            const other = upstreams.get(id)!;
+            if (id !== upstream.id && (!other.isGone || other.hasLeft)) {
+                const superseded = other.bornMs <= upstream.bornMs ? other : upstream;
+                put({ ...superseded, isGone: true, hasLeft: false }, changed);
+            }
+        }
+    }
+
+    function byId(ids: ReadonlySet<string>): Upstream[] {
+        return [...ids].map(id => upstreams.get(id)!);
+    }
+
+    function update(next: Upstream | undefined): readonly Upstream[] {
+        const changed = new Set<string>();
+        if (next !== undefined) {
+            putAtAddress(next, changed);
+        }
+        return byId(changed);
+    }
+
+    return {
+        upstreams,
+        announce: (announcement, nowMs) => update(announcedUpstream(upstreams.get(announcement.id), announcement, nowMs)),
+        merge(relayed, nowMs) {
+            const changed = new Set<string>();
+            for (const upstream of relayed) {
+                const merged = mergeUpstream(upstreams.get(upstream.id), upstream, nowMs);
+                if (merged !== undefined) {
+                    putAtAddress(merged, changed);
+                }
+            }
+            return byId(changed);
+        },
+        depart(id) {
+            const known = upstreams.get(id);
+            return update(known === undefined || known.isGone ? undefined : { ...known, isGone: true, hasLeft: true });
+        },
+        markEnded(id) {
+            const known = upstreams.get(id);
+            return update(known === undefined || known.isGone ? undefined : { ...known, isGone: true, hasLeft: false });
+        },
+        updateHeardTimes(heard, nowMs) {
+            for (const { id, agoMs } of heard) {
+                const known = upstreams.get(id);
+                if (known !== undefined && nowMs - agoMs > known.heardAtMs) {
+                    upstreams.set(id, { ...known, heardAtMs: nowMs - agoMs });
+                }
+            }
+        },
+        removeExpired(nowMs) {
+            for (const upstream of [...upstreams.values()]) {
+                if (upstream.isGone && nowMs - upstream.heardAtMs >= goneRetentionMs) {
+                    upstreams.delete(upstream.id);
+                    removeFromIndex(upstream);
+                }
+            }
+        },
+    };
 }
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -7,7 +7,7 @@
  */
 
 import type { Frame } from "../feed/index.js";
-import { type DirectoryState, updateHeardTimes, reportedGroups, mergeRelayed, type Upstream } from "../fleet/index.js";
+import { createDirectory, reportedGroups, type Upstream } from "../fleet/index.js";
 import { createSiteTable, type SiteDialect, type SiteTable } from "../site/index.js";
 import type { Logger } from "../telemetry/index.js";
 
@@ -38,7 +38,7 @@
 
 /** Creates a view without a site or upstreams. */
 export function createSiteView(dialect: SiteDialect, logger: Logger): SiteView {
-    let directory: DirectoryState = new Map();
+    const directory = createDirectory();
     let table: SiteTable | undefined;
     let evacuated: { index: number; dataCentres: readonly string[] } = { index: -1, dataCentres: [] };
     let lostIds: ReadonlySet<string> = new Set();
@@ -72,7 +72,7 @@
 
     function clearRefusals() {
         for (const id of [...refusing.keys()]) {
-            const known = directory.get(id);
+            const known = directory.upstreams.get(id);
             if (known === undefined || !isRefusing(known)) {
                 refusing.delete(id);
                 candidateLists = undefined;
@@ -89,7 +89,7 @@
         const lists = new Map<string, Candidate[]>();
         const add = (key: string, candidate: Candidate) => lists.set(key, [...lists.get(key) ?? [], candidate]);
         for (const service of table?.site.services ?? []) {
-            const upstreams = [...directory.values()].filter(upstream => upstream.service === service.name);
+            const upstreams = [...directory.upstreams.values()].filter(upstream => upstream.service === service.name);
             const models = service.engine?.models ?? [];
             if (models.length === 0) {
                 upstreams.filter(isServing).forEach(upstream =>
@@ -123,10 +123,10 @@
                     }
                     break;
                 case "upstreams":
-                    directory = mergeRelayed(directory, frame.upstreams, performance.now());
+                    directory.merge(frame.upstreams, performance.now());
                     break;
                 case "heard":
-                    directory = updateHeardTimes(directory, frame.heard, performance.now());
+                    directory.updateHeardTimes(frame.heard, performance.now());
                     clearRefusals();
                     return;
                 case "alive":
@@ -153,9 +153,9 @@
             return candidateLists.get(model === undefined ? service : `${service} ${model}`) ?? [];
         },
         markGone(upstream) {
-            const known = directory.get(upstream.id);
+            const known = directory.upstreams.get(upstream.id);
             if (known?.bornMs === upstream.bornMs && !known.isGone) {
-                directory = new Map(directory).set(upstream.id, { ...known, isGone: true, hasLeft: false });
+                directory.markEnded(upstream.id);
                 candidateLists = undefined;
                 logger.info("another upstream answers at this address", { upstream: upstream.id, address: upstream.address });
             }
@@ -166,7 +166,7 @@
             logger.info("upstream refuses connections", { upstream: id, address });
         },
         get addresses() {
-            return new Set([...directory.values()].filter(upstream => !upstream.isGone).map(upstream => upstream.address));
+            return new Set([...directory.upstreams.values()].filter(upstream => !upstream.isGone).map(upstream => upstream.address));
         },
         get barred() {
             return barred;
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -7,8 +7,7 @@
 import type { ConsensusNode } from "../consensus/index.js";
 import { aliveIntervalMs, createFeedServer, createFeedWatcher, type FeedServer, type FeedWatcher, type Frame, type Report } from "../feed/index.js";
 import {
-    type Announcement, applyAnnouncement, applyDeparture, type DirectoryState, isSignificantChange, updateHeardTimes, removeExpired,
-    mergeRelayed, toRelayed,
+    type Announcement, createDirectory, toRelayed, type Upstream,
 } from "../fleet/index.js";
 import type { ModelCoverage } from "../groups/index.js";
 import type { PeerConnections } from "../rpc/index.js";
@@ -68,7 +67,7 @@
     const { log, logger, dialect } = options;
     const nowMs = () => performance.now();
     const propose = createProposer({ ...options, nowMs });
-    let directory: DirectoryState = new Map();
+    const directory = createDirectory();
     let decodedSite: { readonly text: string; readonly table: SiteTable } | undefined;
     let lastPublished: { version: number; evacuated: string; lost: string; controls: string } = { version: -1, evacuated: "", lost: "", controls: "" };
     let timers: NodeJS.Timeout[] = [];
@@ -81,7 +80,7 @@
     let planTimer: NodeJS.Timeout | undefined;
     const planPacer = createPlanPacer(nowMs);
     const limitDistributor = createLimitDistributor(nowMs);
-    const groupLeader = createGroupLeader({ ...options, nowMs, directory: () => directory, requestPlanning });
+    const groupLeader = createGroupLeader({ ...options, nowMs, directory: () => directory.upstreams, requestPlanning });
 
     function requestPlanning() {
         planTimer ??= setTimeout(() => {
@@ -90,13 +89,8 @@
         }, Math.max(planDelayMs, Math.ceil(planPacer.waitMs) + 1));
     }
 
-    /** Replaces the directory and publishes the upstreams that have changed. */
-    function updateDirectory(next: DirectoryState) {
-        const changed = [...next.values()].filter(upstream => {
-            const previous = directory.get(upstream.id);
-            return previous !== upstream && isSignificantChange(previous, upstream);
-        });
-        directory = next;
+    /** Publishes the upstreams that have changed. */
+    function publishChanged(changed: readonly Upstream[]) {
         if (changed.length > 0) {
             feed.publish({ kind: "upstreams", upstreams: changed.map(upstream => toRelayed(upstream, nowMs())) });
             changed.forEach(({ id, state, isGone, group }) => logger.debug("upstream changed", { upstream: id, state, isGone, group }));
@@ -112,7 +106,7 @@
             { kind: "controls", addresses: controlAddresses() },
             ...site === undefined ? [] : [{ kind: "site" as const, version: site.version, text: site.text }],
             { kind: "evacuated", index: log.appliedIndex, dataCentres: [...evacuated] },
-            { kind: "upstreams", upstreams: [...directory.values()].map(upstream => toRelayed(upstream, nowMs())) },
+            { kind: "upstreams", upstreams: [...directory.upstreams.values()].map(upstream => toRelayed(upstream, nowMs())) },
             ...isLeader() ? [judgedFrame()] : [],
             aliveFrame(),
         ];
@@ -155,10 +149,10 @@
         dataCentre: options.dataCentre,
         onFrame(frame) {
             if (frame.kind === "upstreams") {
-                updateDirectory(mergeRelayed(directory, frame.upstreams, nowMs()));
+                publishChanged(directory.merge(frame.upstreams, nowMs()));
             }
             if (frame.kind === "heard") {
-                directory = updateHeardTimes(directory, frame.heard, nowMs());
+                directory.updateHeardTimes(frame.heard, nowMs());
                 frame.heard.forEach(({ id }) => heardByAny.add(id));
             }
         },
@@ -235,7 +229,7 @@
     }
 
     function heardFrame(ids: ReadonlySet<string>): Frame {
-        const present = [...ids].map(id => directory.get(id)).filter(upstream => upstream !== undefined && !upstream.isGone);
+        const present = [...ids].map(id => directory.upstreams.get(id)).filter(upstream => upstream !== undefined && !upstream.isGone);
         return { kind: "heard", heard: present.map(upstream => ({ id: upstream!.id, agoMs: Math.round(nowMs() - upstream!.heardAtMs) })) };
     }
 
@@ -260,7 +254,7 @@
             publishJudged();
         }
         if (nowMs() > nextCleanupAtMs) {
-            directory = removeExpired(directory, nowMs());
+            directory.removeExpired(nowMs());
             nextCleanupAtMs = nowMs() + cleanupIntervalMs;
         }
     }
@@ -276,7 +270,7 @@
         metrics.registerGauge("zinnialanding_voters_silent", () => log.voters().filter(voter => voter.voting && voter.reachable === false).length);
         metrics.registerGauge("zinnialanding_leads", () => Number(isLeader()));
         metrics.registerGauge("zinnialanding_site_version", () => log.state.published.site?.version ?? 0);
-        metrics.registerGauge("zinnialanding_upstreams_known", () => [...directory.values()].filter(upstream => !upstream.isGone).length);
+        metrics.registerGauge("zinnialanding_upstreams_known", () => [...directory.upstreams.values()].filter(upstream => !upstream.isGone).length);
         metrics.registerGauge("zinnialanding_upstreams_lost", () => groupLeader.lostIds.length);
         for (const phase of ["open", "forming", "ending"] as const) {
             metrics.registerGauge(`zinnialanding_groups_${phase}`, () => groupLeader.groupCount(phase));
@@ -318,7 +312,7 @@
                 logger.warn("announcement of an unknown service", { upstream: announcement.id, service: announcement.service });
                 return true;
             }
-            updateDirectory(applyAnnouncement(directory, announcement, nowMs()));
+            publishChanged(directory.announce(announcement, nowMs()));
             heardDirectly.add(announcement.id);
             heardByAny.add(announcement.id);
             return true;
@@ -327,7 +321,7 @@
             if (!isInTouch()) {
                 return false;
             }
-            updateDirectory(applyDeparture(directory, id));
+            publishChanged(directory.depart(id));
             return true;
         },
         start() {
--- a/test/fleet/directory.test.ts
+++ b/test/fleet/directory.test.ts
@@ -1,9 +1,9 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
 import {
-    type Announcement, applyAnnouncement, applyDeparture, type DirectoryState, hasIncarnationEnded, possiblyRunning, mergeRelayed,
-    toRelayed,
+    type Announcement, createDirectory, type Directory, hasIncarnationEnded, isSignificantChange, possiblyRunning, toRelayed,
 } from "../../src/fleet/index.js";
+import * as plain from "../support/plainDirectory.js";
 
 function announcementOf(change: Partial<Announcement> = {}): Announcement {
     return {
@@ -12,39 +12,54 @@
     };
 }
 
-const emptyDirectory: DirectoryState = new Map();
+function createDirectoryOf(change: Partial<Announcement>): Directory {
+    const directory = createDirectory();
+    directory.announce(announcementOf(change), 0);
+    return directory;
+}
 
 describe("upstream directory", () => {
+    let directory: Directory;
+    const get = (id: string) => directory.upstreams.get(id)!;
+    beforeEach(() => {
+        directory = createDirectory();
+    });
+
     // Guards against sending requests to a crashed incarnation because of a heartbeat that was delayed until after the restart.
     it("keeps the later incarnation whatever arrives after it", () => {
-        const later = applyAnnouncement(emptyDirectory, announcementOf({ bornMs: 2, sequence: 1 }), 10);
-        expect(applyAnnouncement(later, announcementOf({ bornMs: 1, sequence: 9 }), 20).get("u1")!.bornMs).to.equal(2);
+        directory.announce(announcementOf({ bornMs: 2, sequence: 1 }), 10);
+        directory.announce(announcementOf({ bornMs: 1, sequence: 9 }), 20);
+        expect(get("u1").bornMs).to.equal(2);
     });
 
     it("keeps the newest announcement of an incarnation, and a departure until the next incarnation", () => {
-        const draining = applyAnnouncement(
-            applyAnnouncement(emptyDirectory, announcementOf({ sequence: 3, state: "draining" }), 10), announcementOf({ sequence: 2 }), 20,
-        );
-        expect(draining.get("u1")!.state).to.equal("draining");
-        const gone = applyAnnouncement(applyDeparture(draining, "u1"), announcementOf({ sequence: 9 }), 30);
-        expect(gone.get("u1")!.isGone).to.equal(true);
-        expect(applyAnnouncement(gone, announcementOf({ bornMs: 5, sequence: 1 }), 40).get("u1")!.isGone).to.equal(false);
+        directory.announce(announcementOf({ sequence: 3, state: "draining" }), 10);
+        directory.announce(announcementOf({ sequence: 2 }), 20);
+        expect(get("u1").state).to.equal("draining");
+        directory.depart("u1");
+        directory.announce(announcementOf({ sequence: 9 }), 30);
+        expect(get("u1").isGone).to.equal(true);
+        directory.announce(announcementOf({ bornMs: 5, sequence: 1 }), 40);
+        expect(get("u1").isGone).to.equal(false);
     });
 
     // Guards against sending requests to the upstream of another service that reuses the address.
     it("marks the previous upstream at an address as gone", () => {
-        const directory =
-            applyAnnouncement(applyAnnouncement(emptyDirectory, announcementOf(), 10), announcementOf({ id: "u2", service: "pool", bornMs: 7 }), 20);
-        expect([directory.get("u1")!.isGone, directory.get("u2")!.isGone]).to.deep.equal([true, false]);
+        directory.announce(announcementOf(), 10);
+        directory.announce(announcementOf({ id: "u2", service: "pool", bornMs: 7 }), 20);
+        expect([get("u1").isGone, get("u2").isGone]).to.deep.equal([true, false]);
     });
 
     // Guards against assigning the members of a group to another one while the group still serves: an engine may leave without draining and
     // continue to serve for seconds.
     it("does not treat a departure as the end of the incarnation", () => {
-        const left = applyDeparture(applyAnnouncement(emptyDirectory, announcementOf(), 10), "u1");
-        expect([hasIncarnationEnded(left, "u1"), possiblyRunning(left).map(upstream => upstream.state)]).to.deep.equal([false, ["draining"]]);
-        const replaced = applyAnnouncement(left, announcementOf({ id: "u2", bornMs: 9 }), 20);
-        expect([hasIncarnationEnded(replaced, "u1"), possiblyRunning(replaced).map(upstream => upstream.id)]).to.deep.equal([true, ["u2"]]);
+        const { upstreams } = directory;
+        directory.announce(announcementOf(), 10);
+        directory.depart("u1");
+        expect(hasIncarnationEnded(upstreams, "u1")).to.equal(false);
+        expect(possiblyRunning(upstreams).map(upstream => upstream.state)).to.deep.equal(["draining"]);
+        directory.announce(announcementOf({ id: "u2", bornMs: 9 }), 20);
+        expect([hasIncarnationEnded(upstreams, "u1"), possiblyRunning(upstreams).map(upstream => upstream.id)]).to.deep.equal([true, ["u2"]]);
     });
 
     it("reaches the same state whatever the order of announcements", () => {
@@ -56,10 +71,63 @@
         fc.assert(fc.property(list, fc.integer(), (items, seed) => {
             const rankOf = (item: { sequence: number; bornMs: number }) => (item.sequence * 31 + item.bornMs * 17 + seed) % 7;
             const shuffled = [...items].sort((a, b) => rankOf(a) - rankOf(b));
-            const stateFromAnnouncements = items.reduce((state, item) => applyAnnouncement(state, announcementOf(item), 0), emptyDirectory);
-            const relayedOf = (item: Partial<Announcement>) => toRelayed(applyAnnouncement(emptyDirectory, announcementOf(item), 0).get("u1")!, 0);
-            const stateFromRelayed = shuffled.reduce((state, item) => mergeRelayed(state, [relayedOf(item)], 0), emptyDirectory);
-            expect(stateFromRelayed.get("u1")).to.deep.equal(stateFromAnnouncements.get("u1"));
+            const [announced, relayed] = [createDirectory(), createDirectory()];
+            items.forEach(item => announced.announce(announcementOf(item), 0));
+            const relayedOf = (item: Partial<Announcement>) => toRelayed(createDirectoryOf(item).upstreams.get("u1")!, 0);
+            shuffled.forEach(item => relayed.merge([relayedOf(item)], 0));
+            expect(relayed.upstreams.get("u1")).to.deep.equal(announced.upstreams.get("u1"));
         }), { seed: 11 });
     });
+
+    // Guards against an index that differs from the upstreams after some order of announcements, relays, departures, reused addresses and
+    // restarts: callers' requests would go to an upstream that no longer exists, or never to one that does.
+    it("agrees with a plain model after any sequence of changes, and publishes each significant one", () => {
+        const announcement = fc.record({
+            id: fc.constantFrom("u1", "u2", "u3", "u4"), address: fc.constantFrom("10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"),
+            bornMs: fc.integer({ min: 1, max: 4 }), sequence: fc.integer({ min: 1, max: 6 }),
+            state: fc.constantFrom("ready" as const, "draining" as const), coldForMs: fc.constantFrom(0, 3_000),
+            stagedModels: fc.constantFrom<string[]>([], ["lm"]),
+        });
+        const change = fc.record({
+            kind: fc.constantFrom("announce", "announce", "merge", "merge", "depart", "heard", "expire"), stepMs: fc.nat(9_000),
+            items: fc.array(announcement, { minLength: 1, maxLength: 3 }),
+            isGone: fc.boolean(), hasLeft: fc.boolean(), agoMs: fc.nat(20_000),
+        });
+        fc.assert(fc.property(fc.array(change, { maxLength: 60 }), changes => {
+            const changing = createDirectory();
+            let model: plain.DirectoryState = new Map();
+            let nowMs = 0;
+            for (const { kind, stepMs, items, isGone, hasLeft, agoMs } of changes) {
+                nowMs += stepMs;
+                const [first] = items.map(item => announcementOf(item)) as [Announcement];
+                const before = model;
+                let published: readonly { readonly id: string }[] = [];
+                if (kind === "announce") {
+                    model = plain.applyAnnouncement(model, first, nowMs);
+                    published = changing.announce(first, nowMs);
+                }
+                else if (kind === "merge") {
+                    const relayed = items.map(item => ({ ...announcementOf(item), heardAgoMs: agoMs, isGone, hasLeft: isGone && hasLeft }));
+                    model = plain.mergeRelayed(model, relayed, nowMs);
+                    published = changing.merge(relayed, nowMs);
+                }
+                else if (kind === "depart") {
+                    model = plain.applyDeparture(model, first.id);
+                    published = changing.depart(first.id);
+                }
+                else if (kind === "heard") {
+                    model = plain.updateHeardTimes(model, [{ id: first.id, agoMs }], nowMs);
+                    changing.updateHeardTimes([{ id: first.id, agoMs }], nowMs);
+                }
+                else {
+                    model = plain.removeExpired(model, nowMs);
+                    changing.removeExpired(nowMs);
+                }
+                expect(new Map(changing.upstreams)).to.deep.equal(model);
+                const changed = [...model.values()].filter(upstream => isSignificantChange(before.get(upstream.id), upstream));
+                const mustPublish = kind === "heard" || kind === "expire" ? [] : changed.map(({ id }) => id);
+                expect(published.map(({ id }) => id)).to.include.members(mustPublish);
+            }
+        }), { seed: 39, numRuns: 400 });
+    });
 });
