Send a new watcher its first frames one by one, as it takes them

Cause: each watcher that connected was queued all initial frames at once, encoded for it alone: at 3,000 upstreams 0.9 MB of upstreams and a site of some hundred KB each. What is published meanwhile follows; sequence numbers and versions already order the two. The new test (at most one of 50 initial frames is read ahead) fails when all are read at the start (50), as the code before did.

--- a/src/feed/index.ts
+++ b/src/feed/index.ts
@@ -1,3 +1,3 @@
 export * from "./frames.js";
-export { createFeedServer, type FeedServer } from "./server.js";
+export { createFeedServer, type FeedServer, type FrameKind } from "./server.js";
 export { aliveIntervalMs, createFeedWatcher, type FeedWatcher } from "./watcher.js";
--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -29,6 +29,8 @@
     abort(): void;
 }
 
+export type FrameKind = Frame["kind"];
+
 export type WatcherRole = "entry" | "control";
 
 export interface FeedServer {
@@ -43,14 +45,15 @@
 }
 
 export interface FeedServerOptions {
-    /** Returns the frames that bring a new watcher up to date. */
-    initialFrames(): readonly Frame[];
+    /**
+     * Returns the frames that bring a new watcher up to date, if it receives `kinds`; others are left out. They are read one by one as the
+     * watcher takes them, so many watchers that come back at once hold little memory.
+     */
+    initialFrames(kinds: readonly FrameKind[]): Iterable<Frame>;
     onReport(daemonId: string, report: Report): void;
     nowMs(): number;
 }
 
-type FrameKind = Frame["kind"];
-
 /** The frame kinds for other control daemons. They receive the rest through the replicated log, and a site's text is large. */
 const kindsForControls: readonly FrameKind[] = ["upstreams", "heard", "alive"];
 /** The frame kinds of `WatchScope.CONTENT`. */
@@ -72,8 +75,17 @@
     }
 }
 
+/** Encoded frames by frame: the same frame with a large text may be sent to many watchers. */
+const encodedFrames = new WeakMap<Frame, EncodedFrame>();
+
 function encode(frame: Frame): EncodedFrame {
-    return { frame, message: create(SiteFrameSchema, { frame: Buffer.from(JSON.stringify(frame)) }) };
+    const known = encodedFrames.get(frame);
+    if (known !== undefined) {
+        return known;
+    }
+    const encoded = { frame, message: create(SiteFrameSchema, { frame: Buffer.from(JSON.stringify(frame)) }) };
+    encodedFrames.set(frame, encoded);
+    return encoded;
 }
 
 /** Appends a frame to the queue. A published site replaces one that is still queued, since only the newest is in force. */
@@ -102,7 +114,17 @@
         const { daemonId, isEntry } = request;
         const kinds = kindsForRequest(request);
         const isRelevant = (frame: Frame) => kinds.includes(frame.kind);
-        const queue: EncodedFrame[] = options.initialFrames().filter(isRelevant).map(encode);
+        /** Frames published since the stream began. They follow the initial frames, which already show some of their changes. */
+        const queue: EncodedFrame[] = [];
+        const initialFrames = options.initialFrames(kinds)[Symbol.iterator]();
+        const nextInitialFrame = (): EncodedFrame | undefined => {
+            for (let item = initialFrames.next(); item.done !== true; item = initialFrames.next()) {
+                if (isRelevant(item.value)) {
+                    return encode(item.value);
+                }
+            }
+            return undefined;
+        };
         let wake: (() => void) | undefined;
         let isEnding = false;
         let isAborted = false;
@@ -134,7 +156,7 @@
         signal.addEventListener("abort", onAbort);
         try {
             while (!isAborted) {
-                const next = queue.shift();
+                const next = nextInitialFrame() ?? queue.shift();
                 if (next !== undefined) {
                     yield next.message;
                     continue;
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -5,16 +5,17 @@
  */
 
 import type { ConsensusNode } from "../consensus/index.js";
-import { aliveIntervalMs, createFeedServer, createFeedWatcher, type FeedServer, type FeedWatcher, type Frame, type Report } from "../feed/index.js";
+import { aliveIntervalMs, createFeedServer, createFeedWatcher, type FeedServer, type FeedWatcher, type Frame, type FrameKind, type Report } from "../feed/index.js";
 import {
     type Announcement, createDirectory, toRelayed, type Upstream,
 } from "../fleet/index.js";
-import type { ModelCoverage } from "../groups/index.js";
 import type { PeerConnections } from "../rpc/index.js";
 import { createSiteTable, type DecodedSite, type SiteDialect, type SiteFinding, type SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createGroupLeader, type EngineClient } from "./groupLeader.js";
 import { createLimitDistributor } from "./limitDistributor.js";
+import { createSiteFrames, upstreamFrames } from "./initialFrames.js";
+import { registerControlMetrics } from "./metrics.js";
 import { createPlanPacer } from "./planPacer.js";
 import { createProposer, operatorTimeoutMs } from "./proposals.js";
 
@@ -68,6 +69,7 @@
     const nowMs = () => performance.now();
     const propose = createProposer({ ...options, nowMs });
     const directory = createDirectory();
+    const siteFrames = createSiteFrames();
     let decodedSite: { readonly text: string; readonly table: SiteTable } | undefined;
     let lastPublished: { version: number; evacuated: string; lost: string; controls: string } = { version: -1, evacuated: "", lost: "", controls: "" };
     let timers: NodeJS.Timeout[] = [];
@@ -100,16 +102,17 @@
         }
     }
 
-    function initialFrames(): Frame[] {
-        const { site, evacuated } = log.state.published;
-        return [
-            { kind: "controls", addresses: controlAddresses() },
-            ...site === undefined ? [] : [{ kind: "site" as const, version: site.version, text: site.text }],
-            { kind: "evacuated", index: log.appliedIndex, dataCentres: [...evacuated] },
-            { kind: "upstreams", upstreams: [...directory.upstreams.values()].map(upstream => toRelayed(upstream, nowMs())) },
-            ...isLeader() ? [judgedFrame()] : [],
-            aliveFrame(),
-        ];
+    function* initialFrames(kinds: readonly FrameKind[]): Generator<Frame> {
+        yield { kind: "controls", addresses: controlAddresses() };
+        yield* siteFrames(log.state.published.site);
+        yield { kind: "evacuated", index: log.appliedIndex, dataCentres: [...log.state.published.evacuated] };
+        if (kinds.includes("upstreams")) {
+            yield* upstreamFrames(directory.upstreams, nowMs);
+        }
+        if (isLeader()) {
+            yield judgedFrame();
+        }
+        yield aliveFrame();
     }
 
     function aliveFrame(): Frame {
@@ -192,7 +195,7 @@
         const { site, evacuated } = log.state.published;
         const evacuatedNames = evacuated.join(",");
         if (site !== undefined && site.version !== lastPublished.version) {
-            feed.publish({ kind: "site", version: site.version, text: site.text });
+            [...siteFrames(site)].forEach(frame => feed.publish(frame));
             feed.publish(aliveFrame(), "entry");
             logger.info("site applied", { version: site.version, index: log.appliedIndex, term: log.term, leader: log.leaderAddress });
         }
@@ -263,25 +266,6 @@
         return log.role === "leader" ? isLeader() : log.leaderAddress !== undefined;
     }
 
-    function registerMetrics() {
-        const { metrics } = options;
-        metrics.registerGauge("zinnialanding_term", () => log.term);
-        metrics.registerGauge("zinnialanding_voters", () => log.voters().filter(voter => voter.voting).length);
-        metrics.registerGauge("zinnialanding_voters_silent", () => log.voters().filter(voter => voter.voting && voter.reachable === false).length);
-        metrics.registerGauge("zinnialanding_leads", () => Number(isLeader()));
-        metrics.registerGauge("zinnialanding_site_version", () => log.state.published.site?.version ?? 0);
-        metrics.registerGauge("zinnialanding_upstreams_known", () => [...directory.upstreams.values()].filter(upstream => !upstream.isGone).length);
-        metrics.registerGauge("zinnialanding_upstreams_lost", () => groupLeader.lostIds.length);
-        for (const phase of ["open", "forming", "ending"] as const) {
-            metrics.registerGauge(`zinnialanding_groups_${phase}`, () => groupLeader.groupCount(phase));
-        }
-        const byModel = (valueOf: (coverage: ModelCoverage) => number) =>
-            new Map(groupLeader.coverage.map(coverage => [coverage.model, valueOf(coverage)]));
-        metrics.registerModelGauge("zinnialanding_model_groups_open", () => byModel(({ groups }) => groups.open));
-        metrics.registerModelGauge("zinnialanding_model_vms", () => byModel(({ vms }) => vms));
-        metrics.registerModelGauge("zinnialanding_model_demand_vms", () => byModel(({ demandVms }) => demandVms));
-    }
-
     return {
         feed,
         async publish(text) {
@@ -325,7 +309,7 @@
             return true;
         },
         start() {
-            registerMetrics();
+            registerControlMetrics(options.metrics, { log, groupLeader, upstreams: directory.upstreams });
             log.subscribe(() => publishApplied());
             timers = [
                 setInterval(() => planPacer.runIfDue(plan), planIntervalMs),
--- a/test/feed/server.test.ts
+++ b/test/feed/server.test.ts
@@ -50,6 +50,30 @@
     });
 });
 
+describe("feed server with watchers that come back at once", () => {
+    // Pattern: hundreds of entries reconnect together, and each is owed every upstream of the site. Encoded for all of them at once, these
+    // frames would exceed the daemon's memory.
+    it("reads the initial frames as the watcher takes them, and sends what was published meanwhile afterwards", async () => {
+        let frameCount = 0;
+        function* initialFrames(): Generator<Frame> {
+            for (; frameCount < 50; frameCount++) {
+                yield { kind: "upstreams", upstreams: [] };
+            }
+        }
+        const feed = createFeedServer({ initialFrames, onReport: () => undefined, nowMs });
+        const frames = watchDirectly(feed, { isEntry: true, scope: WatchScope.CONTENT });
+        await frames.next();
+        expect(frameCount).to.be.at.most(1);
+        feed.publish(siteFrame(1));
+        feed.close();
+        const kinds: string[] = [];
+        for await (const frame of frames) {
+            kinds.push(frame.kind);
+        }
+        expect(kinds).to.deep.equal([...Array.from({ length: 49 }, () => "upstreams"), "site"]);
+    });
+});
+
 describe("entry that watches several control daemons", () => {
     let feeds: FeedServer[];
     let servers: RpcServer[];
