Take the patience of callers from the route instead of a constant

Cause, from reading the constants: the late queue, its stall and the stall of a stream were fixed parts of "the 2 s after which callers give up". Change: the adapter derives the patience of a route from its targets; the gateway uses parts of it. For routes with a patience of 2 s nothing changes. Tests: the late queue grows with the patience and the on-time queue does not; the adapter's derivation. Both need the new field, so they can't be run on the code before.

--- a/src/gateway/balancer.ts
+++ b/src/gateway/balancer.ts
@@ -39,8 +39,8 @@
     /** Estimates the late queue of an upstream under the same assumption. */
     lateEstimate(upstream: Upstream): number;
     requestSent(upstream: Upstream, isCold: boolean): void;
-    /** Whether the late queue makes no progress, so that another request would wait in vain. */
-    isLateQueueStalled(upstream: Upstream): boolean;
+    /** Whether a request in the late queue has waited for longer than `maxWaitMs`, or one has recently left it unserved. */
+    isLateQueueStalled(upstream: Upstream, maxWaitMs: number): boolean;
     /** Adds a request to the late queue and returns the time at which it was sent, to be passed to `lateDequeued`. */
     lateQueued(upstream: Upstream): number;
     /** Removes a request from the late queue. `hasStarted` false: it left before it was served. */
@@ -159,7 +159,7 @@
             const state = stateOf(upstream);
             return estimateLoad(state, nowMs()) * lateShare(state);
         },
-        isLateQueueStalled: upstream => isLateQueueStalled(stateOf(upstream), nowMs()),
+        isLateQueueStalled: (upstream, maxWaitMs) => isLateQueueStalled(stateOf(upstream), maxWaitMs, nowMs()),
         lateQueued(upstream) {
             const sentAtMs = nowMs();
             stateOf(upstream).lateSentAtMs.push(sentAtMs);
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -61,10 +61,12 @@
 /** Extra attempts in place of those that did not run: during a repair two stale heads may be tried before the new one. */
 const maxExtraAttempts = 2;
 /**
- * How long a stream may bring no event before another upstream is tried: half of the 2 s after which callers abandon a silent stream. A
- * queued stream that is on time gets its first event well before.
+ * How long a stream may bring no event before another upstream is tried, as a part of the time after which callers abandon it. A queued
+ * stream that is on time gets its first event well before.
  */
-const streamStallTimeoutMs = 1_000;
+const streamStallShare = 0.5;
+/** A request that has waited in the late queue for this part of its callers' patience shows that another one would wait in vain. */
+const lateQueueStallShare = 0.25;
 /** The stall timeout of repeatable requests to plain services, as a multiple of the route's latency target; 1 % take longer than this. */
 const plainStallFactor = 2;
 /** The numerically highest and so least urgent priority that engines support. */
@@ -193,7 +195,7 @@
     function mayQueueLate(candidate: Candidate): boolean {
         const { upstream } = candidate;
         return balancer.lateEstimate(upstream) < dependencies.queueLimits(candidate, request).late &&
-            !balancer.isLateQueueStalled(upstream);
+            !balancer.isLateQueueStalled(upstream, route.patienceMs * lateQueueStallShare);
     }
 
     /** Sends the final answer without a further attempt. It promises "not run" only if that is certain. */
@@ -278,7 +280,7 @@
      * the rest.
      */
     function stallTimeoutMs(): number {
-        return isStream ? streamStallTimeoutMs : plainStallFactor * (route.latenessMs ?? route.timeoutMs);
+        return isStream ? route.patienceMs * streamStallShare : plainStallFactor * (route.latenessMs ?? route.timeoutMs);
     }
 
     function startAttemptAt(upstream: Upstream, isLate: boolean) {
--- a/src/gateway/upstreamState.ts
+++ b/src/gateway/upstreamState.ts
@@ -11,10 +11,6 @@
 const shortStallMs = 350;
 /** After about three event intervals without an event the members are probed. Probing is cheap and moves no requests. */
 const suspectAfterMs = 200;
-/**
- * Once a request has waited in the late queue for this long, no more are queued there: callers abandon a stream without an event after 2 s.
- */
-const lateQueueStallMs = 500;
 /** How long an upstream remains a suspect after opening a connection to it has failed. */
 const unreachableSuspectMs = 500;
 /** Two event intervals. A head whose last event is older isn't reported as moving; each 0.1 s more would delay a repair by as much. */
@@ -71,9 +67,10 @@
     return state.running === 0 ? 0 : Math.min(1, state.lateSentAtMs.length / state.running);
 }
 
-/** Whether the late queue makes no progress or is blocked after a caller has left it unserved. */
-export function isLateQueueStalled({ lateSentAtMs: [oldestMs], lateBlockedUntilMs }: UpstreamState, nowMs: number): boolean {
-    return nowMs < lateBlockedUntilMs || (oldestMs !== undefined && nowMs - oldestMs > lateQueueStallMs);
+/** Whether a request has waited in the late queue for longer than `maxWaitMs`, or a caller has recently left the queue unserved. */
+export function isLateQueueStalled(state: UpstreamState, maxWaitMs: number, nowMs: number): boolean {
+    const { lateSentAtMs: [oldestMs], lateBlockedUntilMs } = state;
+    return nowMs < lateBlockedUntilMs || (oldestMs !== undefined && nowMs - oldestMs > maxWaitMs);
 }
 
 /** Capacity of the token bucket. With more than 1, a request that comes slightly late doesn't lose its turn. */
--- a/src/gateway/work.ts
+++ b/src/gateway/work.ts
@@ -18,8 +18,8 @@
  * takes about 0.2 s of these 0.3 to 0.5 s. With half of the time spent in the queue, half of the first events were late.
  */
 const maxWaitShare = 0.3;
-/** Maximum work in the late queue, in ms of the group: a quarter of the 2 s after which callers give up. */
-const maxLateQueueMs = 500;
+/** Maximum work in the late queue, in time of the group, as a part of the time after which callers abandon a stream without an event. */
+const maxLateQueueShare = 0.25;
 /** Maximum queued requests for each slot of a plain service. Its answers take about 40 ms, and deadlines allow for several of them. */
 const plainQueuePerSlot = 3;
 
@@ -58,5 +58,6 @@
     const { groupMs } = estimateWork(engine, candidate.model, engine.usualPromptTokens, engine.usualAnswerTokens);
     const perRequestMs = Math.max(1, groupMs);
     const maxWaitMs = (request.route.latenessMs ?? request.route.timeoutMs) * maxWaitShare;
-    return { onTime: engine.slots + maxWaitMs / perRequestMs, late: maxLateQueueMs / perRequestMs };
+    const maxLateMs = request.route.patienceMs * maxLateQueueShare;
+    return { onTime: engine.slots + maxWaitMs / perRequestMs, late: maxLateMs / perRequestMs };
 }
--- a/src/site/types.ts
+++ b/src/site/types.ts
@@ -27,6 +27,8 @@
     latenessMs: z.number().positive().optional(),
     /** The maximum pause between two events of a stream that counts as on time. */
     pauseMs: z.number().positive().optional(),
+    /** How long callers wait for the next event of a stream, also for the first one, before they abandon it. */
+    patienceMs: z.number().positive().default(2_000),
     /** 0 is the highest priority. */
     priority: z.number().int().min(0).default(0),
     targets: z.array(targetSchema).min(1),
--- a/test/gateway/balancer.test.ts
+++ b/test/gateway/balancer.test.ts
@@ -80,14 +80,15 @@
         let nowMs = 0;
         const balancer = createBalancer(() => nowMs, () => 0, () => 1);
         const { upstream } = candidate("u1");
-        const estimates = () => [balancer.onTimeEstimate(upstream), balancer.lateEstimate(upstream), balancer.isLateQueueStalled(upstream)];
+        const isStalled = () => balancer.isLateQueueStalled(upstream, 500);
+        const estimates = () => [balancer.onTimeEstimate(upstream), balancer.lateEstimate(upstream), isStalled()];
         const sentAtMs = [0, 1].map(() => {
             balancer.requestSent(upstream, false);
             return balancer.lateQueued(upstream);
         });
         expect(estimates()).to.deep.equal([0, 2, false]);
         nowMs = 900;
-        expect(balancer.isLateQueueStalled(upstream)).to.equal(true);
+        expect(balancer.isLateQueueStalled(upstream, 500)).to.equal(true);
         sentAtMs.forEach(atMs => balancer.lateDequeued(upstream, atMs, true));
         expect(estimates()).to.deep.equal([2, 0, false]);
     });
@@ -102,9 +103,9 @@
         const sentAtMs = balancer.lateQueued(upstream);
         nowMs = 2_000;
         balancer.lateDequeued(upstream, sentAtMs, false);
-        expect(balancer.isLateQueueStalled(upstream)).to.equal(true);
+        expect(balancer.isLateQueueStalled(upstream, 500)).to.equal(true);
         nowMs = 5_100;
-        expect(balancer.isLateQueueStalled(upstream)).to.equal(false);
+        expect(balancer.isLateQueueStalled(upstream, 500)).to.equal(false);
     });
 
     // A cold upstream can serve 38 requests a second from all entries together. Twelve entries can't coordinate; whenever their requests
--- a/test/gateway/work.test.ts
+++ b/test/gateway/work.test.ts
@@ -1,6 +1,10 @@
 import { expect } from "chai";
-import { type QueueLimits, estimateWork } from "../../src/gateway/work.js";
+import type { ParsedRequest } from "../../src/gateway/parsedRequest.js";
+import type { Candidate } from "../../src/gateway/siteView.js";
+import { type QueueLimits, estimateWork, queueLimitsFor } from "../../src/gateway/work.js";
+import { createSiteTable } from "../../src/site/index.js";
 import { engine } from "../groups/builders.js";
+import { createSite } from "../support/gatewaySite.js";
 
 /**
  * Simulates a group of 24 slots that finishes a request every 50 ms, under 1.5 times this load. Requests wait in order, and a first event
@@ -55,6 +59,19 @@
         expect(estimateWork(engine, "none", 100, 10)).to.deep.equal({ groupMs: 0, vmMs: 0 });
     });
 
+    // Callers of a route with long pauses wait longer for a first event. Refused as early as others, they would come back to the same
+    // queue.
+    it("queue more late requests for callers that wait longer", () => {
+        const site = createSite();
+        const route = site.routes.find(({ kind }) => kind === "stream")!;
+        const candidate = { model: "lm", upstream: { service: "pool" } } as Candidate;
+        const limitsOf = (patienceMs: number) =>
+            queueLimitsFor(candidate, { route: { ...route, latenessMs: 300, patienceMs }, table: createSiteTable(site) } as ParsedRequest);
+        const [usual, patient] = [limitsOf(2_000), limitsOf(4_000)];
+        expect(patient.late).to.be.closeTo(2 * usual.late, 1e-9);
+        expect(patient.onTime).to.equal(usual.onTime);
+    });
+
     // A group gets 1.5 times the load that it can serve. With a queue of 0.9 s all but the first requests are late. With a queue of half
     // the time to the first event, all served requests are on time, and as many are served.
     it("keep requests on time under lasting overload, without serving fewer", () => {
--- a/test/platform/decoders.test.ts
+++ b/test/platform/decoders.test.ts
@@ -34,6 +34,14 @@
         expect(site!.organisations).to.deep.equal([{ name: "studio", keys: ["key-1"], priority: 1 }]);
     });
 
+    it("derive how long callers wait for an event from the targets of the route", () => {
+        const patienceOf = (targetLatencyMs: number, targetGapMs: number) => {
+            const text = configurationWith(raw => Object.assign(raw.routes[0]!, { targetLatencyMs, targetGapMs }));
+            return siteDialect.decodeSite(text).site!.routes[0]!.patienceMs;
+        };
+        expect([patienceOf(300, 200), patienceOf(600, 200), patienceOf(300, 300)]).to.deep.equal([2_000, 2_400, 2_400]);
+    });
+
     it("report each kind of invalid configuration with its path", () => {
         expect({
             cutShort: findingPlaces(configurationText(3).slice(0, -20)),
