Take the heartbeat interval of upstreams from the settings

Cause, from reading the constants: a new leader's settle time (1.5 s), the resend time of orders (1.2 s) and the age at which a heartbeat is overdue (1.9 s) assumed heartbeats every 1.2 s. The settings file states the interval; on a site with slower heartbeats a leader would form its first groups of the VMs heard so far and probe every upstream at every interval. Change: [control] heartbeat_ms, default 1,200; 1.25, 1 and 1.6 intervals. At 1.2 s: 1.5 s, 1.2 s, 1.92 s. The new test (heartbeats every 4 s, no order before 4.9 s) fails with the settle time of before: groups are formed at 1.5 s.

--- a/src/config/siteSettings.ts
+++ b/src/config/siteSettings.ts
@@ -39,6 +39,8 @@
         rpcPort: z.number().int().positive(),
         /** True only when the whole site is started for the first time. */
         firstStart: z.boolean(),
+        /** The interval at which upstreams announce themselves. */
+        heartbeatMs: z.number().positive().default(1_200),
     }),
     /** The limit on repeated sends to a service, over all entries and in any window. */
     repeats: z.strictObject({
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -19,10 +19,10 @@
 import { joinStandbyGroups, stageEmptyVms, stageSecondModel } from "./spares.js";
 import type { GroupPhase, GroupsState, GroupsView, AddressedOrder, PendingLoad, PlannedGroup, SentOrder } from "./types.js";
 
-/** A new leader waits this long before planning, to hear from every VM at least once: heartbeats arrive about every 1.2 s. */
-const settleMs = 1_500;
-/** An order without a visible effect is sent again after this time. Normally the effect is reported within a few hundred ms. */
-const orderResendMs = 1_200;
+/** How long a new leader waits before planning, in heartbeat intervals, to hear from every VM at least once despite jitter. */
+const settleIntervals = 1.25;
+/** An order without a visible effect is sent again after this many heartbeat intervals. Engines report effects at once. */
+const orderResendIntervals = 1;
 /** Number of ended groups to remember: far more than can end while a member that has not been reassigned still reports one. */
 const maxEndedGroupNames = 256;
 /** Number of epochs that one term of the log may use. */
@@ -50,7 +50,7 @@
     return term * epochsPerTerm;
 }
 
-/** Leaves out orders that were sent less than `orderResendMs` ago. */
+/** Leaves out orders that were sent recently. */
 function filterDueOrders(
     orders: readonly AddressedOrder[], state: GroupsState, view: GroupsView,
 ): { due: AddressedOrder[]; lastOrders: Map<string, SentOrder> } {
@@ -59,7 +59,7 @@
         const born = view.upstreams.get(upstreamId)?.bornMs;
         const serializedOrder = `${born} ${JSON.stringify(order)}`;
         const last = lastOrders.get(upstreamId);
-        if (last?.serializedOrder === serializedOrder && view.nowMs - last.atMs < orderResendMs) {
+        if (last?.serializedOrder === serializedOrder && view.nowMs - last.atMs < orderResendIntervals * view.heartbeatMs) {
             return false;
         }
         lastOrders.set(upstreamId, { serializedOrder, atMs: view.nowMs });
@@ -128,7 +128,7 @@
         shortSince: state.shortSince,
         reservations: new Map([...state.reservations].filter(([, { untilMs }]) => view.nowMs < untilMs)),
     };
-    if (view.nowMs - view.leadsSinceMs >= settleMs) {
+    if (view.nowMs - view.leadsSinceMs >= settleIntervals * view.heartbeatMs) {
         adoptGroups(step.groupTable.groups, step.endedGroupNames, view).forEach(step.groupTable.put);
         for (const group of [...step.groupTable.groups.values()]) {
             applyUpdate(group, advanceGroup(group, view), step, groupTransitions);
--- a/src/groups/types.ts
+++ b/src/groups/types.ts
@@ -88,6 +88,8 @@
     readonly nowMs: number;
     /** When this process became the leader. */
     readonly leadsSinceMs: number;
+    /** The interval at which upstreams announce themselves. */
+    readonly heartbeatMs: number;
     readonly engine: EngineSpec;
     /** All running upstreams of the service, by id. */
     readonly upstreams: ReadonlyMap<string, Upstream>;
--- a/src/siteControl/groupLeader.ts
+++ b/src/siteControl/groupLeader.ts
@@ -32,6 +32,8 @@
     readonly metrics: SiteMetrics;
     /** Whether the site starts for the first time, in which case loads are quick until the first requests arrive. */
     readonly isFirstStart: boolean;
+    /** The interval at which upstreams announce themselves. */
+    readonly heartbeatMs: number;
     nowMs(): number;
     directory(): DirectoryState;
     /** Requests a planning step soon, after a change that may affect groups. */
@@ -68,6 +70,7 @@
 
     const prober = createProber({
         nowMs,
+        heartbeatMs: options.heartbeatMs,
         probe: upstream => engines.probe(upstream),
         onResult(upstream, result) {
             if (result !== "answered") {
@@ -121,6 +124,7 @@
         return {
             nowMs: nowMs(),
             leadsSinceMs,
+            heartbeatMs: options.heartbeatMs,
             engine,
             upstreams,
             isLost: id => prober.isLost(id),
--- a/src/siteControl/prober.ts
+++ b/src/siteControl/prober.ts
@@ -1,6 +1,6 @@
 /**
- * Detects upstreams that no longer respond. Heartbeats alone detect a failure late: they arrive about every 1.2 s, may be delayed by
- * seconds, and an upstream that crashes sends no message. Therefore the leader directly probes each upstream whose heartbeat is overdue or
+ * Detects upstreams that no longer respond. Heartbeats alone detect a failure late: they may be delayed by seconds, and an
+ * upstream that crashes sends no message. Therefore the leader directly probes each upstream whose heartbeat is overdue or
  * that entries suspect.
  *
  * @module
@@ -19,10 +19,12 @@
     /** Called with the result of every probe. */
     onResult(upstream: Upstream, result: ProbeResult): void;
     nowMs(): number;
+    /** The interval at which upstreams announce themselves. */
+    readonly heartbeatMs: number;
 }
 
-/** One and a half heartbeat intervals: by then, the next heartbeat is overdue even with the usual jitter. */
-const heartbeatOverdueMs = 1_900;
+/** After this many intervals, the next heartbeat is overdue even with the usual jitter. */
+const overdueIntervals = 1.6;
 /** Delay before a silent upstream is probed again; doubles with each further unanswered probe. A new heartbeat triggers a probe at once. */
 const minRetryDelayMs = 1_000;
 const maxRetryDelayMs = 8_000;
@@ -105,7 +107,7 @@
             const nowMs = options.nowMs();
             for (const upstream of upstreams) {
                 const state = stateOf(upstream);
-                const isOverdue = nowMs - upstream.heardAtMs > heartbeatOverdueMs || state.result !== undefined;
+                const isOverdue = nowMs - upstream.heardAtMs > overdueIntervals * options.heartbeatMs || state.result !== undefined;
                 const isSuspected = suspects.has(upstream.id) || (state.unansweredProbes > 0 && state.result === undefined);
                 // A heartbeat may be delayed by seconds, so it only triggers a new probe of a lost upstream.
                 const hasNewHeartbeat = state.result !== undefined && upstream.heardAtMs > state.lastProbeAtMs;
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -32,6 +32,8 @@
     readonly metrics: SiteMetrics;
     /** Whether the site starts for the first time, in which case loads are quick until the first requests arrive. */
     readonly isFirstStart: boolean;
+    /** The interval at which upstreams announce themselves. */
+    readonly heartbeatMs: number;
 }
 
 export type PublishOutcome =
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -108,7 +108,7 @@
         const control = createSiteControl({
             daemonId: daemon.id, dataCentre: daemon.dataCentre, address: listen.rpc!, log, dialect: platform.dialect,
             engines: platform.createEngineClient(), connections, logger, metrics,
-            isFirstStart: controlSettings.firstStart,
+            isFirstStart: controlSettings.firstStart, heartbeatMs: controlSettings.heartbeatMs,
         });
         const rpc: RpcServer = await createRpcServer(listen.rpc!, router => {
             log.routes(router);
--- a/test/groups/builders.ts
+++ b/test/groups/builders.ts
@@ -24,6 +24,7 @@
     readonly engine: EngineSpec;
     nowMs: number;
     leadsSinceMs: number;
+    heartbeatMs: number;
     state: GroupsState;
     readonly upstreams: Map<string, Upstream>;
     readonly lost: Set<string>;
@@ -63,7 +64,7 @@
         }
     }
     return {
-        engine: spec, nowMs: startMs, leadsSinceMs: startMs, state: emptyGroupsState, upstreams, hasTraffic: false,
+        engine: spec, nowMs: startMs, leadsSinceMs: startMs, heartbeatMs: 1_200, state: emptyGroupsState, upstreams, hasTraffic: false,
         demand: new Map([["big", 0.3 * upstreams.size], ["small", 0.3 * upstreams.size]]),
         lost: new Set(), refusing: new Set(), unknown: new Set(), notReporting: new Set(), ignoringOrders: new Set(),
         makingProgress: new Set(), readyAtMs: new Map(), lastModels: new Map(), executedOrders: [],
@@ -77,7 +78,8 @@
 function viewOf(fleet: Fleet): GroupsView {
     const upstreams = new Map([...fleet.upstreams].filter(([id]) => !fleet.refusing.has(id) && !fleet.unknown.has(id)));
     return {
-        nowMs: fleet.nowMs, leadsSinceMs: fleet.leadsSinceMs, engine: fleet.engine, upstreams, evacuatedDataCentres: [],
+        nowMs: fleet.nowMs, leadsSinceMs: fleet.leadsSinceMs, heartbeatMs: fleet.heartbeatMs,
+        engine: fleet.engine, upstreams, evacuatedDataCentres: [],
         demand: fleet.demand, hasTraffic: fleet.hasTraffic,
         isLost: id => !isReached(fleet, id), isRefusing: id => fleet.refusing.has(id), hasIncarnationEnded: () => false,
         isMakingProgress: id => fleet.makingProgress.has(id),
--- a/test/groups/plan.test.ts
+++ b/test/groups/plan.test.ts
@@ -107,6 +107,17 @@
         expect(openGroupsByModel(fleet).big).to.equal(1);
     });
 
+    // Upstreams of another site announce themselves every 4 s. A leader that expects to have heard all of them sooner would form groups of
+    // those heard first, and leave a model without any.
+    it("waits until slowly announced VMs can have reported", () => {
+        const fleet = createFleet({ a: 10 });
+        fleet.heartbeatMs = 4_000;
+        run(fleet, 4_900);
+        expect(fleet.executedOrders).to.deep.equal([]);
+        run(fleet, 3_000);
+        expect(fleet.executedOrders.length).to.be.above(0);
+    });
+
     // A new leader finds the standby groups of the previous one. They must not be taken for groups that lost their members: if they were
     // ended, the spares would lose their weights from the accelerator.
     it("keeps the standby groups of an earlier leader", () => {
--- a/test/siteControl/groupLeader.test.ts
+++ b/test/siteControl/groupLeader.test.ts
@@ -32,7 +32,7 @@
             })),
         },
         logger: createLogger("error", "test", new PassThrough()), metrics: createSiteMetrics(),
-        isFirstStart: false, nowMs: () => state.nowMs, directory,
+        isFirstStart: false, heartbeatMs: 1_200, nowMs: () => state.nowMs, directory,
         requestPlanning() {
             state.planAtMs = Math.min(state.planAtMs, state.nowMs + 10);
         },
--- a/test/siteControl/prober.test.ts
+++ b/test/siteControl/prober.test.ts
@@ -6,7 +6,7 @@
 function proberOf(results: ProbeResult[]) {
     const state = { nowMs: 0 };
     const probe = () => Promise.resolve(results.shift() ?? "silent");
-    const prober = createProber({ nowMs: () => state.nowMs, onResult: () => undefined, probe });
+    const prober = createProber({ nowMs: () => state.nowMs, heartbeatMs: 1_200, onResult: () => undefined, probe });
     const [upstream] = [...createFleet({ a: 1 }).upstreams.values()] as [Upstream];
     const probeDue = async (heardAtMs: number) => {
         prober.probeDue([{ ...upstream, heardAtMs }]);
@@ -34,7 +34,7 @@
         const { state, prober, upstream, probeDue } = proberOf([]);
         const probedAtMs: number[] = [];
         const recordingProber = createProber({
-            nowMs: () => state.nowMs, onResult: () => undefined,
+            nowMs: () => state.nowMs, heartbeatMs: 1_200, onResult: () => undefined,
             probe: () => {
                 probedAtMs.push(state.nowMs);
                 return Promise.resolve("silent");
