Show when an upstream pushes back and what is sent to it meanwhile

Logs and metrics could not tell the hypotheses of the incident apart: nothing said that an answer asked for a pause, how much of it was left when the next request went there, and whether another candidate would have taken it. Entries read Retry-After of 429 and 503 answers now, keep the time per upstream, log the first answer of each pushback and every request that goes there meanwhile, and count both. What is sent where is unchanged: nothing consults the kept time yet.

The signals of an answer are read by one pure function (signals.ts).

--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,4 +1,5 @@
 export * from "./directory.js";
 export * from "./groups.js";
 export * from "./limits.js";
+export * from "./pushbacks.js";
 export * from "./types.js";
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -12,6 +12,8 @@
 import type { Connections, ExchangeRequest } from "./connections.js";
 import type { EventSplitter } from "./events.js";
 import { type HeaderNames, forwardedHeaders, headerValue } from "./headers.js";
+import type { Pushbacks } from "./pushbacks.js";
+import { readSignals, type UpstreamSignals } from "./signals.js";
 import type { SiteView } from "./siteView.js";
 
 export interface UpstreamAnswer {
@@ -34,6 +36,7 @@
     readonly view: SiteView;
     readonly balancer: Balancer;
     readonly connections: Connections;
+    readonly pushbacks: Pushbacks;
     nowMs(): number;
     /** Records the limit in requests a second, or its absence, that the answer to a request sent at `sentAtMs` states. */
     recordLimit(upstream: Upstream, perSecond: number | undefined, sentAtMs: number): void;
@@ -153,34 +156,33 @@
         return headerValue(rawHeaders, "content-encoding") === undefined ? undefined : "the answer is encoded";
     }
 
-    function recordLoad() {
-        const [running, waiting] = (headerValue(rawHeaders, names.load) ?? "").split(",").map(Number);
-        if (running !== undefined && waiting !== undefined && Number.isFinite(running + waiting)) {
-            balancer.loadReported(upstream, running, waiting);
+    /** Records the limit that the answer states. A refusal without one is ignored, since it may come from a proxy before the upstream. */
+    function recordLimit({ limitPerSecond }: UpstreamSignals) {
+        if (limitPerSecond !== undefined || status < 300) {
+            dependencies.recordLimit(upstream, limitPerSecond, sentAtMs);
         }
     }
 
-    /** Records the limit that the answer states. A refusal without one is ignored, since it may come from a proxy before the upstream. */
-    function recordLimit() {
-        const perSecond = Number(headerValue(rawHeaders, names.limit) ?? Number.NaN);
-        if (perSecond >= 0 && Number.isFinite(perSecond)) {
-            dependencies.recordLimit(upstream, perSecond, sentAtMs);
+    function recordLoadAndPushback({ load, pushbackMs }: UpstreamSignals) {
+        if (load !== undefined) {
+            balancer.loadReported(upstream, load.running, load.waiting);
         }
-        else if (status < 300) {
-            dependencies.recordLimit(upstream, undefined, sentAtMs);
+        if (pushbackMs !== undefined) {
+            dependencies.pushbacks.record(upstream, pushbackMs);
         }
     }
 
     function onHead(headStatus: number, raw: string[]) {
         status = headStatus;
         rawHeaders = raw;
-        recordLoad();
+        const signals = readSignals(status, rawHeaders, names);
+        recordLoadAndPushback(signals);
         const foreign = status === 421 ? undefined : foreignReason();
         if (foreign !== undefined) {
             abandon(foreign);
             return;
         }
-        recordLimit();
+        recordLimit(signals);
         if (status < 300 && isStream) {
             // A continued stream keeps the headers of its first upstream, since `start` has no effect the second time.
             answer.start(status, forwardedHeaders(raw, new Set(["date", "content-length"])));
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import type { HeaderNames } from "./headers.js";
 import { createLoopTicks } from "./loopTicks.js";
 import { createLimits } from "./limits.js";
+import { createPushbacks } from "./pushbacks.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSiteView } from "./siteView.js";
 import { queueLimitsFor } from "./work.js";
@@ -72,6 +73,7 @@
     const view = createSiteView(options.dialect, logger);
     const entryCount = createEntryCount(nowMs);
     const limits = createLimits(options.daemonId, logger, nowMs);
+    const pushbacks = createPushbacks(logger, nowMs);
     const balancer = createBalancer(nowMs, Math.random, () => entryCount.upperBound, limits.shareOf);
     const connections = createConnections();
     const crashes = createCrashLog(nowMs);
@@ -133,13 +135,14 @@
     watcher.watch(options.controlAddresses);
 
     const server: GatewayServer = await listenForCallers(options.callerAddress, {
-        names: options.headerNames, view, balancer, connections, logger, dataCentre: options.dataCentre,
+        names: options.headerNames, view, balancer, connections, pushbacks, logger, dataCentre: options.dataCentre,
         nowMs, random: Math.random, queueLimits: queueLimitsFor,
         mayRetry: service => budgetOf(service).tryRetry(nowMs()) === undefined,
         recordLimit: limits.limitSeen,
         recordCrash: (request, upstream) => crashes.record(request, upstream),
         isBarred: request => view.barred.size > 0 && view.barred.has(fingerprintOf(request)),
         countFailedAttempt: kind => metrics.recordAttemptWithoutAnswer(kind),
+        countSendDuringPushback: () => metrics.recordSendDuringPushback(),
         countEarlyRefusal: status => metrics.recordRefusal(status),
         countWhileStopping: labels => metrics.recordStoppingRequest(labels),
         recordOutcome(outcome, request, tookMs, firstMs) {
@@ -160,6 +163,7 @@
     metrics.registerGauge("zinnialanding_upstream_connections", () => connections.open);
     metrics.registerGauge("zinnialanding_site_version", () => view.version);
     metrics.registerGauge("zinnialanding_upstreams_limited", () => limits.count);
+    metrics.registerGauge("zinnialanding_upstreams_pushing_back", () => pushbacks.count);
     metrics.registerGauge("zinnialanding_control_daemons_heard", () => watcher.heard.length);
 
     const loopTicks = createLoopTicks(nowMs);
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -17,7 +17,7 @@
 import type { ParsedRequest } from "./parsedRequest.js";
 import { answerHeaders, type AttemptDependencies, type AttemptFailure, type RunningAttempt, startAttempt } from "./attempt.js";
 import { createEventSplitter } from "./events.js";
-import { forwardedHeaders, headerValue } from "./headers.js";
+import { outgoingHeaders } from "./outgoingHeaders.js";
 import type { Candidate } from "./siteView.js";
 import type { QueueLimits } from "./work.js";
 
@@ -31,6 +31,8 @@
     queueLimits(candidate: Candidate, request: ParsedRequest): QueueLimits;
     recordOutcome(outcome: Outcome, request: ParsedRequest, tookMs: number, firstMs: number | undefined): void;
     countFailedAttempt(failure: AttemptFailure["kind"]): void;
+    /** Counts a request sent to an upstream while it wants none. */
+    countSendDuringPushback(): void;
     /** Records that the connection to an upstream broke while it ran the request. */
     recordCrash(request: ParsedRequest, upstream: Upstream): void;
     /** Whether so many upstreams have crashed while running this request that it must not be sent to another. */
@@ -69,11 +71,6 @@
 const lateQueueStallShare = 0.25;
 /** The stall timeout of repeatable requests to plain services, as a multiple of the route's latency target; 1 % take longer than this. */
 const plainStallFactor = 2;
-/** The numerically highest and so least urgent priority that engines support. */
-const lowestPriority = 9;
-/** Added to the priority value of requests in the late queue, which puts them behind every priority that routes use. */
-const latePriorityPenalty = 5;
-
 /** Starts serving a request. */
 export function startRequest(request: ParsedRequest, answer: CallerAnswer, dependencies: RequestDependencies): RunningRequest {
     const { names, balancer, logger } = dependencies;
@@ -246,23 +243,10 @@
     }
 
     function headersTo(upstream: Upstream, isLate: boolean): string[] {
-        const overridden = new Set([
-            names.key, names.deadlineMs, names.organisation, names.upstreamId, names.priority, names.lastEventId, "content-length",
-        ]);
-        const headers = forwardedHeaders(request.rawHeaders, overridden);
-        headers.push(names.deadlineMs, String(Math.max(1, Math.floor(request.giveUpAtMs - dependencies.nowMs()))),
-            names.upstreamId, upstream.id);
-        if (request.organisation !== undefined) {
-            headers.push(names.organisation, request.organisation);
-        }
-        const lastEventId = splitter.lastId ?? headerValue(request.rawHeaders, names.lastEventId);
-        if (lastEventId !== undefined) {
-            headers.push(names.lastEventId, lastEventId);
-        }
-        if (engine !== undefined) {
-            headers.push(names.priority, String(Math.min(lowestPriority, request.priority + (isLate ? latePriorityPenalty : 0))));
-        }
-        return headers;
+        return outgoingHeaders(request, names, {
+            upstreamId: upstream.id, leftMs: request.giveUpAtMs - dependencies.nowMs(), lastEventId: splitter.lastId,
+            hasEngine: engine !== undefined, isLate,
+        });
     }
 
     /** Whether a stalled attempt may be retried elsewhere. Reserves the retry, so that the budget can't refuse it afterwards. */
@@ -283,8 +267,22 @@
         return isStream ? route.patienceMs * streamStallShare : plainStallFactor * (route.latenessMs ?? route.timeoutMs);
     }
 
+    function recordSendDuringPushback(upstream: Upstream) {
+        const leftMs = dependencies.pushbacks.leftMs(upstream);
+        if (leftMs === 0) {
+            return;
+        }
+        const others = listCandidates().filter(candidate => candidate.upstream.id !== upstream.id);
+        dependencies.countSendDuringPushback();
+        logger.info("request sent to an upstream that wants none", {
+            request: request.attemptId, upstream: upstream.id, leftMs: Math.round(leftMs), attempt: attempts,
+            willing: others.filter(other => dependencies.pushbacks.leftMs(other.upstream) === 0).length, unwilling: others.length,
+        });
+    }
+
     function startAttemptAt(upstream: Upstream, isLate: boolean) {
         attempts++;
+        recordSendDuringPushback(upstream);
         const lateSentAtMs = isLate ? balancer.lateQueued(upstream) : undefined;
         let isInLateQueue = isLate;
         const leaveLateQueue = (hasStarted: boolean) => {
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -15,6 +15,8 @@
     recordRefusal(status: number): void;
     /** Counts a request that arrived or was cut off while the entry was stopping. */
     recordStoppingRequest(labels: { readonly listener: string; readonly connection: string; readonly outcome: string }): void;
+    /** Counts a request sent to an upstream while it wants none. */
+    recordSendDuringPushback(): void;
     recordOrder(kind: string, outcome: string): void;
     /** Registers a gauge whose value is read on each scrape. */
     registerGauge(name: GaugeName, read: () => number): void;
@@ -33,6 +35,7 @@
     zinnialanding_control_daemons_heard: "Control daemons from which something has come lately.",
     zinnialanding_log_lines_left_out: "Log lines left out because nobody read them.",
     zinnialanding_upstreams_limited: "Upstreams that state a limit on the requests that they take.",
+    zinnialanding_upstreams_pushing_back: "Upstreams that have turned a request away and want none from here for a while.",
     zinnialanding_term: "Term of the replicated log.",
     zinnialanding_voters: "Disks that vote, by the newest membership known here.",
     zinnialanding_voters_silent: "Voters that the leader has not heard within an election timeout; 0 at other daemons.",
@@ -65,6 +68,7 @@
     const attemptCounter = new Counter({ name: "zinnialanding_attempts_without_answer_total", help: "Attempts that brought no answer.", labelNames: ["ending"], registers });
     const refusalCounter = new Counter({ name: "zinnialanding_refused_early_total", help: "Requests refused before an upstream was chosen.", labelNames: ["status"], registers });
     const stoppingCounter = new Counter({ name: "zinnialanding_stopping_requests_total", help: "Requests that came or were cut off while the entry stops.", labelNames: ["listener", "connection", "outcome"], registers });
+    const sendDuringPushbackCounter = new Counter({ name: "zinnialanding_sends_during_pushback_total", help: "Requests sent to upstreams that wanted none.", registers });
     const orderCounter = new Counter({ name: "zinnialanding_orders_total", help: "Orders to engines.", labelNames: ["kind", "outcome"], registers });
     return {
         recordRequest(route, outcome, tookMs, firstMs) {
@@ -77,6 +81,7 @@
         recordAttemptWithoutAnswer: ending => attemptCounter.inc({ ending }),
         recordRefusal: status => refusalCounter.inc({ status: String(status) }),
         recordStoppingRequest: labels => stoppingCounter.inc({ ...labels }),
+        recordSendDuringPushback: () => sendDuringPushbackCounter.inc(),
         recordOrder: (kind, outcome) => orderCounter.inc({ kind, outcome }),
         registerGauge(name, read) {
             new Gauge({
--- /dev/null
+++ b/test/gateway/signals.test.ts
@@ -0,0 +1,32 @@
+import { expect } from "chai";
+import { headerNames } from "../../platform/headers.js";
+import { readSignals } from "../../src/gateway/signals.js";
+
+const date = ["Date", "Thu, 03 Dec 2026 10:00:00 GMT"];
+
+describe("signals of an upstream's answer", () => {
+    it("are read from the headers of any answer", () => {
+        const read = (status: number, ...headers: string[]) => readSignals(status, headers, headerNames);
+        expect({
+            none: read(200),
+            load: read(200, "Zinnialanding-Instance-Load", "3,1,8"),
+            limit: read(200, "Server-Limit", "2.5"),
+            pushback: read(503, "Retry-After", "3"),
+            fractionalPushback: read(429, "retry-after", "0.25"),
+            pushbackUntilDate: read(503, ...date, "Retry-After", "Thu, 03 Dec 2026 10:00:04 GMT"),
+        }).toMatchSnapshot();
+    });
+
+    it("are ignored where they can't be read or mean something else", () => {
+        const pushbacks = [
+            readSignals(200, ["Retry-After", "3"], headerNames), readSignals(503, ["Retry-After", ""], headerNames),
+            readSignals(503, ["Retry-After", "-1"], headerNames), readSignals(503, ["Retry-After", "soon"], headerNames),
+            readSignals(503, ["Retry-After", "Infinity"], headerNames),
+            readSignals(503, ["Retry-After", "Thu, 03 Dec 2026 10:00:04 GMT"], headerNames),
+            readSignals(503, [...date, "Retry-After", "Thu, 03 Dec 2026 09:00:00 GMT"], headerNames),
+        ];
+        expect(pushbacks.map(({ pushbackMs }) => pushbackMs)).to.deep.equal(pushbacks.map(() => undefined));
+        const broken = readSignals(200, ["Zinnialanding-Instance-Load", "many", "Server-Limit", "none"], headerNames);
+        expect([broken.load, broken.limitPerSecond]).to.deep.equal([undefined, undefined]);
+    });
+});
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -2,6 +2,7 @@
 import { createLogger } from "../../src/telemetry/index.js";
 import { createBalancer } from "../../src/gateway/balancer.js";
 import { createConnections } from "../../src/gateway/connections.js";
+import { createPushbacks } from "../../src/gateway/pushbacks.js";
 import { type GatewayServer, listenForCallers } from "../../src/gateway/server.js";
 import type { StopLabels } from "../../src/gateway/stopRecord.js";
 import type { QueueLimits } from "../../src/gateway/work.js";
@@ -83,6 +84,8 @@
         queueLimits: () => queueCapacity,
         recordOutcome: outcome => outcomes.push(outcome),
         countFailedAttempt: () => undefined,
+        pushbacks: createPushbacks(logger, nowMs),
+        countSendDuringPushback: () => undefined,
         recordCrash: () => undefined,
         isBarred: () => false,
         countEarlyRefusal: () => undefined,
