--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -7,61 +7,7 @@
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-
-interface Membership {
-    readonly name: string;
-    readonly epoch: number;
-    readonly rank: number;
-    readonly members: readonly string[];
-    readonly model: string;
-    state: "joining" | "ready" | "open" | "closing" | "broken";
-}
-
-export interface RunnerOptions {
-    readonly id: string;
-    readonly service: string;
-    readonly zone: string;
-    /** The fabric domain; undefined for a plain service, which forms no groups. */
-    readonly domain?: string;
-    /** Addresses of the control daemons; a heartbeat tries them in order until one acknowledges it. */
-    controls(): readonly string[];
-    /** Looks up another runner, to check whether the group still has all its members. */
-    peer(id: string): Runner | undefined;
-    readonly heartbeatMs: number;
-    readonly joinMs: number;
-}
-
-/** One execution of a request. */
-export interface Run {
-    readonly id: string;
-    readonly runner: string;
-    readonly tenant: string | undefined;
-    /** Start time on the clock of `performance.now()`. */
-    readonly atMs: number;
-}
-
-export interface Runner {
-    readonly id: string;
-    readonly address: string;
-    readonly runs: Run[];
-    readonly membership: Membership | undefined;
-    /** The number of join orders refused because of a stale epoch. */
-    readonly refusedJoins: number;
-    /** When true, the runner answers nothing and sends no heartbeats, like a VM that lost power. */
-    isPoweredOff: boolean;
-    /** Delays orders by this much and leaves them unanswered; 0 executes and answers them at once. */
-    orderDelayMs: number;
-    /** Resets the connection of each answer after this many events; undefined for no resets. */
-    resetAfterEvents: number | undefined;
-    /** Simulates a crash whenever a request with this path begins to run; the runner restarts under the same id. */
-    crashPath: string | undefined;
-    /** The limit in requests per second that answers state in the `server-limit` header; undefined for no header. */
-    limitPerSecond: number | undefined;
-    /** The number of crashes so far. */
-    readonly crashes: number;
-    drain(): Promise<void>;
-    close(): Promise<void>;
-}
+import type { Arrival, Membership, Run, Runner, RunnerOptions } from "./runnerTypes.js";
 
 /** Events in a streamed answer; an event stands for five tokens. */
 export const eventsPerAnswer = 6;
@@ -83,6 +29,8 @@
     let crashes = 0;
     let isDown = false;
     const runs: Run[] = [];
+    const arrivals: Arrival[] = [];
+    const pushbacks: Arrival[] = [];
     let heartbeatSeq = 0;
     let orderSeq = 0;
     let membership: Membership | undefined;
@@ -100,6 +48,8 @@
             return address;
         },
         runs,
+        arrivals,
+        pushbacks,
         get membership() {
             return membership;
         },
@@ -111,6 +61,7 @@
         resetAfterEvents: undefined,
         crashPath: undefined,
         limitPerSecond: undefined,
+        pushbackS: undefined,
         get crashes() {
             return crashes;
         },
@@ -225,6 +176,12 @@
             response.writeHead(421, commonHeaders).end();
             return;
         }
+        arrivals.push({ id, atMs: performance.now() });
+        if (runner.pushbackS !== undefined) {
+            pushbacks.push({ id, atMs: performance.now() });
+            response.writeHead(503, { ...commonHeaders, "zinnialanding-not-executed": "1", "retry-after": String(runner.pushbackS) }).end();
+            return;
+        }
         const tenant = message.headers["zinnialanding-tenant"] as string | undefined;
         if (options.domain === undefined) {
             runs.push({ id, runner: options.id, tenant, atMs: performance.now() });
--- /dev/null
+++ b/standin/platform/runnerTypes.ts
@@ -0,0 +1,73 @@
+/**
+ * The types of a simulated runner: what it is started with, what tests can change, and what it has recorded.
+ *
+ * @module
+ */
+
+/** A runner's membership of a group. */
+export interface Membership {
+    readonly name: string;
+    readonly epoch: number;
+    readonly rank: number;
+    readonly members: readonly string[];
+    readonly model: string;
+    state: "joining" | "ready" | "open" | "closing" | "broken";
+}
+
+export interface RunnerOptions {
+    readonly id: string;
+    readonly service: string;
+    readonly zone: string;
+    /** The fabric domain; undefined for a plain service, which forms no groups. */
+    readonly domain?: string;
+    /** Addresses of the control daemons; a heartbeat tries them in order until one acknowledges it. */
+    controls(): readonly string[];
+    /** Looks up another runner, to check whether the group still has all its members. */
+    peer(id: string): Runner | undefined;
+    readonly heartbeatMs: number;
+    readonly joinMs: number;
+}
+
+/** A request as it reaches the runner, whether or not it is run. */
+export interface Arrival {
+    readonly id: string;
+    /** Time on the clock of `performance.now()`. */
+    readonly atMs: number;
+}
+
+/** One execution of a request. */
+export interface Run {
+    readonly id: string;
+    readonly runner: string;
+    readonly tenant: string | undefined;
+    /** Start time on the clock of `performance.now()`. */
+    readonly atMs: number;
+}
+
+export interface Runner {
+    readonly id: string;
+    readonly address: string;
+    readonly runs: Run[];
+    readonly arrivals: Arrival[];
+    /** The requests that were turned away with a pushback. */
+    readonly pushbacks: Arrival[];
+    readonly membership: Membership | undefined;
+    /** The number of join orders refused because of a stale epoch. */
+    readonly refusedJoins: number;
+    /** When true, the runner answers nothing and sends no heartbeats, like a VM that lost power. */
+    isPoweredOff: boolean;
+    /** Delays orders by this much and leaves them unanswered; 0 executes and answers them at once. */
+    orderDelayMs: number;
+    /** Resets the connection of each answer after this many events; undefined for no resets. */
+    resetAfterEvents: number | undefined;
+    /** Simulates a crash whenever a request with this path begins to run; the runner restarts under the same id. */
+    crashPath: string | undefined;
+    /** The limit in requests per second that answers state in the `server-limit` header; undefined for no header. */
+    limitPerSecond: number | undefined;
+    /** While set, requests are turned away with 503 and this `Retry-After`, in seconds. */
+    pushbackS: number | undefined;
+    /** The number of crashes so far. */
+    readonly crashes: number;
+    drain(): Promise<void>;
+    close(): Promise<void>;
+}
--- a/test/support/platformSite.ts
+++ b/test/support/platformSite.ts
@@ -44,7 +44,7 @@
     poolRunners(): Runner[];
     sendRequest(entry: number, method: string, path: string, more?: Partial<CallerRequest>): Promise<CallerAnswer>;
     /** Requests a stream from the site's only model; `path` begins with /caption/. */
-    requestCaption(entry: number, path?: string): Promise<CallerAnswer>;
+    requestCaption(entry: number, path?: string, id?: string): Promise<CallerAnswer>;
     publish(text: string, control?: number): Promise<number | undefined>;
     stop(): Promise<void>;
 }
@@ -74,8 +74,8 @@
         poolRunners: () => runners.filter(runner => runner.id.startsWith("i-pool")),
         sendRequest: (entry, method, path, overrides = {}) =>
             send(processes.callersAddress(processes.entries[entry]!), { id: `r${++requestCount}`, method, path, ...overrides }),
-        requestCaption: (entry, path = "/caption/1") =>
-            site.sendRequest(entry, "POST", path, { body: "x", headers: { "zinnialanding-model": "lm", "zinnialanding-token-usage": "20,30" } }),
+        requestCaption: (entry, path = "/caption/1", id = `r${++requestCount}`) =>
+            site.sendRequest(entry, "POST", path, { id, body: "x", headers: { "zinnialanding-model": "lm", "zinnialanding-token-usage": "20,30" } }),
         publish: async (text, control = 0) =>
             (await callControlDaemon(processes.controlAddress(processes.controls[control]!), "POST", "/api/config/put", text)).status,
         async stop() {
