Name the dependencies of the balancer

It took four functions by position, and one more is coming. No change of behaviour: linter, types, and the 18 tests of balancer, entry count and limits pass.

--- a/src/gateway/balancer.ts
+++ b/src/gateway/balancer.ts
@@ -81,14 +81,18 @@
  */
 const connectWeight = 2;
 
-/**
- * Creates a balancer without any observations. `random` is uniform in [0, 1), `entries` returns how many entries share the cold rate of an
- * upstream, and `shareOfLimit` returns the requests a second that this entry may send to an upstream, or undefined if it states no limit.
- */
-export function createBalancer(
-    nowMs: () => number, random: () => number, entries: () => number,
-    shareOfLimit: (upstream: Upstream) => number | undefined = () => undefined,
-): Balancer {
+export interface BalancerOptions {
+    nowMs(): number;
+    /** Returns a random number, uniform in [0, 1). */
+    random(): number;
+    /** Returns how many entries share the cold rate of an upstream. */
+    entries(): number;
+    /** Returns the requests per second that this entry may send to an upstream; undefined if the upstream states no limit. */
+    shareOfLimit?(upstream: Upstream): number | undefined;
+}
+
+/** Creates a balancer without any observations. */
+export function createBalancer({ nowMs, random, entries, shareOfLimit = () => undefined }: BalancerOptions): Balancer {
     const states = new Map<string, UpstreamState>();
 
     function stateOf(upstream: Upstream): UpstreamState {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -74,7 +74,9 @@
     const entryCount = createEntryCount(nowMs);
     const limits = createLimits(options.daemonId, logger, nowMs);
     const pushbacks = createPushbacks(logger, nowMs);
-    const balancer = createBalancer(nowMs, Math.random, () => entryCount.upperBound, limits.shareOf);
+    const balancer = createBalancer({
+        nowMs, random: Math.random, entries: () => entryCount.upperBound, shareOfLimit: limits.shareOf,
+    });
     const connections = createConnections();
     const crashes = createCrashLog(nowMs);
     const workload = createWorkload();
--- a/test/gateway/balancer.test.ts
+++ b/test/gateway/balancer.test.ts
@@ -8,7 +8,7 @@
 describe("choosing an upstream", () => {
     it("spreads a burst between two answers", () => {
         let nowMs = 0;
-        const balancer = createBalancer(() => nowMs, () => 0, () => 1);
+        const balancer = createBalancer({ nowMs: () => nowMs, random: () => 0, entries: () => 1 });
         const all = [candidate("u1"), candidate("u2"), candidate("u3")];
         const counts: Record<string, number> = {};
         for (let index = 0; index < 30; index++) {
@@ -23,7 +23,7 @@
     // Seven entries share nine groups, and each request takes half a second. If requests are spread evenly, an entry returns to a group
     // only after its connection there has been closed. An upstream with an open connection is preferred unless its load is higher.
     it("prefers an open connection while loads are close", () => {
-        const balancer = createBalancer(() => 0, () => 0, () => 1);
+        const balancer = createBalancer({ nowMs: () => 0, random: () => 0, entries: () => 1 });
         const [near, used] = [candidate("u1"), candidate("u2")];
         const withIdle = { ...options, hasIdle: ({ id }: { id: string }) => id === "u2" };
         const chosen = () => balancer.choose([near, used], withIdle)!.upstream.id;
@@ -35,7 +35,7 @@
     // Guards against detecting the failure of an idle head only by its missing heartbeats.
     it("reports an upstream as a suspect as soon as opening a connection to it fails", () => {
         let nowMs = 1_000;
-        const balancer = createBalancer(() => nowMs, () => 0, () => 1);
+        const balancer = createBalancer({ nowMs: () => nowMs, random: () => 0, entries: () => 1 });
         balancer.connectFailed(candidate("u1").upstream);
         expect([...balancer.suspectIds]).to.deep.equal(["u1"]);
         nowMs = 2_000;
@@ -45,7 +45,7 @@
     // The streams of a head whose group has lost a member are stalled. It gets no more requests while another head sends events.
     it("avoids a head whose streams are stalled", () => {
         let nowMs = 0;
-        const balancer = createBalancer(() => nowMs, () => 0, () => 1);
+        const balancer = createBalancer({ nowMs: () => nowMs, random: () => 0, entries: () => 1 });
         const [stalled, moving] = [candidate("u1"), candidate("u2", { dataCentre: "b" })];
         balancer.requestSent(stalled.upstream, false);
         balancer.streamStarted(stalled.upstream);
@@ -64,7 +64,7 @@
     // sign of a stalled head. If retried elsewhere, each prompt would be read a second time, and its stream would be queued there.
     it("doesn't count a head as stalled for streams that are only queued", () => {
         let nowMs = 0;
-        const balancer = createBalancer(() => nowMs, () => 0, () => 1);
+        const balancer = createBalancer({ nowMs: () => nowMs, random: () => 0, entries: () => 1 });
         const { upstream } = candidate("u1");
         balancer.requestSent(upstream, false);
         balancer.streamStarted(upstream);
@@ -78,7 +78,7 @@
     // vain until its caller leaves; it is refused with a Retry-After instead.
     it("adds no requests to a late queue that makes no progress", () => {
         let nowMs = 0;
-        const balancer = createBalancer(() => nowMs, () => 0, () => 1);
+        const balancer = createBalancer({ nowMs: () => nowMs, random: () => 0, entries: () => 1 });
         const { upstream } = candidate("u1");
         const isStalled = () => balancer.isLateQueueStalled(upstream, 500);
         const estimates = () => [balancer.onTimeEstimate(upstream), balancer.lateEstimate(upstream), isStalled()];
@@ -97,7 +97,7 @@
     // others who would leave unserved as well. So the late queue is blocked for some seconds.
     it("blocks a late queue for a while after a caller has left it unserved", () => {
         let nowMs = 0;
-        const balancer = createBalancer(() => nowMs, () => 0, () => 1);
+        const balancer = createBalancer({ nowMs: () => nowMs, random: () => 0, entries: () => 1 });
         const { upstream } = candidate("u1");
         balancer.requestSent(upstream, false);
         const sentAtMs = balancer.lateQueued(upstream);
@@ -114,7 +114,7 @@
         const arrival = fc.record({ entry: fc.integer({ min: 0, max: 11 }), stepMs: fc.integer({ min: 0, max: 20 }) });
         fc.assert(fc.property(fc.array(arrival, { maxLength: 800 }), arrivals => {
             let nowMs = 0;
-            const entries = Array.from({ length: 12 }, () => createBalancer(() => nowMs, () => 0, () => 12));
+            const entries = Array.from({ length: 12 }, () => createBalancer({ nowMs: () => nowMs, random: () => 0, entries: () => 12 }));
             const cold = candidate("u1", { coldUntilMs: 1e9 });
             const sentAtMs: number[] = [];
             for (const { entry, stepMs } of arrivals) {
--- a/test/gateway/entryCount.test.ts
+++ b/test/gateway/entryCount.test.ts
@@ -82,7 +82,8 @@
         const arrival = fc.record({ entry: fc.nat(59), stepMs: fc.nat(20) });
         fc.assert(fc.property(fc.integer({ min: 1, max: 60 }), fc.array(arrival, { maxLength: 600 }), (entries, arrivals) => {
             let nowMs = 0;
-            const balancers = Array.from({ length: entries }, () => createBalancer(() => nowMs, () => 0, () => entries));
+            const balancers = Array.from({ length: entries }, () =>
+                createBalancer({ nowMs: () => nowMs, random: () => 0, entries: () => entries }));
             const cold = candidate("u1", { coldUntilMs: 1e9 });
             const sentAtMs: number[] = [];
             for (const { entry, stepMs } of arrivals) {
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -79,7 +79,7 @@
     let repeatsLeft = maxRepeats;
     const server = await listenForCallers(`127.0.0.1:${port}`, {
         names: headerNames, view, logger, connections, dataCentre: "a", nowMs, random: () => 0.5,
-        balancer: createBalancer(nowMs, () => 0, () => 1, ({ id }) => rateLimits[id]),
+        balancer: createBalancer({ nowMs, random: () => 0, entries: () => 1, shareOfLimit: ({ id }) => rateLimits[id] }),
         mayRetry: () => repeatsLeft-- > 0,
         queueLimits: () => queueCapacity,
         recordOutcome: outcome => outcomes.push(outcome),
--- a/test/support/limitedSite.ts
+++ b/test/support/limitedSite.ts
@@ -54,7 +54,8 @@
     function createEntry(id: string, rate: number): Entry {
         const limits = createLimits(id, logger, () => nowMs);
         return {
-            id, requestsPerSecond: rate, limits, balancer: createBalancer(() => nowMs, random, () => entries.length, limits.shareOf),
+            id, requestsPerSecond: rate, limits,
+            balancer: createBalancer({ nowMs: () => nowMs, random, entries: () => entries.length, shareOfLimit: limits.shareOf }),
             isUp: true, isFrozen: false, isDisconnected: false, requests: 0, limitKnownAtMs: undefined,
         };
     }
