Send nothing more to an upstream that says in an answer that it leaves

An upstream whose heartbeats are cut off, or that an entry out of touch with control still uses, got requests until its process ended: 55 in two seconds after the time allowed, from two entries.

Entries mark the upstream as draining at once, whatever control says of this incarnation, and report it until it is gone; the control leader publishes it, so that other entries and the planner know it as well. For that, draining holds within an incarnation like a departure: no announcement, later, delayed or relayed, takes it back (directory.ts). An answer with 421 of another upstream at the address no longer counts as a statement of the one that had it before; its load did.

Control daemons go before entries in an upgrade: reports have a new field.

--- a/src/feed/frames.ts
+++ b/src/feed/frames.ts
@@ -5,7 +5,7 @@
  */
 
 import { z } from "zod";
-import { relayedLimitSchema, relayedUpstreamSchema } from "../fleet/index.js";
+import { incarnationSchema, relayedLimitSchema, relayedUpstreamSchema } from "../fleet/index.js";
 
 /** The text of the newest published site that the sender has applied. */
 const siteFrameSchema = z.strictObject({
@@ -82,6 +82,8 @@
     crashes: z.array(z.strictObject({ fingerprint: z.string(), upstream: z.string() })),
     /** Limits that upstreams have stated in their responses to this entry. */
     limits: z.array(relayedLimitSchema),
+    /** Upstreams that have said in a response to this entry that they leave. */
+    draining: z.array(incarnationSchema).default([]),
 });
 /** The observations of one entry since its previous report. */
 export type Report = z.infer<typeof reportSchema>;
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -2,8 +2,8 @@
  * The upstreams that have announced themselves, merged from announcements made to this process and upstreams relayed by other processes.
  *
  * Invariants: of two announcements with the same id, the later incarnation wins and, within an incarnation, the higher sequence number,
- * regardless of the order of arrival. An upstream that has left never returns in the same incarnation. Thus a delayed announcement of a
- * crashed incarnation can't replace the one that has since started at the same address.
+ * regardless of the order of arrival. An upstream that drains or has left never returns in the same incarnation. Thus a delayed
+ * announcement of a crashed incarnation can't replace the one that has since started at the same address.
  *
  * Most announcements only repeat what is known. Such an announcement takes constant time however many upstreams there are: the directory
  * is changed in place and has an index by address.
@@ -11,7 +11,7 @@
  * @module
  */
 
-import type { Announcement, RelayedUpstream, Upstream } from "./types.js";
+import type { Announcement, Incarnation, RelayedUpstream, Upstream } from "./types.js";
 
 /** The upstreams by id. */
 export type DirectoryState = ReadonlyMap<string, Upstream>;
@@ -30,6 +30,8 @@
     announce(announcement: Announcement, nowMs: number): readonly Upstream[];
     /** Merges upstreams relayed by another process. */
     merge(relayed: readonly RelayedUpstream[], nowMs: number): readonly Upstream[];
+    /** Marks an incarnation as draining, because an answer of it says so. Its announcements may not get through. */
+    markDraining(incarnation: Incarnation): readonly Upstream[];
     /** Marks an upstream that has announced its departure as gone. */
     depart(id: string): readonly Upstream[];
     /** Marks an upstream as gone because its process has certainly ended. */
@@ -51,29 +53,43 @@
     return later.sequence > earlier.sequence;
 }
 
-/** Returns the upstream as announced at `nowMs`; undefined if something newer is known. */
+/** Whether an upstream drains or has left. Within an incarnation it never goes back, whatever is heard later. */
+type Departure = Pick<Upstream, "state" | "isGone" | "hasLeft">;
+
+function mergeDeparture(a: Departure, b: Departure): Departure {
+    const state = a.state === "draining" || b.state === "draining" ? "draining" : "ready";
+    return { state, isGone: a.isGone || b.isGone, hasLeft: a.hasLeft || b.hasLeft };
+}
+
+/** Returns the upstream with what an older statement about it adds, which is only that it drains or has left; undefined if nothing does. */
+function mergeOlder(known: Upstream, older: Announcement & Departure): Upstream | undefined {
+    if (known.bornMs !== older.bornMs) {
+        return undefined;
+    }
+    const { state, isGone, hasLeft } = mergeDeparture(known, older);
+    const isNews = state !== known.state || isGone !== known.isGone;
+    return isNews ? { ...known, state, isGone, hasLeft: known.isGone ? known.hasLeft : hasLeft } : undefined;
+}
+
+/** Returns the upstream as announced at `nowMs`; undefined if nothing changes. */
 function announcedUpstream(known: Upstream | undefined, announcement: Announcement, nowMs: number): Upstream | undefined {
+    const present = { ...announcement, isGone: false, hasLeft: false };
     if (known !== undefined && !supersedes(announcement, known)) {
-        return undefined;
+        return mergeOlder(known, present);
     }
-    const isSameIncarnation = known?.bornMs === announcement.bornMs;
-    const coldUntilMs = nowMs + announcement.coldForMs;
-    const departure = isSameIncarnation ? { isGone: known.isGone, hasLeft: known.hasLeft } : { isGone: false, hasLeft: false };
-    return { ...announcement, heardAtMs: nowMs, coldUntilMs, ...departure };
+    const departure = known?.bornMs === announcement.bornMs ? mergeDeparture(known, present) : {};
+    return { ...present, heardAtMs: nowMs, coldUntilMs: nowMs + announcement.coldForMs, ...departure };
 }
 
 /** Returns the upstream merged with its relayed state; undefined if nothing changes. */
 function mergeUpstream(known: Upstream | undefined, relayed: RelayedUpstream, nowMs: number): Upstream | undefined {
-    const { heardAgoMs, isGone, hasLeft, ...announcement } = relayed;
-    const isSameIncarnation = known !== undefined && known.bornMs === relayed.bornMs;
-    const wasGone = isSameIncarnation && known.isGone;
-    const hadLeft = isSameIncarnation && known.hasLeft;
-    if (known !== undefined && !supersedes(announcement, known)) {
-        return isGone && isSameIncarnation && !known.isGone ? { ...known, isGone, hasLeft } : undefined;
+    if (known !== undefined && !supersedes(relayed, known)) {
+        return mergeOlder(known, relayed);
     }
+    const { heardAgoMs, ...present } = relayed;
     const heardAtMs = nowMs - heardAgoMs;
-    const coldUntilMs = heardAtMs + announcement.coldForMs;
-    return { ...announcement, heardAtMs, coldUntilMs, isGone: isGone || wasGone, hasLeft: hasLeft || hadLeft };
+    const departure = known?.bornMs === relayed.bornMs ? mergeDeparture(known, relayed) : {};
+    return { ...present, heardAtMs, coldUntilMs: heardAtMs + relayed.coldForMs, ...departure };
 }
 
 /**
@@ -193,6 +209,10 @@
             }
             return byId(changed);
         },
+        markDraining({ id, bornMs }) {
+            const known = upstreams.get(id);
+            return update(known?.bornMs === bornMs && known.state !== "draining" ? { ...known, state: "draining" } : undefined);
+        },
         depart(id) {
             const known = upstreams.get(id);
             return update(known === undefined || known.isGone ? undefined : { ...known, isGone: true, hasLeft: true });
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -55,6 +55,10 @@
     readonly hasLeft: boolean;
 }
 
+/** One life of an upstream's process. */
+export const incarnationSchema = z.strictObject({ id: name, bornMs: z.number().int() });
+export type Incarnation = z.infer<typeof incarnationSchema>;
+
 /** An upstream in the form that is relayed to other processes. */
 export const relayedUpstreamSchema = z.strictObject({
     ...announcementSchema.shape,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -156,13 +156,13 @@
         return headerValue(rawHeaders, "content-encoding") === undefined ? undefined : "the answer is encoded";
     }
 
-    /** Records the limit that the answer states. A refusal without one is ignored, since it may come from a proxy before the upstream. */
-    function recordLimit({ limitPerSecond }: UpstreamSignals) {
-        if (limitPerSecond !== undefined || status < 300) {
-            dependencies.recordLimit(upstream, limitPerSecond, sentAtMs);
-        }
+    /** Whether the answer comes from another upstream, which has taken over the address. */
+    function isFromOtherUpstream(): boolean {
+        return status === 421 && headerValue(rawHeaders, names.faultyUpstreamId) === undefined &&
+            headerValue(rawHeaders, names.servedBy) !== upstream.id;
     }
 
+    /** Records what holds for the upstream even if the answer belongs to another request. */
     function recordLoadAndPushback({ load, pushbackMs }: UpstreamSignals) {
         if (load !== undefined) {
             balancer.loadReported(upstream, load.running, load.waiting);
@@ -172,9 +172,22 @@
         }
     }
 
+    /** A refusal without a limit doesn't end a stated one, since it may come from a proxy before the upstream. */
+    function recordLimitAndLeaving({ limitPerSecond, isLeaving }: UpstreamSignals) {
+        if (limitPerSecond !== undefined || status < 300) {
+            dependencies.recordLimit(upstream, limitPerSecond, sentAtMs);
+        }
+        if (isLeaving) {
+            view.markDraining(upstream);
+        }
+    }
+
     function onHead(headStatus: number, raw: string[]) {
         status = headStatus;
         rawHeaders = raw;
+        if (isFromOtherUpstream()) {
+            return;
+        }
         const signals = readSignals(status, rawHeaders, names);
         recordLoadAndPushback(signals);
         const foreign = status === 421 ? undefined : foreignReason();
@@ -182,7 +195,7 @@
             abandon(foreign);
             return;
         }
-        recordLimit(signals);
+        recordLimitAndLeaving(signals);
         if (status < 300 && isStream) {
             // A continued stream keeps the headers of its first upstream, since `start` has no effect the second time.
             answer.start(status, forwardedHeaders(raw, new Set(["date", "content-length"])));
@@ -223,9 +236,7 @@
     }
 
     function onMisdirected() {
-        const isOtherUpstream = headerValue(rawHeaders, names.faultyUpstreamId) === undefined &&
-            headerValue(rawHeaders, names.servedBy) !== upstream.id;
-        if (isOtherUpstream) {
+        if (isFromOtherUpstream()) {
             view.markGone(upstream);
         }
         fail({ kind: "not-run", reason: "it was sent to the wrong upstream", isUpstreamAtFault: true, isUnsent: false });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -98,7 +98,7 @@
         reportedSuspects = suspectIds;
         watcher.report({
             workByModel: workload.drain(), requests, suspectIds: [...suspectIds], movingIds: [...movingIds], crashes: [...crashes.recent],
-            limits: limits.observedLimits(),
+            limits: limits.observedLimits(), draining: [...view.observedDraining],
         });
         requests = 0;
     }
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -24,6 +24,8 @@
     readonly load: string;
     /** Requests a second that an overloaded upstream accepts from all entries together. */
     readonly limit: string;
+    /** "1" in every answer of an upstream that is about to leave. */
+    readonly leaving: string;
     readonly model: string;
     readonly tokens: string;
     readonly lastEventId: string;
--- a/src/gateway/signals.ts
+++ b/src/gateway/signals.ts
@@ -13,8 +13,11 @@
     readonly limitPerSecond: number | undefined;
     /** How long the upstream wants no requests from this VM; undefined if it doesn't push back. */
     readonly pushbackMs: number | undefined;
+    /** Whether the upstream is about to leave. */
+    readonly isLeaving: boolean;
 }
 
+const leavingMark = "1";
 const msPerSecond = 1_000;
 /** The statuses of a request that was turned away, of which RFC 9110 and RFC 6585 define `Retry-After` as a pushback. */
 const pushbackStatuses: ReadonlySet<number> = new Set([429, 503]);
@@ -47,5 +50,6 @@
         load: parseLoad(headerValue(rawHeaders, names.load)),
         limitPerSecond: parseAmount(headerValue(rawHeaders, names.limit)),
         pushbackMs: pushbackStatuses.has(status) ? parseRetryAfterMs(rawHeaders) : undefined,
+        isLeaving: headerValue(rawHeaders, names.leaving)?.trim() === leavingMark,
     };
 }
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -7,7 +7,7 @@
  */
 
 import type { Frame } from "../feed/index.js";
-import { createDirectory, reportedGroups, type Upstream } from "../fleet/index.js";
+import { createDirectory, type Incarnation, reportedGroups, type Upstream } from "../fleet/index.js";
 import { createSiteTable, type SiteDialect, type SiteTable } from "../site/index.js";
 import type { Logger } from "../telemetry/index.js";
 
@@ -28,6 +28,10 @@
     candidates(service: string, model: string | undefined): readonly Candidate[];
     /** Marks an upstream as gone, because another one answers at its address. */
     markGone(upstream: Upstream): void;
+    /** Marks an upstream as draining, because an answer of it says that it leaves. It gets no more requests in this incarnation. */
+    markDraining(upstream: Upstream): void;
+    /** The upstreams marked as draining by this entry that are not gone yet, to be reported to the control leader. */
+    readonly observedDraining: readonly Incarnation[];
     /** Marks an upstream as refusing connections. It gets no requests until a control daemon has heard from it after that. */
     markRefusing(upstream: Upstream): void;
     readonly addresses: ReadonlySet<string>;
@@ -45,6 +49,7 @@
     let barred: ReadonlySet<string> = new Set();
     let controls: readonly string[] = [];
     let candidateLists: Map<string, Candidate[]> | undefined;
+    let observedDraining: readonly Incarnation[] = [];
     /** When upstreams refused connections, by id. */
     const refusing = new Map<string, { readonly bornMs: number; readonly atMs: number }>();
 
@@ -160,6 +165,21 @@
                 logger.info("another upstream answers at this address", { upstream: upstream.id, address: upstream.address });
             }
         },
+        markDraining({ id, bornMs, address }) {
+            const changed = directory.markDraining({ id, bornMs });
+            if (changed.length > 0) {
+                observedDraining = [...observedDraining, { id, bornMs }];
+                candidateLists = undefined;
+                logger.info("upstream says that it leaves", { upstream: id, address });
+            }
+        },
+        get observedDraining() {
+            observedDraining = observedDraining.filter(({ id, bornMs }) => {
+                const known = directory.upstreams.get(id);
+                return known?.bornMs === bornMs && !known.isGone;
+            });
+            return observedDraining;
+        },
         markRefusing({ id, bornMs, address }) {
             refusing.set(id, { bornMs, atMs: performance.now() });
             candidateLists = undefined;
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -129,6 +129,7 @@
     function onReport(daemonId: string, received: Report) {
         groupLeader.recordReport(received);
         limitDistributor.recordReport(daemonId, received, publishLimits);
+        publishChanged(received.draining.flatMap(incarnation => directory.markDraining(incarnation)));
         void recordCrashes(received.crashes);
     }
 
--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -62,6 +62,7 @@
         crashPath: undefined,
         limitPerSecond: undefined,
         pushbackS: undefined,
+        saysLeaving: false,
         get crashes() {
             return crashes;
         },
@@ -163,13 +164,17 @@
         });
     }
 
-    function limitHeader(): Record<string, string> {
-        return runner.limitPerSecond === undefined ? {} : { "server-limit": String(runner.limitPerSecond) };
+    /** Headers by which the runner states its needs. */
+    function statementHeaders(): Record<string, string> {
+        return {
+            ...runner.limitPerSecond === undefined ? {} : { "server-limit": String(runner.limitPerSecond) },
+            ...runner.saysLeaving ? { "server-leaving": "1" } : {},
+        };
     }
 
     async function handleRequest(message: IncomingMessage, response: ServerResponse) {
         const id = message.headers["zinnialanding-attempt-id"] as string;
-        const commonHeaders = { "zinnialanding-attempt-id": id, "zinnialanding-served-by": options.id, "zinnialanding-instance-load": "1,0,8", ...limitHeader() };
+        const commonHeaders = { "zinnialanding-attempt-id": id, "zinnialanding-served-by": options.id, "zinnialanding-instance-load": "1,0,8", ...statementHeaders() };
         const targetInstance = message.headers["zinnialanding-target-instance"];
         await readBody(message);
         if (targetInstance !== undefined && targetInstance !== options.id) {
@@ -257,7 +262,7 @@
             setTimeout(() => executeOrder(order), runner.orderDelayMs);
             return;
         }
-        response.writeHead(executeOrder(order)).end("{}");
+        response.writeHead(executeOrder(order), statementHeaders()).end("{}");
     }
 
     const server: Server = createServer((message, response) => {
@@ -268,7 +273,7 @@
             void handleOrder(message, response);
         }
         else if (message.url === "/api/report") {
-            response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify({ ...reportFields(), seq: orderSeq, queued: 0, running: 0 }));
+            response.writeHead(200, { "content-type": "application/json", ...statementHeaders() }).end(JSON.stringify({ ...reportFields(), seq: orderSeq, queued: 0, running: 0 }));
         }
         else {
             void handleRequest(message, response);
--- a/standin/platform/runnerTypes.ts
+++ b/standin/platform/runnerTypes.ts
@@ -66,6 +66,8 @@
     limitPerSecond: number | undefined;
     /** While set, requests are turned away with 503 and this `Retry-After`, in seconds. */
     pushbackS: number | undefined;
+    /** Whether all answers say that the runner leaves. Its heartbeats don't. */
+    saysLeaving: boolean;
     /** The number of crashes so far. */
     readonly crashes: number;
     drain(): Promise<void>;
--- a/test/fleet/directory.test.ts
+++ b/test/fleet/directory.test.ts
@@ -43,6 +43,20 @@
         expect(get("u1").isGone).to.equal(false);
     });
 
+    // Guards against sending requests to an upstream that has said that it leaves, because of an announcement from before that or after it.
+    it("keeps an upstream draining until its next incarnation, also if only one process has seen that it drains", () => {
+        directory.announce(announcementOf({ sequence: 3 }), 10);
+        expect(directory.markDraining({ id: "u1", bornMs: 2 })).to.deep.equal([]);
+        expect(directory.markDraining({ id: "u1", bornMs: 1 }).map(({ id }) => id)).to.deep.equal(["u1"]);
+        directory.announce(announcementOf({ sequence: 4 }), 20);
+        expect(get("u1").state).to.equal("draining");
+        const other = createDirectoryOf({ sequence: 9 });
+        other.merge([toRelayed(get("u1"), 30)], 30);
+        expect(other.upstreams.get("u1")!.state).to.equal("draining");
+        directory.announce(announcementOf({ bornMs: 2 }), 40);
+        expect(get("u1").state).to.equal("ready");
+    });
+
     // Guards against sending requests to the upstream of another service that reuses the address.
     it("marks the previous upstream at an address as gone", () => {
         directory.announce(announcementOf(), 10);
@@ -89,7 +103,7 @@
             stagedModels: fc.constantFrom<string[]>([], ["lm"]),
         });
         const change = fc.record({
-            kind: fc.constantFrom("announce", "announce", "merge", "merge", "depart", "heard", "expire"), stepMs: fc.nat(9_000),
+            kind: fc.constantFrom("announce", "announce", "merge", "merge", "drain", "depart", "heard", "expire"), stepMs: fc.nat(9_000),
             items: fc.array(announcement, { minLength: 1, maxLength: 3 }),
             isGone: fc.boolean(), hasLeft: fc.boolean(), agoMs: fc.nat(20_000),
         });
@@ -111,6 +125,10 @@
                     model = plain.mergeRelayed(model, relayed, nowMs);
                     published = changing.merge(relayed, nowMs);
                 }
+                else if (kind === "drain") {
+                    model = plain.applyDraining(model, first);
+                    published = changing.markDraining(first);
+                }
                 else if (kind === "depart") {
                     model = plain.applyDeparture(model, first.id);
                     published = changing.depart(first.id);
--- a/test/gateway/signals.test.ts
+++ b/test/gateway/signals.test.ts
@@ -13,6 +13,8 @@
             limit: read(200, "Server-Limit", "2.5"),
             pushback: read(503, "Retry-After", "3"),
             fractionalPushback: read(429, "retry-after", "0.25"),
+            leaving: read(503, "Server-Leaving", "1"),
+            notLeaving: read(200, "Server-Leaving", "0"),
             pushbackUntilDate: read(503, ...date, "Retry-After", "Thu, 03 Dec 2026 10:00:04 GMT"),
         }).toMatchSnapshot();
     });
--- a/test/siteControl/groupLeader.test.ts
+++ b/test/siteControl/groupLeader.test.ts
@@ -68,7 +68,7 @@
     return { ...createLeader(members, member.id), head };
 }
 
-const baseReport = { workByModel: {}, requests: 1, crashes: [], limits: [] };
+const baseReport = { workByModel: {}, requests: 1, crashes: [], limits: [], draining: [] };
 
 describe("control leader with groups", () => {
     // Guards against a slow repair, for which callers wait: when a member fails, the streams at the head stall and an entry reports this
--- a/test/support/plainDirectory.ts
+++ b/test/support/plainDirectory.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Announcement, HeardUpstream, RelayedUpstream, Upstream } from "../../src/fleet/index.js";
+import type { Announcement, HeardUpstream, Incarnation, RelayedUpstream, Upstream } from "../../src/fleet/index.js";
 
 export type DirectoryState = ReadonlyMap<string, Upstream>;
 
@@ -45,12 +45,13 @@
 export function applyAnnouncement(state: DirectoryState, announcement: Announcement, nowMs: number): DirectoryState {
     const known = state.get(announcement.id);
     if (known !== undefined && !supersedes(announcement, known)) {
-        return state;
+        return announcement.state === "draining" ? applyDraining(state, announcement) : state;
     }
     const isSameIncarnation = known?.bornMs === announcement.bornMs;
     const coldUntilMs = nowMs + announcement.coldForMs;
     const departure = isSameIncarnation ? { isGone: known.isGone, hasLeft: known.hasLeft } : { isGone: false, hasLeft: false };
-    return withUpstream(state, { ...announcement, heardAtMs: nowMs, coldUntilMs, ...departure });
+    const isDraining = announcement.state === "draining" || (isSameIncarnation && known.state === "draining");
+    return withUpstream(state, { ...announcement, heardAtMs: nowMs, coldUntilMs, ...departure, state: isDraining ? "draining" : "ready" });
 }
 
 /** Merges upstreams relayed by another process. */
@@ -71,12 +72,22 @@
     const isSameIncarnation = known !== undefined && known.bornMs === relayed.bornMs;
     const wasGone = isSameIncarnation && known.isGone;
     const hadLeft = isSameIncarnation && known.hasLeft;
+    const isDraining = relayed.state === "draining" || (isSameIncarnation && known.state === "draining");
+    const state = isDraining ? "draining" : "ready";
     if (known !== undefined && !supersedes(announcement, known)) {
-        return isGone && isSameIncarnation && !known.isGone ? { ...known, isGone, hasLeft } : undefined;
+        const hasGone = isGone && isSameIncarnation && !known.isGone;
+        const startsDraining = isSameIncarnation && isDraining && known.state === "ready";
+        return hasGone || startsDraining ? { ...known, state, ...hasGone ? { isGone, hasLeft } : {} } : undefined;
     }
     const heardAtMs = nowMs - heardAgoMs;
     const coldUntilMs = heardAtMs + announcement.coldForMs;
-    return { ...announcement, heardAtMs, coldUntilMs, isGone: isGone || wasGone, hasLeft: hasLeft || hadLeft };
+    return { ...announcement, heardAtMs, coldUntilMs, state, isGone: isGone || wasGone, hasLeft: hasLeft || hadLeft };
+}
+
+/** Marks an incarnation as draining. */
+export function applyDraining(state: DirectoryState, { id, bornMs }: Incarnation): DirectoryState {
+    const known = state.get(id);
+    return known?.bornMs === bornMs ? withUpstream(state, { ...known, state: "draining" }) : state;
 }
 
 /** Marks an upstream that has announced its departure as gone. */
