Keep to pushbacks in probes and orders too, and read what their answers state

The same cause on the other ways to an upstream: the control leader's probes and orders come from a VM that may have been pushed back through the entry on it, and its client dropped the headers of all answers, so that an engine that leaves or pushes back there was not heard.

Answers of engines carry their signals now: one that leaves is marked as draining and published, a pushback is kept and told to the entry on the same VM, whose own pushbacks come with its reports. While an upstream has pushed back, the leader doesn't probe it, and the planner holds its orders back and gives them again when the time is over. Processes of one VM know each other by the host of their addresses.

--- a/src/feed/frames.ts
+++ b/src/feed/frames.ts
@@ -5,7 +5,7 @@
  */
 
 import { z } from "zod";
-import { incarnationSchema, relayedLimitSchema, relayedUpstreamSchema } from "../fleet/index.js";
+import { incarnationSchema, relayedLimitSchema, relayedPushbackSchema, relayedUpstreamSchema } from "../fleet/index.js";
 
 /** The text of the newest published site that the sender has applied. */
 const siteFrameSchema = z.strictObject({
@@ -62,9 +62,12 @@
     limits: z.array(relayedLimitSchema),
 });
 
+/** Pushbacks that the control daemon on the VM `vm` has received, for the entry on the same VM. */
+const pushbacksFrameSchema = z.strictObject({ kind: z.literal("pushbacks"), vm: z.string(), pushbacks: z.array(relayedPushbackSchema) });
+
 export const frameSchema = z.discriminatedUnion("kind", [
     siteFrameSchema, evacuatedFrameSchema, upstreamsFrameSchema, heardFrameSchema, aliveFrameSchema, controlsFrameSchema, judgedFrameSchema,
-    limitsFrameSchema,
+    limitsFrameSchema, pushbacksFrameSchema,
 ]);
 export type Frame = z.infer<typeof frameSchema>;
 export type AliveFrame = z.infer<typeof aliveFrameSchema>;
@@ -84,6 +87,9 @@
     limits: z.array(relayedLimitSchema),
     /** Upstreams that have said in a response to this entry that they leave. */
     draining: z.array(incarnationSchema).default([]),
+    /** The host address of the entry's VM, and the pushbacks that it has received. They bind the control daemon on the same VM as well. */
+    vm: z.string().optional(),
+    pushbacks: z.array(relayedPushbackSchema).default([]),
 });
 /** The observations of one entry since its previous report. */
 export type Report = z.infer<typeof reportSchema>;
--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -59,7 +59,7 @@
 /** The frame kinds of `WatchScope.CONTENT`. */
 const contentKinds: readonly FrameKind[] = ["site", "upstreams", "heard"];
 /** The frame kinds of `WatchScope.SIGNS`. */
-const signKinds: readonly FrameKind[] = ["controls", "evacuated", "judged", "alive", "limits"];
+const signKinds: readonly FrameKind[] = ["controls", "evacuated", "judged", "alive", "limits", "pushbacks"];
 
 function kindsForRequest({ isEntry, scope }: WatchSiteRequest): readonly FrameKind[] {
     if (!isEntry) {
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -2,4 +2,5 @@
 export * from "./groups.js";
 export * from "./limits.js";
 export * from "./pushbacks.js";
+export * from "./signals.js";
 export * from "./types.js";
--- /dev/null
+++ b/src/fleet/signals.ts
@@ -0,0 +1,16 @@
+/**
+ * What an answer of an upstream states about the upstream itself, beside the answer to the request.
+ *
+ * @module
+ */
+
+export interface UpstreamSignals {
+    /** The requests at the upstream when it answered; undefined if it doesn't state them. */
+    readonly load: { readonly running: number; readonly waiting: number } | undefined;
+    /** Requests per second that the upstream accepts from all entries together; undefined if it states no limit. */
+    readonly limitPerSecond: number | undefined;
+    /** How long the upstream wants no requests from this VM; undefined if it doesn't push back. */
+    readonly pushbackMs: number | undefined;
+    /** Whether the upstream is about to leave. */
+    readonly isLeaving: boolean;
+}
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,15 +5,14 @@
  * @module
  */
 
-import type { Upstream } from "../fleet/index.js";
+import type { Pushbacks, Upstream, UpstreamSignals } from "../fleet/index.js";
 import type { CallerAnswer } from "./answer.js";
 import type { ParsedRequest } from "./parsedRequest.js";
 import type { Balancer } from "./balancer.js";
 import type { Connections, ExchangeRequest } from "./connections.js";
 import type { EventSplitter } from "./events.js";
 import { type HeaderNames, forwardedHeaders, headerValue } from "./headers.js";
-import type { Pushbacks } from "./pushbacks.js";
-import { readSignals, type UpstreamSignals } from "./signals.js";
+import { readSignals } from "./signals.js";
 import type { SiteView } from "./siteView.js";
 
 export interface UpstreamAnswer {
@@ -168,7 +167,7 @@
             balancer.loadReported(upstream, load.running, load.waiting);
         }
         if (pushbackMs !== undefined) {
-            dependencies.pushbacks.record(upstream, pushbackMs);
+            dependencies.pushbacks.record(upstream.id, pushbackMs);
         }
     }
 
--- a/src/gateway/balancer.ts
+++ b/src/gateway/balancer.ts
@@ -93,7 +93,7 @@
     /** Returns the requests per second that this entry may send to an upstream; undefined if the upstream states no limit. */
     shareOfLimit?(upstream: Upstream): number | undefined;
     /** Returns how much longer an upstream wants no requests from this entry, in ms; 0 if it accepts them. */
-    pushbackLeftMs?(upstream: Upstream): number;
+    pushbackLeftMs?(upstreamId: string): number;
 }
 
 /** Creates a balancer without any observations. */
@@ -135,7 +135,8 @@
 
     function mayReceive(upstream: Upstream, coldRequestsPerSecond: number): boolean {
         const state = stateOf(upstream);
-        return pushbackLeftMs(upstream) === 0 && isWithinColdRate(upstream, state, coldRequestsPerSecond) && isWithinLimit(upstream, state);
+        return pushbackLeftMs(upstream.id) === 0 && isWithinColdRate(upstream, state, coldRequestsPerSecond) &&
+            isWithinLimit(upstream, state);
     }
 
     return {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,8 @@
 
 import { RetryBudget } from "../admission/index.js";
 import { createFeedWatcher } from "../feed/index.js";
+import { createPushbacks } from "../fleet/index.js";
+import { splitAddress } from "../rpc/index.js";
 import type { SiteDialect } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createBalancer } from "./balancer.js";
@@ -15,7 +17,6 @@
 import type { HeaderNames } from "./headers.js";
 import { createLoopTicks } from "./loopTicks.js";
 import { createLimits } from "./limits.js";
-import { createPushbacks } from "./pushbacks.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSiteView } from "./siteView.js";
 import { queueLimitsFor } from "./work.js";
@@ -73,7 +74,7 @@
     const view = createSiteView(options.dialect, logger);
     const entryCount = createEntryCount(nowMs);
     const limits = createLimits(options.daemonId, logger, nowMs);
-    const pushbacks = createPushbacks(logger, nowMs);
+    const pushbacks = createPushbacks(nowMs, (upstream, forMs) => logger.info("upstream wants no requests", { upstream, forMs }));
     const balancer = createBalancer({
         nowMs, random: Math.random, entries: () => entryCount.upperBound, shareOfLimit: limits.shareOf,
         pushbackLeftMs: pushbacks.leftMs,
@@ -81,6 +82,7 @@
     const connections = createConnections();
     const crashes = createCrashLog(nowMs);
     const workload = createWorkload();
+    const vm = splitAddress(options.callerAddress).host;
     const { ratio, slack } = options.retries;
     const budgets = new Map<string, RetryBudget>();
     let requests = 0;
@@ -99,6 +101,7 @@
         watcher.report({
             workByModel: workload.drain(), requests, suspectIds: [...suspectIds], movingIds: [...movingIds], crashes: [...crashes.recent],
             limits: limits.observedLimits(), draining: [...view.observedDraining],
+            vm, pushbacks: pushbacks.relayed(),
         });
         requests = 0;
     }
@@ -125,6 +128,9 @@
             if (frame.kind === "limits") {
                 limits.applyDivision(frame);
             }
+            if (frame.kind === "pushbacks" && frame.vm === vm) {
+                pushbacks.merge(frame.pushbacks);
+            }
             if (frame.kind === "controls") {
                 watcher.watch(frame.addresses);
             }
@@ -165,7 +171,7 @@
     metrics.registerGauge("zinnialanding_upstream_connections", () => connections.open);
     metrics.registerGauge("zinnialanding_site_version", () => view.version);
     metrics.registerGauge("zinnialanding_upstreams_limited", () => limits.count);
-    metrics.registerGauge("zinnialanding_upstreams_pushing_back", () => pushbacks.count);
+    metrics.registerGauge("zinnialanding_upstreams_pushing_back", () => pushbacks.relayed().length);
     metrics.registerGauge("zinnialanding_control_daemons_heard", () => watcher.heard.length);
 
     const loopTicks = createLoopTicks(nowMs);
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -143,7 +143,7 @@
 
     /** The time until the first of the candidates accepts requests; 0 if one has not pushed back or there is none. */
     function pushbackLeftMs(candidates: readonly Candidate[]): number {
-        return candidates.length === 0 ? 0 : Math.min(...candidates.map(({ upstream }) => dependencies.pushbacks.leftMs(upstream)));
+        return candidates.length === 0 ? 0 : Math.min(...candidates.map(({ upstream }) => dependencies.pushbacks.leftMs(upstream.id)));
     }
 
     function reasonWithoutCandidate(all: readonly Candidate[]): string {
--- a/src/gateway/signals.ts
+++ b/src/gateway/signals.ts
@@ -1,22 +1,12 @@
 /**
- * What an answer states about the upstream that sent it, beside the answer to the request itself.
+ * Reads what an answer states about the upstream that sent it from the answer's headers.
  *
  * @module
  */
 
+import type { UpstreamSignals } from "../fleet/index.js";
 import { headerValue, type HeaderNames } from "./headers.js";
 
-export interface UpstreamSignals {
-    /** The requests at the upstream when it answered; undefined if it doesn't state them. */
-    readonly load: { readonly running: number; readonly waiting: number } | undefined;
-    /** Requests per second that the upstream accepts from all entries together; undefined if it states no limit. */
-    readonly limitPerSecond: number | undefined;
-    /** How long the upstream wants no requests from this VM; undefined if it doesn't push back. */
-    readonly pushbackMs: number | undefined;
-    /** Whether the upstream is about to leave. */
-    readonly isLeaving: boolean;
-}
-
 const leavingMark = "1";
 const msPerSecond = 1_000;
 /** The statuses of a request that was turned away, of which RFC 9110 and RFC 6585 define `Retry-After` as a pushback. */
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -136,6 +136,7 @@
                     return;
                 case "alive":
                 case "limits":
+                case "pushbacks":
                     return;
                 case "controls":
                     controls = frame.addresses;
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -50,12 +50,15 @@
     return term * epochsPerTerm;
 }
 
-/** Leaves out orders that were sent recently. */
+/** Leaves out orders that were sent recently, and those to upstreams that want no requests. */
 function filterDueOrders(
     orders: readonly AddressedOrder[], state: GroupsState, view: GroupsView,
 ): { due: AddressedOrder[]; lastOrders: Map<string, SentOrder> } {
     const lastOrders = new Map([...state.lastOrders].filter(([id]) => view.upstreams.has(id)));
     const due = orders.filter(({ upstreamId, order }) => {
+        if (view.hasPushedBack(upstreamId)) {
+            return false;
+        }
         const born = view.upstreams.get(upstreamId)?.bornMs;
         const serializedOrder = `${born} ${JSON.stringify(order)}`;
         const last = lastOrders.get(upstreamId);
--- a/src/groups/types.ts
+++ b/src/groups/types.ts
@@ -97,6 +97,8 @@
     readonly isLost: (id: string) => boolean;
     /** Whether connections to an upstream's address are refused. */
     readonly isRefusing: (id: string) => boolean;
+    /** Whether an upstream wants no requests from this VM for now. Orders to it are held back. */
+    readonly hasPushedBack: (id: string) => boolean;
     /** Whether an upstream's process has certainly ended: it is unknown, or another process or upstream has replaced it. */
     readonly hasIncarnationEnded: (id: string) => boolean;
     /** Whether requests at this head still make progress, which requires every member, although this leader can't reach member `lostId`. */
--- a/src/siteControl/groupLeader.ts
+++ b/src/siteControl/groupLeader.ts
@@ -7,7 +7,7 @@
 
 import type { ConsensusNode } from "../consensus/index.js";
 import type { Report } from "../feed/index.js";
-import { type DirectoryState, hasIncarnationEnded, possiblyRunning, type Upstream } from "../fleet/index.js";
+import { type DirectoryState, hasIncarnationEnded, possiblyRunning, type Pushbacks, type Upstream, type UpstreamSignals } from "../fleet/index.js";
 import {
     type Coverage, type EngineOrder, firstEpochOf, type GroupPhase, type GroupsPlan, type GroupsState, type GroupsView, type ModelCoverage,
     emptyGroupsState, type AddressedOrder, planGroups,
@@ -18,11 +18,17 @@
 import { createProber, type ProbeResult } from "./prober.js";
 import { createProgress } from "./progress.js";
 
+/** An engine's answer, and what it states about the engine; undefined if there was no answer or another upstream sent it. */
+export interface EngineAnswer<Outcome> {
+    readonly outcome: Outcome;
+    readonly signals: UpstreamSignals | undefined;
+}
+
 /** Sends requests to engines. */
 export interface EngineClient {
     /** Resolves to a short form of the engine's answer, for the log; rejects if there was no answer. */
-    order(upstream: Upstream, order: EngineOrder): Promise<string>;
-    probe(upstream: Upstream): Promise<ProbeResult>;
+    order(upstream: Upstream, order: EngineOrder): Promise<EngineAnswer<string>>;
+    probe(upstream: Upstream): Promise<EngineAnswer<ProbeResult>>;
 }
 
 export interface GroupLeaderOptions {
@@ -36,6 +42,10 @@
     readonly heartbeatMs: number;
     nowMs(): number;
     directory(): DirectoryState;
+    /** The pushbacks that this VM has received. */
+    readonly pushbacks: Pushbacks;
+    /** Records what an engine's answer states about it. */
+    recordSignals(upstream: Upstream, signals: UpstreamSignals): void;
     /** Requests a planning step soon, after a change that may affect groups. */
     requestPlanning(): void;
 }
@@ -71,7 +81,11 @@
     const prober = createProber({
         nowMs,
         heartbeatMs: options.heartbeatMs,
-        probe: upstream => engines.probe(upstream),
+        async probe(upstream) {
+            const { outcome, signals } = await engines.probe(upstream);
+            recordSignals(upstream, signals);
+            return outcome;
+        },
         onResult(upstream, result) {
             if (result !== "answered") {
                 options.requestPlanning();
@@ -80,6 +94,12 @@
         },
     });
 
+    function recordSignals(upstream: Upstream, signals: UpstreamSignals | undefined) {
+        if (signals !== undefined) {
+            options.recordSignals(upstream, signals);
+        }
+    }
+
     /**
      * Updates the leadership state and returns whether this process is the leader. A busy quorum sometimes confirms the lease late. While
      * the term is unchanged, no other process has led, so the known state of groups remains valid. Discarding it at each such lapse would
@@ -110,7 +130,8 @@
     function sendOrder(upstream: Upstream, { order, reason }: AddressedOrder) {
         const sentAtMs = nowMs();
         const fields = { upstream: upstream.id, order, reason };
-        engines.order(upstream, order).then(outcome => {
+        engines.order(upstream, order).then(({ outcome, signals }) => {
+            recordSignals(upstream, signals);
             metrics.recordOrder(order.kind, outcome.slice(0, 3));
             logger.info("order answered", { ...fields, outcome, tookMs: Math.round(nowMs() - sentAtMs) });
         }, (error: Error) => {
@@ -129,6 +150,7 @@
             upstreams,
             isLost: id => prober.isLost(id),
             isRefusing: id => prober.isRefusing(id),
+            hasPushedBack: id => options.pushbacks.leftMs(id) > 0,
             hasIncarnationEnded: id => hasIncarnationEnded(directory, id),
             isMakingProgress: (headId, lostId) => progress.isMakingProgress(headId, prober.lostSinceMs(lostId) ?? nowMs()),
             evacuatedDataCentres: log.state.published.evacuated,
@@ -167,7 +189,8 @@
                 return;
             }
             const running = possiblyRunning(options.directory());
-            prober.probeDue(running.filter(upstream => table.service(upstream.service) !== undefined));
+            const mayProbe = ({ id, service }: Upstream) => table.service(service) !== undefined && options.pushbacks.leftMs(id) === 0;
+            prober.probeDue(running.filter(mayProbe));
             const reachable = running.filter(upstream => !prober.isRefusing(upstream.id));
             for (const { name, engine } of table.site.services) {
                 if (engine !== undefined && engine.models.length > 0) {
--- a/src/siteControl/index.ts
+++ b/src/siteControl/index.ts
@@ -1,4 +1,4 @@
-export { type EngineClient } from "./groupLeader.js";
+export { type EngineAnswer, type EngineClient } from "./groupLeader.js";
 export { type ProbeResult } from "./prober.js";
 export { createDisklessControl, type DisklessControl } from "./disklessControl.js";
 export { createSiteControl, type PublishOutcome, type SiteControl, type SiteControlOptions } from "./siteControl.js";
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -7,9 +7,9 @@
 import type { ConsensusNode } from "../consensus/index.js";
 import { aliveIntervalMs, createFeedServer, createFeedWatcher, type FeedServer, type FeedWatcher, type Frame, type FrameKind, type Report } from "../feed/index.js";
 import {
-    type Announcement, createDirectory, toRelayed, type Upstream,
+    type Announcement, createDirectory, createPushbacks, toRelayed, type Upstream, type UpstreamSignals,
 } from "../fleet/index.js";
-import type { PeerConnections } from "../rpc/index.js";
+import { type PeerConnections, splitAddress } from "../rpc/index.js";
 import { createSiteTable, type DecodedSite, type SiteDialect, type SiteFinding, type SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createGroupLeader, type EngineClient } from "./groupLeader.js";
@@ -84,7 +84,11 @@
     let planTimer: NodeJS.Timeout | undefined;
     const planPacer = createPlanPacer(nowMs);
     const limitDistributor = createLimitDistributor(nowMs);
-    const groupLeader = createGroupLeader({ ...options, nowMs, directory: () => directory.upstreams, requestPlanning });
+    const vm = splitAddress(options.address).host;
+    const pushbacks = createPushbacks(nowMs, (upstream, forMs) => logger.info("upstream wants no requests", { upstream, forMs }));
+    const groupLeader = createGroupLeader({
+        ...options, nowMs, directory: () => directory.upstreams, pushbacks, recordSignals, requestPlanning,
+    });
 
     function requestPlanning() {
         planTimer ??= setTimeout(() => {
@@ -104,6 +108,17 @@
         }
     }
 
+    /** Records what an engine's answer to a probe or an order states about it. */
+    function recordSignals(upstream: Upstream, { isLeaving, pushbackMs }: UpstreamSignals) {
+        if (isLeaving) {
+            publishChanged(directory.markDraining(upstream));
+        }
+        if (pushbackMs !== undefined) {
+            pushbacks.record(upstream.id, pushbackMs);
+            feed.publish({ kind: "pushbacks", vm, pushbacks: pushbacks.relayed() }, "entry");
+        }
+    }
+
     function* initialFrames(kinds: readonly FrameKind[]): Generator<Frame> {
         yield { kind: "controls", addresses: controlAddresses() };
         yield* siteFrames(log.state.published.site);
@@ -129,6 +144,9 @@
     function onReport(daemonId: string, received: Report) {
         groupLeader.recordReport(received);
         limitDistributor.recordReport(daemonId, received, publishLimits);
+        if (received.vm === vm) {
+            pushbacks.merge(received.pushbacks);
+        }
         publishChanged(received.draining.flatMap(incarnation => directory.markDraining(incarnation)));
         void recordCrashes(received.crashes);
     }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -1,54 +1,36 @@
 import { expect } from "chai";
-import { PassThrough } from "node:stream";
-import { headerNames } from "../../platform/headers.js";
-import { createFeedServer, type Frame } from "../../src/feed/index.js";
-import { createGateway, type Gateway } from "../../src/gateway/index.js";
-import { createRpcServer, type RpcServer } from "../../src/rpc/index.js";
-import { createLogger, createSiteMetrics } from "../../src/telemetry/index.js";
+import type { Gateway } from "../../src/gateway/index.js";
+import { type ControlledEntry, startControlledEntry } from "../support/controlledEntry.js";
 import { blockEventLoop } from "../support/heldLoop.js";
-import { type KeepAliveCaller, openCaller, encodeRequest, createSite, parseStatus, createUpstream } from "../support/gatewaySite.js";
+import { type KeepAliveCaller, openCaller, encodeRequest, exchangeRaw, parseStatus } from "../support/gatewaySite.js";
 import { waitUntil } from "../support/platformSite.js";
 import { type RawUpstream, startRawUpstream } from "../support/rawUpstream.js";
 
-const port = 21_298;
 const withinMs = 600;
 const charge = encodeRequest("POST", "/charge/1", { body: "x" });
 
 describe("the shutdown of an entry with its control daemons", () => {
     let upstream: RawUpstream;
-    let rpc: RpcServer;
+    let entry: ControlledEntry;
     let gateway: Gateway;
     let caller: KeepAliveCaller;
     let answer: () => void;
-    let closeFeed: () => void;
 
     beforeEach(async () => {
         upstream = await startRawUpstream((request, socket) => {
             answer = () => socket.write(`HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n` +
                 "Zinnialanding-Upstream-Signature: s1\r\nContent-Length: 4\r\n\r\ndone");
         });
-        const initialFrames: Frame[] = [
-            { kind: "site", version: 1, text: "" }, { kind: "upstreams", upstreams: [createUpstream(upstream.address, "u1")] },
-            { kind: "alive", leads: true, dataCentre: "a", hasContent: true, isInTouch: true, siteVersion: 1 },
-        ];
-        const feed = createFeedServer({ initialFrames: () => initialFrames, onReport: () => undefined, nowMs: () => performance.now() });
-        closeFeed = () => feed.close();
-        rpc = await createRpcServer("127.0.0.1:0", feed.routes);
-        gateway = await createGateway({
-            daemonId: "entry-1", dataCentre: "a", callerAddress: `127.0.0.1:${port}`, controlAddresses: [rpc.address], headerNames,
-            dialect: { decodeSite: () => ({ site: createSite() }) }, retries: { ratio: 0.1, slack: 10 },
-            logger: createLogger("error", "test", new PassThrough().resume()), metrics: createSiteMetrics(),
-        });
-        await waitUntil("the entry is ready", () => gateway.isReady);
-        caller = await openCaller(port);
+        entry = await startControlledEntry(upstream.address);
+        gateway = entry.gateway;
+        caller = await openCaller(entry.port);
         caller.send(charge);
         await waitUntil("the request runs", () => upstream.requests.length === 1);
     });
 
     afterEach(async () => {
         caller.close();
-        closeFeed();
-        await rpc.stop(true);
+        await entry.stopControl();
         await upstream.close();
     });
 
@@ -78,3 +60,50 @@
         expect(parseStatus(caller.text)).to.equal(502);
     });
 });
+
+describe("an entry on the VM of a control daemon", () => {
+    const pushback = { upstreamId: "u1", leftMs: 30_000 };
+    let upstream: RawUpstream;
+    let entry: ControlledEntry;
+
+    beforeEach(async () => {
+        upstream = await startRawUpstream((request, socket) => {
+            const id = request.header("Zinnialanding-Attempt-Id");
+            socket.write(`HTTP/1.1 503 Busy\r\nZinnialanding-Attempt-Id: ${id}\r\nZinnialanding-Not-Executed: 1\r\n` +
+                "Retry-After: 30\r\nContent-Length: 0\r\n\r\n");
+        });
+        entry = await startControlledEntry(upstream.address);
+    });
+
+    afterEach(async () => {
+        await entry.gateway.stop(withinMs);
+        await entry.stopControl();
+        await upstream.close();
+    });
+
+    // Guards against sending to an upstream that has answered a probe or an order of the control daemon beside this entry with a pushback.
+    it("keeps to the pushbacks that the control daemon on its VM has received, and to no others", async () => {
+        entry.publish({ kind: "pushbacks", vm: "10.9.9.9", pushbacks: [pushback] });
+        entry.publish({ kind: "pushbacks", vm: "127.0.0.1", pushbacks: [{ ...pushback, upstreamId: "u2" }] });
+        await new Promise(resolve => setTimeout(resolve, 200));
+        expect([parseStatus(await exchangeRaw(entry.port, charge)), upstream.requests.length]).to.deep.equal([503, 1]);
+        expect(parseStatus(await exchangeRaw(entry.port, charge))).to.equal(503);
+        expect(upstream.requests).to.have.length(1);
+    });
+
+    it("sends nothing once the control daemon on its VM has been pushed back", async () => {
+        entry.publish({ kind: "pushbacks", vm: "127.0.0.1", pushbacks: [pushback] });
+        await new Promise(resolve => setTimeout(resolve, 200));
+        expect([parseStatus(await exchangeRaw(entry.port, charge)), upstream.requests.length]).to.deep.equal([503, 0]);
+    });
+
+    // Guards against probes and orders from a VM whose entry has been told that the upstream wants nothing from it.
+    it("reports its own pushbacks with the VM that they hold for", async () => {
+        await exchangeRaw(entry.port, charge);
+        const reported = () => entry.reports.find(({ pushbacks }) => pushbacks.length > 0);
+        await waitUntil("a report has the pushback", () => reported() !== undefined);
+        expect(reported()!.vm).to.equal("127.0.0.1");
+        expect(reported()!.pushbacks[0]).to.include({ upstreamId: "u1" });
+        expect(reported()!.pushbacks[0]!.leftMs).to.be.within(25_000, 30_000);
+    });
+});
--- a/test/gateway/pushback.test.ts
+++ b/test/gateway/pushback.test.ts
@@ -1,10 +1,7 @@
-import { PassThrough } from "node:stream";
 import { expect } from "chai";
 import * as fc from "fast-check";
-import type { Upstream } from "../../src/fleet/index.js";
+import { createPushbacks, type Upstream } from "../../src/fleet/index.js";
 import { createBalancer } from "../../src/gateway/balancer.js";
-import { createPushbacks } from "../../src/gateway/pushbacks.js";
-import { createLogger } from "../../src/telemetry/index.js";
 import {
     createGroupHead, createSite, createUpstream, encodeRequest, exchangeRaw, type GatewaySite, parseStatus, startGateway,
 } from "../support/gatewaySite.js";
@@ -121,7 +118,7 @@
         fc.assert(fc.property(fc.array(step, { maxLength: 200 }), steps => {
             let nowMs = 1_000;
             let bornMs = 1;
-            const pushbacks = createPushbacks(createLogger("error", "test", new PassThrough().resume()), () => nowMs);
+            const pushbacks = createPushbacks(() => nowMs, () => undefined);
             const balancer = createBalancer({ nowMs: () => nowMs, random: () => 0, entries: () => 1, pushbackLeftMs: pushbacks.leftMs });
             const received: { atMs: number; untilMs: number }[] = [];
             const [one, other] = [candidate("u1"), candidate("u2")];
@@ -141,7 +138,7 @@
                 balancer.requestSent(current(), false);
                 balancer.requestEnded(current());
                 if (answer === "pushed back") {
-                    pushbacks.record(current(), forMs);
+                    pushbacks.record("u1", forMs);
                     received.push({ atMs: nowMs, untilMs: nowMs + forMs });
                 }
                 answer === "served" ? balancer.requestSucceeded(current()) : balancer.requestFailed(current());
--- a/test/groups/builders.ts
+++ b/test/groups/builders.ts
@@ -36,6 +36,8 @@
     readonly notReporting: Set<string>;
     /** Engines that report to the leader but execute no orders. */
     readonly ignoringOrders: Set<string>;
+    /** Engines that want no requests from the leader's VM. */
+    readonly pushingBack: Set<string>;
     /** Heads whose requests make progress. */
     readonly makingProgress: Set<string>;
     hasTraffic: boolean;
@@ -67,7 +69,7 @@
         engine: spec, nowMs: startMs, leadsSinceMs: startMs, heartbeatMs: 1_200, state: emptyGroupsState, upstreams, hasTraffic: false,
         demand: new Map([["big", 0.3 * upstreams.size], ["small", 0.3 * upstreams.size]]),
         lost: new Set(), refusing: new Set(), unknown: new Set(), notReporting: new Set(), ignoringOrders: new Set(),
-        makingProgress: new Set(), readyAtMs: new Map(), lastModels: new Map(), executedOrders: [],
+        pushingBack: new Set(), makingProgress: new Set(), readyAtMs: new Map(), lastModels: new Map(), executedOrders: [],
     };
 }
 
@@ -81,7 +83,8 @@
         nowMs: fleet.nowMs, leadsSinceMs: fleet.leadsSinceMs, heartbeatMs: fleet.heartbeatMs,
         engine: fleet.engine, upstreams, evacuatedDataCentres: [],
         demand: fleet.demand, hasTraffic: fleet.hasTraffic,
-        isLost: id => !isReached(fleet, id), isRefusing: id => fleet.refusing.has(id), hasIncarnationEnded: () => false,
+        isLost: id => !isReached(fleet, id), isRefusing: id => fleet.refusing.has(id), hasPushedBack: id => fleet.pushingBack.has(id),
+        hasIncarnationEnded: () => false,
         isMakingProgress: id => fleet.makingProgress.has(id),
     };
 }
--- a/test/siteControl/groupLeader.test.ts
+++ b/test/siteControl/groupLeader.test.ts
@@ -1,7 +1,7 @@
 import { PassThrough } from "node:stream";
 import { expect } from "chai";
 import type { ConsensusNode } from "../../src/consensus/index.js";
-import type { DirectoryState, Upstream } from "../../src/fleet/index.js";
+import { createPushbacks, type DirectoryState, type Upstream, type UpstreamSignals } from "../../src/fleet/index.js";
 import type { EngineOrder } from "../../src/groups/index.js";
 import { createSiteTable, siteSchema } from "../../src/site/index.js";
 import { createGroupLeader } from "../../src/siteControl/groupLeader.js";
@@ -12,10 +12,15 @@
 
 /** Creates a leader with simulated engines and a clock advanced by `run`. The engine `silentId` doesn't respond after `silentFromMs`. */
 function createLeader(upstreams: readonly Upstream[], silentId?: string) {
-    const state = { nowMs: 0, planAtMs: Number.POSITIVE_INFINITY, silentFromMs: Number.POSITIVE_INFINITY };
+    const state = {
+        nowMs: 0, planAtMs: Number.POSITIVE_INFINITY, silentFromMs: Number.POSITIVE_INFINITY,
+        signals: undefined as UpstreamSignals | undefined,
+    };
     const log = { leaseHeld: true, term: 1, state: { published: { evacuated: [] } } };
     const gone = new Set<string>();
-    const probes: { readonly atMs: number; answer(): void }[] = [];
+    const probes: { readonly atMs: number; readonly id: string; answer(): void }[] = [];
+    const pushbacks = createPushbacks(() => state.nowMs, () => undefined);
+    const recorded: { readonly id: string; readonly signals: UpstreamSignals }[] = [];
     const orders: { readonly atMs: number; readonly id: string; readonly order: EngineOrder }[] = [];
     const heardAtMs = (upstream: Upstream) => upstream.id === silentId ? Math.min(state.nowMs, state.silentFromMs) : state.nowMs;
     const current = () => upstreams.filter(({ id }) => !gone.has(id)).map(upstream => ({ ...upstream, heardAtMs: heardAtMs(upstream) }));
@@ -25,14 +30,19 @@
         engines: {
             order(upstream, order) {
                 orders.push({ atMs: state.nowMs, id: upstream.id, order });
-                return Promise.resolve("202");
+                return Promise.resolve({ outcome: "202", signals: undefined });
             },
             probe: upstream => new Promise(resolve => probes.push({
-                atMs: state.nowMs, answer: () => resolve(upstream.id === silentId && state.nowMs > state.silentFromMs ? "silent" : "answered"),
+                atMs: state.nowMs, id: upstream.id,
+                answer() {
+                    const isSilent = upstream.id === silentId && state.nowMs > state.silentFromMs;
+                    resolve({ outcome: isSilent ? "silent" : "answered", signals: isSilent ? undefined : state.signals });
+                },
             })),
         },
         logger: createLogger("error", "test", new PassThrough()), metrics: createSiteMetrics(),
-        isFirstStart: false, heartbeatMs: 1_200, nowMs: () => state.nowMs, directory,
+        isFirstStart: false, heartbeatMs: 1_200, nowMs: () => state.nowMs, directory, pushbacks,
+        recordSignals: ({ id }, signals) => void recorded.push({ id, signals }),
         requestPlanning() {
             state.planAtMs = Math.min(state.planAtMs, state.nowMs + 10);
         },
@@ -57,7 +67,7 @@
         }
     }
 
-    return { state, log, gone, leader, orders, run };
+    return { state, log, gone, leader, orders, probes, pushbacks, recorded, run };
 }
 
 /** Creates a leader with one group of two engines, of which the second may become silent. */
@@ -68,7 +78,7 @@
     return { ...createLeader(members, member.id), head };
 }
 
-const baseReport = { workByModel: {}, requests: 1, crashes: [], limits: [], draining: [] };
+const baseReport = { workByModel: {}, requests: 1, crashes: [], limits: [], draining: [], pushbacks: [] };
 
 describe("control leader with groups", () => {
     // Guards against a slow repair, for which callers wait: when a member fails, the streams at the head stall and an entry reports this
@@ -88,6 +98,33 @@
         expect(orders[0]!.atMs - fromMs).to.be.at.most(400);
     });
 
+    // Guards against probes and orders to an upstream that wants no requests from the leader's VM.
+    it("sends neither probes nor orders to an upstream that has pushed back, and both afterwards", async () => {
+        const { state, leader, orders, probes, pushbacks, head, run } = createLeaderOfPair();
+        await run(2_000);
+        state.silentFromMs = state.nowMs;
+        pushbacks.record(head.id, 3_000);
+        const probedIds = new Set<string>();
+        for (let step = 0; step < 60; step++) {
+            leader.recordReport({ ...baseReport, suspectIds: [head.id], movingIds: [] });
+            await run(50);
+            probes.forEach(probe => probedIds.add(probe.id));
+        }
+        expect([orders.map(({ id }) => id), probedIds.has(head.id)]).to.deep.equal([[], false]);
+        await run(300);
+        expect(orders[0]).to.include({ id: head.id });
+    });
+
+    // Guards against a leader that goes on planning with an upstream that says in its answers that it leaves.
+    it("passes on what answers to probes state about upstreams", async () => {
+        const { state, recorded, head, leader, run } = createLeaderOfPair();
+        state.signals = { load: undefined, limitPerSecond: undefined, pushbackMs: undefined, isLeaving: true };
+        await run(2_000);
+        leader.recordReport({ ...baseReport, suspectIds: [head.id], movingIds: [] });
+        await run(500);
+        expect(recorded).to.deep.include({ id: head.id, signals: state.signals });
+    });
+
     it("reports the coverage of each model", async () => {
         const { leader, run } = createLeaderOfPair();
         expect(leader.coverage).to.deep.equal([]);
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -2,13 +2,12 @@
 import { createLogger } from "../../src/telemetry/index.js";
 import { createBalancer } from "../../src/gateway/balancer.js";
 import { createConnections } from "../../src/gateway/connections.js";
-import { createPushbacks } from "../../src/gateway/pushbacks.js";
 import { type GatewayServer, listenForCallers } from "../../src/gateway/server.js";
 import type { StopLabels } from "../../src/gateway/stopRecord.js";
 import type { QueueLimits } from "../../src/gateway/work.js";
 import { createSiteView, type SiteView } from "../../src/gateway/siteView.js";
 import { headerNames } from "../../platform/headers.js";
-import type { RelayedUpstream } from "../../src/fleet/index.js";
+import { createPushbacks, type RelayedUpstream } from "../../src/fleet/index.js";
 import { type Site, siteSchema } from "../../src/site/index.js";
 import { PassThrough } from "node:stream";
 import { connect, type Socket } from "node:net";
@@ -76,7 +75,7 @@
     const connections = createConnections();
     const port = (await freePorts(1))[0]!;
     const nowMs = () => performance.now();
-    const pushbacks = createPushbacks(logger, nowMs);
+    const pushbacks = createPushbacks(nowMs, () => undefined);
     let repeatsLeft = maxRepeats;
     const server = await listenForCallers(`127.0.0.1:${port}`, {
         names: headerNames, view, logger, connections, dataCentre: "a", nowMs, random: () => 0.5,
