Keep to pushbacks in sidecars too

The same class of fault on the product's own interface: a sidecar passed an upstream's 503 with Retry-After on to the caller and went on sending to that upstream. It refuses attempts as not run (upstream-busy, with the time that is left) until the time is over; every request to its upstream passes through it, so entries need not know. Retry-After is read by one function for both interfaces (src/http/retryAfter.ts).

--- a/src/attempt/registry.ts
+++ b/src/attempt/registry.ts
@@ -128,6 +128,9 @@
     if (code !== undefined) {
         return refuse(state, attemptId, code, defaultRetryAfterMs);
     }
+    if (admission.pushbackLeftMs > 0) {
+        return refuse(state, attemptId, "upstream-busy", admission.pushbackLeftMs);
+    }
     const live = new Map(state.live).set(attemptId, { state: "asking", idempotent, fingerprint, suspect });
     return step<RegistryState, RegistryEffect>({ ...state, live }, { kind: "ask-limiter", attemptId });
 }
--- a/src/attempt/registryAdmission.ts
+++ b/src/attempt/registryAdmission.ts
@@ -34,6 +34,8 @@
     readonly drained: boolean;
     /** Whether the fingerprint of the request is barred. */
     readonly barred: boolean;
+    /** How much longer the upstream wants no requests, as it has stated when it turned one away; 0 if it accepts them. */
+    readonly pushbackLeftMs: number;
 }
 
 function firstRefusal(state: RegistryState, dispatch: DispatchParams, admission: AdmissionContext): RefusalCode | undefined {
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,2 +1,3 @@
 export { waitForPendingReads, type RequestPosition, createHttpConnections, type HttpConnections } from "./connections.js";
 export { createGracefulListener, type GracefulListener } from "./gracefulListener.js";
+export { parseAmount, parseRetryAfterMs } from "./retryAfter.js";
--- a/src/sidecar/attempts.ts
+++ b/src/sidecar/attempts.ts
@@ -39,7 +39,7 @@
     /** Records the latency of an attempt's first token in the metrics. */
     readonly onFirstToken: (latencyMs: number) => void;
     /** Returns the state of the sidecar that decides whether an attempt may start. */
-    readonly admissionContext: (request: RunRequest) => AdmissionContext;
+    readonly admissionContext: (request: RunRequest) => Omit<AdmissionContext, "pushbackLeftMs">;
     /** Whether an answer of this epoch may be forwarded now. */
     readonly mayForward: (epoch: number) => boolean;
     readonly reportCrash: (engineBootId: string, fingerprints: readonly string[]) => void;
@@ -67,6 +67,8 @@
     const jobs = new Map<string, Job>();
     let registry = newRegistry(options.bootId, nowMs());
     let engineBootId: string | undefined;
+    /** Until then the upstream wants no requests. */
+    let pushbackUntilMs = 0;
 
     function apply(event: RegistryEvent, request?: RunRequest): readonly RegistryEffect[] {
         const result = reduceRegistry(registry, event);
@@ -114,6 +116,9 @@
                 limiter().firstToken(nowMs(), attemptId, latencyMs);
                 options.onFirstToken(latencyMs);
             },
+            onPushback(forMs) {
+                pushbackUntilMs = Math.max(pushbackUntilMs, nowMs() + forMs);
+            },
             onBroken: detail => void answerBroken(job, detail),
             onFinished: () => finishAttempt(attemptId),
         });
@@ -215,7 +220,8 @@
     async function* run(request: RunRequest, signal: AbortSignal): AsyncGenerator<RunEvent> {
         const { attemptId, sidecarBootId, deadlineMs, idempotent, fingerprint, suspect } = request;
         const dispatch = { attemptId, sidecarBootId, epoch: Number(request.epoch), deadlineMs, idempotent, fingerprint, suspect };
-        const effects = apply({ kind: "run", nowMs: nowMs(), dispatch, admission: options.admissionContext(request) }, request);
+        const admission = { ...options.admissionContext(request), pushbackLeftMs: Math.max(0, Math.ceil(pushbackUntilMs - nowMs())) };
+        const effects = apply({ kind: "run", nowMs: nowMs(), dispatch, admission }, request);
         const refusal = effects.find(effect => effect.kind === "refuse");
         if (refusal !== undefined) {
             const { code, execution, retryAfterMs } = refusal;
--- a/src/sidecar/job.ts
+++ b/src/sidecar/job.ts
@@ -5,15 +5,18 @@
  */
 
 import { type EventLogEvent, type EventLogState, type LoggedEvent, newEventLog, reduceEventLog } from "../attempt/index.js";
+import { parseRetryAfterMs } from "../http/index.js";
 import type { RunRequest } from "../rpc/index.js";
 import type { TraceSpan, Tracing } from "../telemetry/index.js";
 import type { Engine } from "./engine.js";
-import { runUpstream, UpstreamError } from "./upstream.js";
+import { runUpstream, UpstreamError, type UpstreamEvent } from "./upstream.js";
 
 export interface JobOptions {
     readonly nowMs: () => number;
     readonly tracing: Tracing;
     readonly onFirstToken: (latencyMs: number) => void;
+    /** Called when the upstream has turned the request away and wants no others for `forMs`. */
+    readonly onPushback: (forMs: number) => void;
     /** Called when the upstream broke the answer off. The log is still open. */
     readonly onBroken: (detail: string) => void;
     /** Called once the log and the connection to the upstream are closed. */
@@ -81,6 +84,13 @@
         });
     }
 
+    function reportPushback({ status, headers }: Extract<UpstreamEvent, { kind: "started" }>) {
+        const pushbackMs = parseRetryAfterMs(status, name => headers.find(header => header.name === name)?.value);
+        if (pushbackMs !== undefined) {
+            options.onPushback(pushbackMs);
+        }
+    }
+
     async function readAnswer(span: TraceSpan) {
         const startedMs = nowMs();
         let chunks = 0;
@@ -88,6 +98,7 @@
         for await (const event of runUpstream(engine, { ...request, traceparent: span.traceparent ?? "" }, abortController.signal)) {
             if (event.kind === "started") {
                 append({ kind: "started", head: { status: event.status, headers: event.headers } });
+                reportPushback(event);
                 continue;
             }
             if (chunks === 0) {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -170,7 +170,7 @@
         } while (!attempts.isIdle);
     }
 
-    function admissionContext(run: RunRequest): AdmissionContext {
+    function admissionContext(run: RunRequest): Omit<AdmissionContext, "pushbackLeftMs"> {
         const { view } = options.session();
         const epoch = Number(run.epoch);
         const isPlain = vm.kind === "plain";
--- a/test/attempt/registry.test.ts
+++ b/test/attempt/registry.test.ts
@@ -4,7 +4,7 @@
 } from "../../src/attempt/index.js";
 
 const admission: AdmissionContext = {
-    leaving: false, epoch: 3, membersLive: true, configurationLive: true, drained: false, barred: false,
+    leaving: false, epoch: 3, membersLive: true, configurationLive: true, drained: false, barred: false, pushbackLeftMs: 0,
 };
 
 function run(attemptId: string, dispatch: Partial<DispatchParams> = {}, context: Partial<AdmissionContext> = {}): RegistryEvent {
@@ -50,6 +50,11 @@
         expect(effectsOf(...refusals, run("a"))).toMatchSnapshot();
     });
 
+    // Guards against requests to an upstream that has asked for none, whatever entries believe.
+    it("refuses attempts while the upstream has pushed back, with the time that is left", () => {
+        expect(effectsOf(run("a", {}, { pushbackLeftMs: 2_400 }), run("b"))).toMatchSnapshot();
+    });
+
     // An entry gave up a dispatch that was delayed in a stalled connection, requested a tombstone and refused its caller as not-run.
     // When the dispatch arrives after all, it must not run.
     it("permanently bars an attempt that it has never seen", () => {
--- a/test/support/deliverySidecars.ts
+++ b/test/support/deliverySidecars.ts
@@ -161,7 +161,9 @@
                 fingerprint: work.body,
                 suspect: false,
             };
-            const admission = { leaving: false, epoch: 1, membersLive: true, configurationLive: true, drained: false, barred: false };
+            const admission = {
+                leaving: false, epoch: 1, membersLive: true, configurationLive: true, drained: false, barred: false, pushbackLeftMs: 0,
+            };
             sidecar.links.push(link);
             sidecar.jobs.set(effect.attemptId, { work, continueText: effect.continueText });
             apply(sidecar, { kind: "run", nowMs: 0, dispatch, admission }, link);
