Take a retry from the budget only if another upstream may take the request

Found while looking at what becomes of a request when every other upstream has pushed back: a retry was taken from the shared budget before a candidate was looked for, so that each request without one spent a retry that was never sent. And where the failed attempt had brought the upstream's own failure, the caller got a 502 of the entry in its place. The candidates are looked at first now.

--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -210,20 +210,27 @@
         }
     }
 
+    /** Whether an upstream that this request has not been sent to may take it now. */
+    function hasUntriedUpstream(): boolean {
+        return listCandidates().some(({ upstream }) => !tried.has(upstream.id) && balancer.mayReceive(upstream, coldRequestsPerSecond));
+    }
+
     /** Retries after a failed attempt, or sends the final answer. */
     function onAttemptFailed(failure: AttemptFailure, upstream: Upstream) {
         currentAttempt = undefined;
+        tried.add(upstream.id);
         isCertainlyNotRun &&= failure.kind === "not-run";
         possibleRuns += failure.kind === "not-run" ? 0 : 1;
         dependencies.countFailedAttempt(failure.kind);
         if (failure.kind === "unknown" && failure.isCrash) {
             dependencies.recordCrash(request, upstream);
         }
+        const hasUntried = hasUntriedUpstream();
         // Another upstream can continue a stream, but no other answer can be replaced once a part of it has been forwarded.
         const canContinue = isStream || !answer.isStarted;
         // Once the caller has left, nobody waits for the answer, and a retried non-idempotent request would take effect after that.
         const isRetryPossible = !isOver && canContinue && (failure.kind === "not-run" || isRepeatable) && possibleRuns < route.maxAttempts &&
-            attempts < route.maxAttempts + maxExtraAttempts && request.giveUpAtMs - dependencies.nowMs() > minAttemptMs;
+            attempts < route.maxAttempts + maxExtraAttempts && request.giveUpAtMs - dependencies.nowMs() > minAttemptMs && hasUntried;
         // The budget limits the load that retries put on upstreams, so a retry after an attempt that sent nothing isn't charged to it.
         const isUnsent = failure.kind === "not-run" && failure.isUnsent;
         const willRetry = isRetryPossible && (isUnsent || hasReservedRetry || dependencies.mayRetry(service));
@@ -234,7 +241,6 @@
             lastEvent: splitter.lastId,
         });
         if (willRetry) {
-            tried.add(upstream.id);
             splitter.discardPartial();
             startNextAttempt();
             return;
@@ -244,7 +250,7 @@
             finish("upstream-failed", { status: failure.answer.status });
             return;
         }
-        giveUp(reason);
+        giveUp(hasUntried ? reason : reasonWithoutCandidate(listCandidates()));
     }
 
     function headersTo(upstream: Upstream, isLate: boolean): string[] {
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -296,4 +296,14 @@
         expect(site.outcomes).to.deep.equal(["caller-left"]);
         expect(closedAfterMs).to.be.at.least(500);
     });
+
+    // Guards against replacing the upstream's own failure by one of the entry, and against spending a retry that can't be sent.
+    it("are forwarded if they report a failure and no other upstream may take the request, without a retry from the budget", async () => {
+        upstream = await startRawUpstream((request, socket) => socket.write(
+            `HTTP/1.1 500 Failed\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}Content-Length: 3\r\n\r\nbad`));
+        site = await startGateway([createUpstream(upstream.address, "u1")], createSite(), 1);
+        const answer = await exchangeRaw(site.port, encodeRequest("GET", "/read/1"));
+        expect(answer).to.match(/^HTTP\/1.1 500 [^]*Upstream-Signature: s1[^]*bad$/);
+        expect(site.retriesLeft).to.equal(1);
+    });
 });
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -55,6 +55,8 @@
     /** Labels of the requests counted while the listener was stopping. */
     readonly stopCounts: StopLabels[];
     readonly server: GatewayServer;
+    /** What is left of the retry budget. */
+    readonly retriesLeft: number;
     stop(): void;
 }
 
@@ -94,6 +96,9 @@
     });
     return {
         port, view, outcomes, stopCounts, server,
+        get retriesLeft() {
+            return repeatsLeft;
+        },
         stop() {
             void server.closeListener();
             server.close();
