Take an upstream for cold if an answer says so

The last statement in answers that entries dropped: how much longer the upstream is cold. Entries knew it from announcements alone, which come every 1.2 s and not at all while an upstream is cut off from control. An entry that reads it keeps to its share of the cold rate at once; the next announcement states it anew.

test/gateway/statedCondition.test.ts: of eight requests at once two are sent, the entry's share of 2 a second; the directory's property test draws this change too.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -32,6 +32,8 @@
     merge(relayed: readonly RelayedUpstream[], nowMs: number): readonly Upstream[];
     /** Marks an incarnation as draining, because an answer of it says so. Its announcements may not get through. */
     markDraining(incarnation: Incarnation): readonly Upstream[];
+    /** Marks an incarnation as cold until `untilMs` at least, because an answer of it says so. Its next announcement states it anew. */
+    markCold(incarnation: Incarnation, untilMs: number): readonly Upstream[];
     /** Marks an upstream that has announced its departure as gone. */
     depart(id: string): readonly Upstream[];
     /** Marks an upstream as gone because its process has certainly ended. */
@@ -213,6 +215,10 @@
             const known = upstreams.get(id);
             return update(known?.bornMs === bornMs && known.state !== "draining" ? { ...known, state: "draining" } : undefined);
         },
+        markCold({ id, bornMs }, untilMs) {
+            const known = upstreams.get(id);
+            return update(known?.bornMs === bornMs && known.coldUntilMs < untilMs ? { ...known, coldUntilMs: untilMs } : undefined);
+        },
         depart(id) {
             const known = upstreams.get(id);
             return update(known === undefined || known.isGone ? undefined : { ...known, isGone: true, hasLeft: true });
--- a/src/fleet/signals.ts
+++ b/src/fleet/signals.ts
@@ -11,6 +11,8 @@
     readonly limitPerSecond: number | undefined;
     /** How long the upstream wants no requests from this VM; undefined if it doesn't push back. */
     readonly pushbackMs: number | undefined;
+    /** How much longer the upstream is cold, in ms; undefined if it doesn't state it. */
+    readonly coldForMs: number | undefined;
     /** Whether the upstream is about to leave. */
     readonly isLeaving: boolean;
 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -172,10 +172,13 @@
     }
 
     /** A refusal without a limit doesn't end a stated one, since it may come from a proxy before the upstream. */
-    function recordLimitAndLeaving({ limitPerSecond, isLeaving }: UpstreamSignals) {
+    function recordLimitAndState({ limitPerSecond, coldForMs, isLeaving }: UpstreamSignals) {
         if (limitPerSecond !== undefined || status < 300) {
             dependencies.recordLimit(upstream, limitPerSecond, sentAtMs);
         }
+        if (coldForMs !== undefined && coldForMs > 0) {
+            view.markCold(upstream, coldForMs);
+        }
         if (isLeaving) {
             view.markDraining(upstream);
         }
@@ -194,7 +197,7 @@
             abandon(foreign);
             return;
         }
-        recordLimitAndLeaving(signals);
+        recordLimitAndState(signals);
         if (status < 300 && isStream) {
             // A continued stream keeps the headers of its first upstream, since `start` has no effect the second time.
             answer.start(status, forwardedHeaders(raw, new Set(["date", "content-length"])));
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -26,6 +26,8 @@
     readonly limit: string;
     /** "1" in every answer of an upstream that is about to leave. */
     readonly leaving: string;
+    /** How much longer the upstream is cold, in ms. */
+    readonly coldForMs: string;
     readonly model: string;
     readonly tokens: string;
     readonly lastEventId: string;
--- a/src/gateway/signals.ts
+++ b/src/gateway/signals.ts
@@ -20,6 +20,7 @@
         load: parseLoad(headerValue(rawHeaders, names.load)),
         limitPerSecond: parseAmount(headerValue(rawHeaders, names.limit)),
         pushbackMs: parseRetryAfterMs(status, name => headerValue(rawHeaders, name)),
+        coldForMs: parseAmount(headerValue(rawHeaders, names.coldForMs)),
         isLeaving: headerValue(rawHeaders, names.leaving)?.trim() === leavingMark,
     };
 }
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -30,6 +30,8 @@
     markGone(upstream: Upstream): void;
     /** Marks an upstream as draining, because an answer of it says that it leaves. It gets no more requests in this incarnation. */
     markDraining(upstream: Upstream): void;
+    /** Marks an upstream as cold for `forMs`, because an answer of it says so. */
+    markCold(upstream: Upstream, forMs: number): void;
     /** The upstreams marked as draining by this entry that are not gone yet, to be reported to the control leader. */
     readonly observedDraining: readonly Incarnation[];
     /** Marks an upstream as refusing connections. It gets no requests until a control daemon has heard from it after that. */
@@ -174,6 +176,12 @@
                 logger.info("upstream says that it leaves", { upstream: id, address });
             }
         },
+        markCold({ id, bornMs }, forMs) {
+            if (directory.markCold({ id, bornMs }, performance.now() + forMs).length > 0) {
+                candidateLists = undefined;
+                logger.info("upstream says that it is cold", { upstream: id, forMs });
+            }
+        },
         get observedDraining() {
             observedDraining = observedDraining.filter(({ id, bornMs }) => {
                 const known = directory.upstreams.get(id);
--- a/test/fleet/directory.test.ts
+++ b/test/fleet/directory.test.ts
@@ -103,7 +103,7 @@
             stagedModels: fc.constantFrom<string[]>([], ["lm"]),
         });
         const change = fc.record({
-            kind: fc.constantFrom("announce", "announce", "merge", "merge", "drain", "depart", "heard", "expire"), stepMs: fc.nat(9_000),
+            kind: fc.constantFrom("announce", "announce", "merge", "merge", "drain", "cold", "depart", "heard", "expire"), stepMs: fc.nat(9_000),
             items: fc.array(announcement, { minLength: 1, maxLength: 3 }),
             isGone: fc.boolean(), hasLeft: fc.boolean(), agoMs: fc.nat(20_000),
         });
@@ -129,6 +129,10 @@
                     model = plain.applyDraining(model, first);
                     published = changing.markDraining(first);
                 }
+                else if (kind === "cold") {
+                    model = plain.applyCold(model, first, nowMs + agoMs);
+                    published = changing.markCold(first, nowMs + agoMs);
+                }
                 else if (kind === "depart") {
                     model = plain.applyDeparture(model, first.id);
                     published = changing.depart(first.id);
--- a/test/gateway/signals.test.ts
+++ b/test/gateway/signals.test.ts
@@ -10,6 +10,7 @@
         expect({
             none: read(200),
             load: read(200, "Zinnialanding-Instance-Load", "3,1,8"),
+            cold: read(200, "Zinnialanding-Cold-Remaining-Ms", "1500"),
             limit: read(200, "Server-Limit", "2.5"),
             pushback: read(503, "Retry-After", "3"),
             fractionalPushback: read(429, "retry-after", "0.25"),
--- a/test/gateway/leavingUpstream.test.ts
+++ b/test/gateway/statedCondition.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createUpstream, encodeRequest, exchangeRaw, type GatewaySite, parseStatus, startGateway } from "../support/gatewaySite.js";
+import { createSite, createUpstream, encodeRequest, exchangeRaw, type GatewaySite, parseStatus, startGateway } from "../support/gatewaySite.js";
 import { type RawUpstream, startRawUpstream } from "../support/rawUpstream.js";
 
 /** Starts an upstream that answers every request with `head` and says that it leaves. */
@@ -8,7 +8,7 @@
         request.header("Zinnialanding-Attempt-Id")}\r\n${more}Server-Leaving: 1\r\nContent-Length: 4\r\n\r\ndone`));
 }
 
-describe("an entry whose upstream says that it leaves", () => {
+describe("an entry whose upstream states its own condition in answers", () => {
     let upstream: RawUpstream;
     let site: GatewaySite;
 
@@ -20,7 +20,7 @@
     const charge = () => exchangeRaw(site.port, encodeRequest("POST", "/charge/1", { body: "x" }));
 
     // Guards against requests to a leaving upstream whose departure the control daemons don't know, or can't tell a cut-off entry.
-    it("sends it nothing more, whatever control daemons say of this incarnation, and reports it until it is gone", async () => {
+    it("sends an upstream that leaves nothing more, whatever control daemons say of this incarnation, and reports it until it is gone", async () => {
         upstream = await startLeaving();
         site = await startGateway([createUpstream(upstream.address, "u1")]);
         expect([parseStatus(await charge()), parseStatus(await charge())]).to.deep.equal([200, 503]);
@@ -33,7 +33,7 @@
         expect(site.view.observedDraining).to.deep.equal([]);
     });
 
-    it("sends it nothing more after a refusal that says so", async () => {
+    it("sends it nothing more after a refusal that says that it leaves", async () => {
         upstream = await startLeaving("HTTP/1.1 503 Busy", "Zinnialanding-Not-Executed: 1\r\n");
         site = await startGateway([createUpstream(upstream.address, "u1")]);
         expect([parseStatus(await charge()), parseStatus(await charge()), upstream.requests.length]).to.deep.equal([503, 503, 1]);
@@ -46,4 +46,17 @@
         expect(parseStatus(await charge())).to.equal(503);
         expect(site.view.observedDraining).to.deep.equal([]);
     });
+
+    // Guards against a burst to an upstream that has turned cold since its last announcement.
+    it("keeps to its share of the cold rate once an answer says that the upstream is cold", async () => {
+        upstream = await startRawUpstream((request, socket) => socket.write("HTTP/1.1 200 OK\r\nZinnialanding-Cold-Remaining-Ms: 30000\r\n" +
+            `Zinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n` +
+            "Zinnialanding-Upstream-Signature: s1\r\nContent-Length: 4\r\n\r\ndone"));
+        const { services, ...rest } = createSite();
+        const withColdRate = services.map(service => ({ ...service, coldMs: 30_000, coldRequestsPerSecond: 2 }));
+        site = await startGateway([createUpstream(upstream.address, "u1")], { ...rest, services: withColdRate });
+        expect(parseStatus(await charge())).to.equal(200);
+        const statuses = (await Promise.all(Array.from({ length: 8 }, charge))).map(parseStatus);
+        expect(statuses.filter(status => status === 200)).to.have.length(2);
+    });
 });
--- a/test/platform/engines.test.ts
+++ b/test/platform/engines.test.ts
@@ -18,7 +18,7 @@
     it("reads what answers to probes and orders state about the engine", async () => {
         const upstream = await start("503 Busy\r\nRetry-After: 3\r\nServer-Leaving: 1");
         const client = createEngineClient();
-        const signals = { load: undefined, limitPerSecond: undefined, pushbackMs: 3_000, isLeaving: true };
+        const signals = { load: undefined, limitPerSecond: undefined, coldForMs: undefined, pushbackMs: 3_000, isLeaving: true };
         expect(await client.probe(upstream)).to.deep.equal({ outcome: "answered", signals });
         expect(await client.order(upstream, { kind: "stage", model: "lm" })).to.deep.equal({ outcome: "503 {}", signals });
     });
--- a/test/siteControl/groupLeader.test.ts
+++ b/test/siteControl/groupLeader.test.ts
@@ -118,7 +118,7 @@
     // Guards against a leader that goes on planning with an upstream that says in its answers that it leaves.
     it("passes on what answers to probes state about upstreams", async () => {
         const { state, recorded, head, leader, run } = createLeaderOfPair();
-        state.signals = { load: undefined, limitPerSecond: undefined, pushbackMs: undefined, isLeaving: true };
+        state.signals = { load: undefined, limitPerSecond: undefined, coldForMs: undefined, pushbackMs: undefined, isLeaving: true };
         await run(2_000);
         leader.recordReport({ ...baseReport, suspectIds: [head.id], movingIds: [] });
         await run(500);
--- a/test/support/plainDirectory.ts
+++ b/test/support/plainDirectory.ts
@@ -90,6 +90,12 @@
     return known?.bornMs === bornMs ? withUpstream(state, { ...known, state: "draining" }) : state;
 }
 
+/** Marks an incarnation as cold until `untilMs` at least. */
+export function applyCold(state: DirectoryState, { id, bornMs }: Incarnation, untilMs: number): DirectoryState {
+    const known = state.get(id);
+    return known?.bornMs === bornMs && known.coldUntilMs < untilMs ? withUpstream(state, { ...known, coldUntilMs: untilMs }) : state;
+}
+
 /** Marks an upstream that has announced its departure as gone. */
 export function applyDeparture(state: DirectoryState, id: string): DirectoryState {
     const known = state.get(id);
