--- a/standin/platform/daemons.ts
+++ b/standin/platform/daemons.ts
@@ -18,6 +18,13 @@
     readonly hasDisk: boolean;
 }
 
+export interface StartOptions {
+    /** Whether the site starts for the first time. */
+    readonly firstStart?: boolean;
+    /** Options of Node.js for the process. */
+    readonly execArgv?: readonly string[];
+}
+
 export interface SiteProcesses {
     readonly controls: readonly DaemonSpec[];
     readonly entries: readonly DaemonSpec[];
@@ -25,7 +32,7 @@
     callersAddress(daemon: DaemonSpec): string;
     readyAddress(daemon: DaemonSpec): string;
     metricsAddress(daemon: DaemonSpec): string;
-    start(id: string, options?: { readonly firstStart?: boolean }): void;
+    start(id: string, options?: StartOptions): void;
     /** Sends a signal to a running daemon; for SIGKILL and SIGTERM, resolves when the process has exited. */
     signal(id: string, signal: NodeJS.Signals): Promise<void>;
     wipe(id: string): void;
@@ -89,12 +96,12 @@
         callersAddress: item => `${item.host}:${port}`,
         readyAddress: item => `${item.host}:${port + 1}`,
         metricsAddress: item => `${item.host}:${port + 4}`,
-        start(id, { firstStart = false } = {}) {
+        start(id, { firstStart = false, execArgv = [] } = {}) {
             const item = specs.get(id)!;
             mkdirSync(join(folder, id), { recursive: true });
             const file = join(folder, `${id}.ini`);
             writeFileSync(file, formatSettings(item, seeds, firstStart, options));
-            const child = spawn(process.execPath, ["dist/platform/main.js"], {
+            const child = spawn(process.execPath, [...execArgv, "dist/platform/main.js"], {
                 env: { ...process.env, ZINNIALANDING_NODE_FILE: file }, stdio: ["ignore", "pipe", "pipe"],
             });
             const lines = outputs.get(id) ?? [];
