Fault soak of a published site: real processes, seeded faults, checks of what callers and upstreams see

npm run soak starts three control daemons, entries and stand-in engines behind relays as separate processes; callers keep their connections until an entry ends them. A seeded schedule of 19 kinds of faults (signals, restarts, freezes, silent, reset and refused links, pushbacks, limits, leaving and lost engines, late orders, configurations, evacuations) comes in series and overlaps. Pure checks read the recorded history: at most once, true refusals, whole and own answers, pushbacks, leaving, configuration in force and never reverting, planned stops, groups, recovery. The seed is printed first, the verdict last, logs of a run with findings are kept, and only its own processes are ended.

The relay moved to standin/, which the bench may import.

--- /dev/null
+++ b/bench/soak/checks.ts
@@ -0,0 +1,165 @@
+/**
+ * Checks the history of a soak against the promises of the service. Each check is a pure function that returns its findings in words.
+ *
+ * @module
+ */
+
+import { eventIds, eventsPerAnswer } from "../../standin/platform/index.js";
+import type { Call, History, Outage } from "./history.js";
+
+/** Bounds in ms, as the settings of the site state them. */
+export interface Bounds {
+    /** From then on a new configuration is in force at daemons in touch. */
+    readonly configurationAppliesMs: number;
+    /** How long a daemon must have been undisturbed for bounds that hold for daemons in touch. */
+    readonly contactMs: number;
+    /** From then on an upstream that has said that it leaves gets nothing more. */
+    readonly drainMs: number;
+    /** Time to recover once everything is back. */
+    readonly recoveryMs: number;
+}
+
+/** A pushback allows this many requests from this time after it until its end. */
+const [pushbackActivationMs, pushbackAllowance] = [500, 2];
+/** Part of the requests that must be served again after the recovery. */
+const minServedAfterRecovery = 0.25;
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+type Check = (history: History, bounds: Bounds) => string[];
+
+function runCounts({ upstreams }: History): Map<string, number> {
+    const counts = new Map<string, number>();
+    upstreams.flatMap(({ runs }) => runs).forEach(({ id }) => counts.set(id, (counts.get(id) ?? 0) + 1));
+    return counts;
+}
+
+function isDisturbed(outages: readonly Outage[], daemon: string, fromMs: number, toMs: number): boolean {
+    return outages.some(outage => outage.daemon === daemon && outage.fromMs <= toMs && outage.toMs >= fromMs);
+}
+
+const runsAtMostOnce: Check = history => {
+    const counts = runCounts(history);
+    return history.calls.filter(({ kind, id }) => kind === "charge" && (counts.get(id) ?? 0) > 1)
+        .map(({ id }) => `non-idempotent request ${id} ran ${counts.get(id)} times`);
+};
+
+const refusalsAreTrue: Check = history => {
+    const counts = runCounts(history);
+    const isFalse = ({ kind, id, status }: Call) => kind === "charge" && notRunStatuses.has(status ?? 0) && counts.has(id);
+    return history.calls.filter(isFalse)
+        .map(({ id, status }) => `request ${id} was answered ${status} and has run`);
+};
+
+function isWhole({ kind, id, body }: Call): boolean {
+    if (kind !== "caption") {
+        return body === `done ${id}`;
+    }
+    const expected = Array.from({ length: eventsPerAnswer }, (_, index) => index + 1);
+    return eventIds(body).join() === expected.join() && expected.every(event => body.includes(`data: ${id} ${event}\n`));
+}
+
+const answersAreWholeAndOwn: Check = ({ calls }) =>
+    calls.filter(call => call.status === 200 && call.isComplete && !isWhole(call))
+        .map(({ id, kind, body }) => `${kind} ${id} was answered with ${JSON.stringify(body.slice(0, 200))}`);
+
+const pushbacksAreKept: Check = ({ upstreams, calls, outages }) => {
+    const entryOf = new Map(calls.map(({ id, entry }) => [id, entry]));
+    return upstreams.flatMap(({ id: upstream, pushbacks, arrivals }) => pushbacks.flatMap(({ id, atMs, forMs }) => {
+        const entry = entryOf.get(id);
+        const [fromMs, toMs] = [atMs + pushbackActivationMs, atMs + forMs];
+        if (entry === undefined || isDisturbed(outages, entry, atMs, toMs)) {
+            return [];
+        }
+        const count = arrivals.filter(arrival => entryOf.get(arrival.id) === entry && arrival.atMs > fromMs && arrival.atMs < toMs).length;
+        return count > pushbackAllowance ? [`${upstream} asked ${entry} for none for ${forMs} ms and got ${count} requests`] : [];
+    }));
+};
+
+const leavingUpstreamsGetNothing: Check = ({ upstreams, calls, outages }, { drainMs }) => calls.flatMap(notice => {
+    const { leavingUpstream, entry, endedAtMs } = notice;
+    const upstream = upstreams.find(({ id }) => id === leavingUpstream);
+    if (upstream === undefined) {
+        return [];
+    }
+    const arrived = new Set(upstream.arrivals.map(({ id }) => id));
+    const late = calls.filter(call => call.entry === entry && call.sentAtMs > endedAtMs + drainMs && arrived.has(call.id));
+    return late.filter(call => !isDisturbed(outages, entry, endedAtMs, call.endedAtMs))
+        .map(({ id }) => `${upstream.id} told ${entry} that it leaves and got ${id}`);
+});
+
+const readsAreNotStale: Check = ({ publications, reads }, { configurationAppliesMs }) => reads.flatMap(({ daemon, sentAtMs, version }) => {
+    const isBinding = ({ acknowledgedAtMs }: { acknowledgedAtMs: number | undefined }) =>
+        acknowledgedAtMs !== undefined && acknowledgedAtMs + configurationAppliesMs < sentAtMs;
+    const newest = Math.max(0, ...publications.filter(isBinding).map(publication => publication.version));
+    return version !== undefined && version < newest ? [`${daemon} returned configuration ${version} after ${newest} was acknowledged`] : [];
+});
+
+/** A route that an entry has served must not be unknown to it later, while its process lives. */
+const configurationsNeverRevert: Check = ({ calls, outages }) => {
+    const findings: string[] = [];
+    const seen = new Map<string, Call>();
+    for (const call of [...calls].sort((a, b) => a.sentAtMs - b.sentAtMs)) {
+        if (call.routeVersion === undefined) {
+            continue;
+        }
+        const key = `${call.entry} ${call.routeVersion}`;
+        const earlier = seen.get(key);
+        if (call.status === 200) {
+            seen.set(key, earlier ?? call);
+        }
+        const hasReverted = call.status === 404 && earlier !== undefined && call.sentAtMs > earlier.endedAtMs;
+        if (hasReverted && !isDisturbed(outages, call.entry, earlier.endedAtMs, call.endedAtMs)) {
+            findings.push(`${call.entry} no longer knows the route of version ${call.routeVersion}`);
+        }
+    }
+    return findings;
+};
+
+const configurationsApply: Check = ({ calls, publications, outages }, { configurationAppliesMs, contactMs }) => calls.flatMap(call => {
+    const publication = publications.find(({ version }) => version === call.routeVersion);
+    const isDue = publication?.acknowledgedAtMs !== undefined && call.sentAtMs > publication.acknowledgedAtMs + configurationAppliesMs;
+    // A disturbed control daemon may cut off any entry, so the bound holds only while none is.
+    const wasCalm = !outages.some(({ daemon, fromMs, toMs }) => (daemon === call.entry || daemon.startsWith("control")) &&
+        fromMs <= call.endedAtMs && toMs >= call.sentAtMs - contactMs - configurationAppliesMs);
+    return isDue && wasCalm && call.status === 404 ? [`${call.entry} doesn't know the route of version ${call.routeVersion}`] : [];
+});
+
+/** Around a planned stop alone, a request that was passed on must get its answer. */
+const plannedStopsLoseNothing: Check = ({ calls, outages, upstreams }, { contactMs }) => {
+    const arrived = new Set(upstreams.flatMap(({ arrivals }) => arrivals.map(({ id }) => id)));
+    const stops = outages.filter(({ kind }) => kind === "planned");
+    return calls.flatMap(({ id, entry, kind, sentAtMs, endedAtMs, isComplete }) => {
+        const isStopped = stops.some(stop => stop.daemon === entry && stop.fromMs <= endedAtMs && stop.toMs >= sentAtMs);
+        const isOtherwiseDisturbed = outages.some(outage => outage.kind === "unplanned" && outage.daemon === entry &&
+            outage.fromMs <= endedAtMs && outage.toMs >= sentAtMs - contactMs);
+        return kind === "charge" && isStopped && !isOtherwiseDisturbed && !isComplete && arrived.has(id)
+            ? [`${entry} cut off ${id} in a planned stop`]
+            : [];
+    });
+};
+
+const groupsAreSound: Check = ({ upstreams }) => upstreams.flatMap(({ anomalies }) => anomalies);
+
+const recovers: Check = ({ calls, calmFromMs, endedAtMs }, { recoveryMs }) => {
+    const late = calls.filter(({ kind, sentAtMs }) => kind !== "route" && sentAtMs > calmFromMs + recoveryMs);
+    const served = late.filter(({ status, isComplete }) => status === 200 && isComplete);
+    return late.length === 0 || served.length < minServedAfterRecovery * late.length
+        ? [`${served.length} of ${late.length} requests served in the last ${Math.round(endedAtMs - calmFromMs - recoveryMs)} ms`]
+        : [];
+};
+
+export const checks = {
+    runsAtMostOnce, refusalsAreTrue, answersAreWholeAndOwn, pushbacksAreKept, leavingUpstreamsGetNothing, readsAreNotStale,
+    configurationsNeverRevert, configurationsApply, plannedStopsLoseNothing, groupsAreSound, recovers,
+};
+export type CheckName = keyof typeof checks;
+
+export interface Finding {
+    readonly check: CheckName;
+    readonly text: string;
+}
+
+/** Runs all checks. */
+export function findViolations(history: History, bounds: Bounds): Finding[] {
+    return (Object.entries(checks) as [CheckName, Check][]).flatMap(([check, run]) => run(history, bounds).map(text => ({ check, text })));
+}
--- /dev/null
+++ b/bench/soak/history.ts
@@ -0,0 +1,70 @@
+/**
+ * What a soak records: the calls of callers and operators, what reached the upstreams, and the faults.
+ *
+ * @module
+ */
+
+import type { Arrival, Pushback, Run } from "../../standin/platform/index.js";
+
+export type CallKind = "charge" | "read" | "caption" | "route";
+
+/** A request of a caller. All times are on one clock. */
+export interface Call {
+    readonly id: string;
+    readonly kind: CallKind;
+    /** The entry that the caller's connection leads to. */
+    readonly entry: string;
+    readonly sentAtMs: number;
+    readonly endedAtMs: number;
+    /** Undefined if the connection ended before the head of an answer. */
+    readonly status: number | undefined;
+    readonly isComplete: boolean;
+    readonly body: string;
+    /** The upstream that said in this answer that it leaves. */
+    readonly leavingUpstream?: string | undefined;
+    /** For calls of the kind `route`: the configuration version whose route was called. */
+    readonly routeVersion?: number | undefined;
+}
+
+/** A configuration sent by the operator. */
+export interface Publication {
+    readonly version: number;
+    readonly sentAtMs: number;
+    /** Undefined if no daemon has acknowledged it. */
+    readonly acknowledgedAtMs: number | undefined;
+}
+
+/** A configuration read back from a control daemon. */
+export interface ConfigurationRead {
+    readonly daemon: string;
+    readonly sentAtMs: number;
+    /** Undefined if the daemon gave none. */
+    readonly version: number | undefined;
+}
+
+/** A time in which a daemon's process was disturbed: killed, stopped, frozen or starting. */
+export interface Outage {
+    readonly daemon: string;
+    readonly kind: "planned" | "unplanned";
+    readonly fromMs: number;
+    readonly toMs: number;
+}
+
+export interface UpstreamRecord {
+    readonly id: string;
+    readonly arrivals: readonly Arrival[];
+    readonly runs: readonly Run[];
+    readonly pushbacks: readonly Pushback[];
+    readonly anomalies: readonly string[];
+}
+
+export interface History {
+    readonly calls: readonly Call[];
+    readonly publications: readonly Publication[];
+    readonly reads: readonly ConfigurationRead[];
+    readonly outages: readonly Outage[];
+    readonly upstreams: readonly UpstreamRecord[];
+    /** The end of the last fault, and the end of the run. */
+    readonly calmFromMs: number;
+    readonly endedAtMs: number;
+}
--- /dev/null
+++ b/bench/soak/run.ts
@@ -0,0 +1,103 @@
+/**
+ * One run of the soak: starts the site, lets callers and faults run, waits for the recovery and checks the history.
+ *
+ * @module
+ */
+
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createRandom } from "../random.js";
+import { startCallers } from "./callers.js";
+import { type Bounds, findViolations, type Finding } from "./checks.js";
+import type { Call, History } from "./history.js";
+import { createSchedule, type Fault, type FaultKind } from "./schedule.js";
+import { logFileOf, startWorld } from "./world.js";
+
+export interface SoakOptions {
+    readonly seed: number;
+    /** How long faults come. */
+    readonly lengthMs: number;
+    readonly entries: number;
+    readonly engines: number;
+    readonly callers: number;
+    /** Pause of a caller between two requests. */
+    readonly pauseMs: number;
+    readonly kinds?: readonly FaultKind[];
+    /** Second octet of the daemons' loopback addresses, and their first port; different for runs at the same time. */
+    readonly net: number;
+    readonly port: number;
+    /** Where the logs and the history are kept, of runs with findings only unless `keepsAll`. */
+    readonly logFolder: string;
+    readonly keepsAll?: boolean;
+}
+
+export interface SoakResult {
+    readonly seed: number;
+    readonly faults: readonly Fault[];
+    readonly calls: number;
+    readonly served: number;
+    /** Requests sent after the time to recover, and how many of them were served. */
+    readonly callsWhenCalm: number;
+    readonly servedWhenCalm: number;
+    readonly findings: readonly Finding[];
+}
+
+/** The bounds that the site states, with a second more for a busy machine where a bound is a time. */
+const bounds: Bounds = { configurationAppliesMs: 3_000, contactMs: 4_000, drainMs: 2_000, recoveryMs: 12_000 };
+/** Time after the recovery in which callers must be served again. */
+const servedMs = 3_000;
+
+function pause(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+/** Runs one seed. Ends every process that it has started. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+    const { seed, lengthMs, entries, callers: count, pauseMs } = options;
+    const faults = createSchedule({ seed, lengthMs, entries, ...options.kinds === undefined ? {} : { kinds: options.kinds } });
+    const folder = mkdtempSync(join(tmpdir(), "soak-"));
+    const world = await startWorld({ ...options, folder });
+    try {
+        const { processes } = world;
+        const callers = startCallers({
+            entries: processes.entries.map(entry => ({
+                id: entry.id, callers: processes.callersAddress(entry), ready: processes.readyAddress(entry),
+            })),
+            count, pauseMs, random: createRandom(seed + 1), routeVersion: world.routeVersion,
+        });
+        const applied = faults.map(async fault => {
+            await pause(fault.atMs);
+            await world.apply(fault);
+        });
+        await Promise.all([pause(lengthMs), ...applied]);
+        const calmFromMs = performance.now();
+        await pause(bounds.recoveryMs + servedMs);
+        await callers.stop();
+        const history: History = { ...world.record(), calls: callers.calls, calmFromMs, endedAtMs: performance.now() };
+        const findings = findViolations(history, bounds);
+        if (findings.length > 0 || options.keepsAll === true) {
+            keepLogs(options, faults, history, findings);
+            const daemons = [...processes.controls, ...processes.entries];
+            daemons.forEach(({ id }) => writeFileSync(logFileOf(options.logFolder, id), processes.output(id)));
+        }
+        const countServed = (calls: readonly Call[]) => calls.filter(({ status, isComplete }) => status === 200 && isComplete).length;
+        const whenCalm = callers.calls.filter(({ sentAtMs }) => sentAtMs > calmFromMs + bounds.recoveryMs);
+        return {
+            seed, faults, calls: callers.calls.length, served: countServed(callers.calls),
+            callsWhenCalm: whenCalm.length, servedWhenCalm: countServed(whenCalm), findings,
+        };
+    }
+    finally {
+        await world.stop();
+        rmSync(folder, { recursive: true });
+    }
+}
+
+function keepLogs({ logFolder }: SoakOptions, faults: readonly Fault[], history: History, findings: readonly Finding[]) {
+    mkdirSync(logFolder, { recursive: true });
+    const { calls, publications, reads, outages, upstreams, calmFromMs, endedAtMs } = history;
+    const records = upstreams.map(({ id, arrivals, runs, pushbacks, anomalies }) => ({ id, arrivals, runs, pushbacks, anomalies }));
+    const text = JSON.stringify({ findings, faults, calmFromMs, endedAtMs, publications, outages, upstreams: records, calls, reads });
+    writeFileSync(join(logFolder, "history.json"), text);
+}
--- /dev/null
+++ b/bench/soak/schedule.ts
@@ -0,0 +1,96 @@
+/**
+ * A seeded schedule of faults for a small published site. The same seed and size give the same schedule. Faults come in series and
+ * overlap, but no more control daemons and entries are down at once than the site bears.
+ *
+ * @module
+ */
+
+import { createRandom, nextArrivalMs, type Random } from "../random.js";
+
+export const faultKinds = [
+    "terminate-entry", "kill-entry", "freeze-entry", "reload-entry",
+    "terminate-control", "kill-control", "freeze-control", "kill-all",
+    "power-off-upstream", "push-back", "limit-upstream", "replace-upstream", "delay-orders", "reset-streams",
+    "silence-link", "reset-link", "refuse-link",
+    "publish", "evacuate",
+] as const;
+export type FaultKind = typeof faultKinds[number];
+
+export interface Fault {
+    readonly kind: FaultKind;
+    readonly atMs: number;
+    /** How long the fault lasts, or how long a process stays down. */
+    readonly forMs: number;
+    /** Chooses what the fault strikes, by the remainder of a division. */
+    readonly target: number;
+}
+
+export interface ScheduleOptions {
+    readonly seed: number;
+    readonly lengthMs: number;
+    readonly entries: number;
+    /** Kinds that may come; all by default. */
+    readonly kinds?: readonly FaultKind[];
+}
+
+const meanIntervalMs = 450;
+const [minForMs, maxForMs] = [200, 3_000];
+/** Time from the end of a control daemon's fault to the next one. */
+const controlRestMs = 3_000;
+const maxReplacements = 2;
+const maxTarget = 1 << 20;
+
+function isControlFault(kind: FaultKind): boolean {
+    return kind.endsWith("-control") || kind === "kill-all";
+}
+
+/** Whether a fault takes an entry out of service. */
+function isEntryOutage(kind: FaultKind): boolean {
+    return kind.endsWith("-entry") && kind !== "reload-entry";
+}
+
+function drawFault(random: Random, atMs: number, kinds: readonly FaultKind[]): Fault {
+    const kind = kinds[Math.floor(random() * kinds.length)]!;
+    return {
+        kind, atMs: Math.round(atMs), forMs: Math.round(minForMs + random() * (maxForMs - minForMs)),
+        target: Math.floor(random() * maxTarget),
+    };
+}
+
+/** Returns the faults in order of time. */
+export function createSchedule({ seed, lengthMs, entries, kinds = faultKinds }: ScheduleOptions): Fault[] {
+    const random = createRandom(seed);
+    const faults: Fault[] = [];
+    let controlFreeAtMs = 0;
+    let entriesFreeAtMs = 0;
+    let evacuationFreeAtMs = 0;
+    let replacements = 0;
+    for (let atMs = nextArrivalMs(random, 1_000 / meanIntervalMs); atMs < lengthMs; atMs += nextArrivalMs(random, 1_000 / meanIntervalMs)) {
+        const fault = drawFault(random, atMs, kinds);
+        const endsAtMs = fault.atMs + fault.forMs;
+        if (isControlFault(fault.kind)) {
+            if (fault.atMs < controlFreeAtMs) {
+                continue;
+            }
+            controlFreeAtMs = endsAtMs + controlRestMs;
+        }
+        if (isEntryOutage(fault.kind)) {
+            // One entry at least serves; a stop may take as long as its requests.
+            if (entries < 2 || fault.atMs < entriesFreeAtMs) {
+                continue;
+            }
+            entriesFreeAtMs = endsAtMs;
+        }
+        if (fault.kind === "evacuate") {
+            if (fault.atMs < evacuationFreeAtMs) {
+                continue;
+            }
+            evacuationFreeAtMs = endsAtMs;
+        }
+        if (fault.kind === "replace-upstream" && ++replacements > maxReplacements) {
+            continue;
+        }
+        faults.push(fault);
+    }
+    return faults;
+}
--- /dev/null
+++ b/bench/soak/world.ts
@@ -0,0 +1,276 @@
+/**
+ * A small published site of real daemons in front of stand-in upstreams, with relays on the links to the engines, and the faults that a
+ * schedule brings about. Records what the checks need.
+ *
+ * @module
+ */
+
+import { join } from "node:path";
+import {
+    callControlDaemon, configurationText, createSiteProcesses, type DaemonSpec, type Runner, type SiteProcesses, startRunner,
+} from "../../standin/platform/index.js";
+import { type Relay, startRelay } from "../../standin/relay.js";
+import type { ConfigurationRead, History, Outage, Publication } from "./history.js";
+import type { Fault } from "./schedule.js";
+
+export interface WorldOptions {
+    /** Holds settings and data folders. */
+    readonly folder: string;
+    readonly net: number;
+    readonly port: number;
+    readonly entries: number;
+    readonly engines: number;
+}
+
+const controlCount = 3;
+const ordersCount = 3;
+const heartbeatMs = 400;
+const joinMs = 150;
+const readinessTimeoutMs = 30_000;
+const readIntervalMs = 300;
+/** Routes of this many versions are in each configuration. */
+const routeVersions = 4;
+const [pushbackS, limitPerSecond, orderDelayMs, eventsUntilReset] = [2, 3, 2_500, 2];
+/** An upstream that is replaced says that it leaves for this long before it drains, and then before it exits. */
+const [leavingMs, drainingMs] = [1_000, 4_000];
+/** Time after a process was started or continued in which it counts as disturbed. */
+const startMs = 3_000;
+const dataCentres = ["dc-0", "dc-1", "dc-2"];
+
+function pause(ms: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+export async function waitUntil(description: string, condition: () => Promise<boolean> | boolean): Promise<void> {
+    const deadlineMs = performance.now() + readinessTimeoutMs;
+    while (!await condition()) {
+        if (performance.now() > deadlineMs) {
+            throw new Error(`not within ${readinessTimeoutMs} ms: ${description}`);
+        }
+        await pause(100);
+    }
+}
+
+export interface World {
+    readonly processes: SiteProcesses;
+    /** A version whose route is in the newest acknowledged configuration and those after it. */
+    routeVersion(): number | undefined;
+    /** Brings about a fault; resolves when it is over. */
+    apply(fault: Fault): Promise<void>;
+    /** What was recorded so far, without the calls. */
+    record(): Omit<History, "calls" | "calmFromMs" | "endedAtMs">;
+    stop(): Promise<void>;
+}
+
+/** Starts the site; resolves once it has a configuration and its groups are open. */
+export async function startWorld(options: WorldOptions): Promise<World> {
+    const processes = createSiteProcesses({ ...options, controls: controlCount });
+    const { controls, entries } = processes;
+    const runners: Runner[] = [];
+    const relays = new Map<string, Relay>();
+    const publications: (Publication & { acknowledgedAtMs: number | undefined })[] = [];
+    const reads: ConfigurationRead[] = [];
+    const outages: Outage[] = [];
+    let nextRunner = 0;
+    let isStopped = false;
+
+    function engines(): Runner[] {
+        return runners.filter(({ id }) => id.startsWith("i-pool"));
+    }
+
+    async function startUpstream(service: string, index: number) {
+        const id = `i-${service}-${nextRunner++}`;
+        const isEngine = service === "pool";
+        runners.push(await startRunner({
+            id, service, zone: dataCentres[index % dataCentres.length]!, heartbeatMs, joinMs,
+            ...isEngine ? { domain: "d0" } : {},
+            controls: () => controls.map(processes.controlAddress),
+            peer: peerId => runners.find(runner => runner.id === peerId),
+            async advertise(address) {
+                if (!isEngine) {
+                    return address;
+                }
+                const relay = await startRelay(address);
+                relays.set(id, relay);
+                return relay.address;
+            },
+        }));
+    }
+
+    function routesOf(version: number): object[] {
+        const versions = Array.from({ length: routeVersions }, (_, index) => version - index).filter(item => item > 0);
+        return versions.map(item => ({
+            name: `v${item}`, host: "shop.example", pathPrefix: `/v${item}/`, kind: "idempotent", service: "orders", timeoutMs: 4_000,
+            targetLatencyMs: 400, priority: 1, maxAttempts: 2,
+        }));
+    }
+
+    /** Sends the next configuration until a control daemon acknowledges it, for a few seconds at most. */
+    async function publish(target: number): Promise<boolean> {
+        const version = (publications.at(-1)?.version ?? 0) + 1;
+        const publication = { version, sentAtMs: performance.now(), acknowledgedAtMs: undefined as number | undefined };
+        publications.push(publication);
+        const text = configurationText(version, { routes: routesOf(version) });
+        for (let attempt = 0; attempt < 20 && !isStopped; attempt++) {
+            const control = controls[(target + attempt) % controls.length]!;
+            const { status } = await callControlDaemon(processes.controlAddress(control), "POST", "/api/config/put", text);
+            if (status === 200) {
+                publication.acknowledgedAtMs = performance.now();
+                return true;
+            }
+            await pause(200);
+        }
+        return false;
+    }
+
+    async function readRepeatedly(control: DaemonSpec) {
+        while (!isStopped) {
+            const sentAtMs = performance.now();
+            const { status, text } = await callControlDaemon(processes.controlAddress(control), "GET", "/api/config/get");
+            const version = status === 200 ? (JSON.parse(text) as { version: number }).version : undefined;
+            reads.push({ daemon: control.id, sentAtMs, version });
+            await pause(readIntervalMs);
+        }
+    }
+
+    async function withOutage(daemon: DaemonSpec, kind: Outage["kind"], disturb: () => Promise<void>) {
+        const outage = { daemon: daemon.id, kind, fromMs: performance.now(), toMs: Infinity };
+        outages.push(outage);
+        await disturb();
+        outage.toMs = performance.now() + startMs;
+    }
+
+    const restart = (daemon: DaemonSpec, signal: "SIGTERM" | "SIGKILL", downMs: number) =>
+        withOutage(daemon, signal === "SIGTERM" ? "planned" : "unplanned", async () => {
+            await processes.signal(daemon.id, signal);
+            // A stopped process is as disturbed as a killed one until it serves again.
+            await pause(downMs);
+            processes.start(daemon.id);
+        });
+
+    const freeze = (daemon: DaemonSpec, forMs: number) => withOutage(daemon, "unplanned", async () => {
+        await processes.signal(daemon.id, "SIGSTOP");
+        await pause(forMs);
+        await processes.signal(daemon.id, "SIGCONT");
+    });
+
+    async function replaceUpstream(target: number) {
+        const candidates = engines().filter(({ saysLeaving }) => !saysLeaving);
+        const leaving = candidates[target % candidates.length]!;
+        leaving.saysLeaving = true;
+        await startUpstream("pool", target);
+        await pause(leavingMs);
+        await leaving.drain();
+        await pause(drainingMs);
+        // A runner that exits sends no heartbeat and answers nothing.
+        leaving.isPoweredOff = true;
+    }
+
+    async function evacuate(dataCentre: string, forMs: number, target: number) {
+        const call = async (verb: "start" | "end") => {
+            for (let attempt = 0; attempt < 20 && !isStopped; attempt++) {
+                const control = controls[(target + attempt) % controls.length]!;
+                const path = `/api/evacuations/${dataCentre}/${verb}`;
+                if ((await callControlDaemon(processes.controlAddress(control), "POST", path)).status === 200) {
+                    return;
+                }
+                await pause(200);
+            }
+        };
+        await call("start");
+        await pause(forMs);
+        await call("end");
+    }
+
+    /** Sets a property of a runner for a while. */
+    async function during<Key extends "isPoweredOff" | "pushbackS" | "limitPerSecond" | "orderDelayMs" | "resetAfterEvents">(
+        runner: Runner, key: Key, value: Runner[Key], forMs: number,
+    ) {
+        const before = runner[key];
+        runner[key] = value;
+        await pause(forMs);
+        runner[key] = before;
+    }
+
+    async function apply({ kind, forMs, target }: Fault): Promise<void> {
+        const entry = entries[target % entries.length]!;
+        const control = controls[target % controls.length]!;
+        const engine = engines()[target % engines().length]!;
+        const upstream = runners[target % runners.length]!;
+        const relay = relays.get(engine.id)!;
+        switch (kind) {
+            case "terminate-entry":
+                return restart(entry, "SIGTERM", forMs);
+            case "kill-entry":
+                return restart(entry, "SIGKILL", forMs);
+            case "freeze-entry":
+                return freeze(entry, forMs);
+            case "reload-entry":
+                return processes.signal(entry.id, "SIGHUP");
+            case "terminate-control":
+                return restart(control, "SIGTERM", forMs);
+            case "kill-control":
+                return restart(control, "SIGKILL", forMs);
+            case "freeze-control":
+                return freeze(control, forMs);
+            case "kill-all":
+                await Promise.all([...controls, ...entries].map(daemon => restart(daemon, "SIGKILL", forMs)));
+                return;
+            case "power-off-upstream":
+                return during(engine, "isPoweredOff", true, forMs);
+            case "push-back":
+                return during(upstream, "pushbackS", pushbackS, forMs);
+            case "limit-upstream":
+                return during(engine, "limitPerSecond", limitPerSecond, forMs);
+            case "replace-upstream":
+                return replaceUpstream(target);
+            case "delay-orders":
+                return during(engine, "orderDelayMs", orderDelayMs, forMs);
+            case "reset-streams":
+                return during(engine, "resetAfterEvents", eventsUntilReset, forMs);
+            case "silence-link":
+                relay.silence(...target % 2 === 0 ? ["there", "back"] as const : ["back"] as const);
+                return;
+            case "reset-link":
+                relay.resetConnections();
+                return;
+            case "refuse-link":
+                relay.setRefusing(true);
+                await pause(forMs);
+                relay.setRefusing(false);
+                return;
+            case "publish":
+                await publish(target);
+                return;
+            case "evacuate":
+                return evacuate(dataCentres[target % dataCentres.length]!, forMs, target);
+        }
+    }
+
+    [...controls, ...entries].forEach(({ id }) => processes.start(id, { firstStart: true }));
+    for (let index = 0; index < ordersCount + options.engines; index++) {
+        await startUpstream(index < ordersCount ? "orders" : "pool", index);
+    }
+    await waitUntil("a configuration is accepted", () => publish(0));
+    await waitUntil("groups are open", () =>
+        engines().filter(({ membership }) => membership?.state === "open").length >= Math.floor(options.engines / 2) - 1);
+    const readsDone = controls.map(readRepeatedly);
+    return {
+        processes,
+        routeVersion: () => publications.findLast(({ acknowledgedAtMs }) => acknowledgedAtMs !== undefined)?.version,
+        apply,
+        record: () => ({ publications, reads, outages, upstreams: runners }),
+        async stop() {
+            isStopped = true;
+            await processes.stop();
+            await Promise.all(readsDone);
+            relays.forEach(relay => relay.stop());
+            await Promise.all(runners.map(runner => runner.close()));
+        },
+    };
+}
+
+/** Returns the file in which a daemon's output is kept. */
+export function logFileOf(folder: string, daemonId: string): string {
+    return join(folder, `${daemonId}.log`);
+}
--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -7,7 +7,7 @@
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import type { Arrival, Membership, Run, Runner, RunnerOptions } from "./runnerTypes.js";
+import type { Arrival, Membership, Pushback, Run, Runner, RunnerOptions } from "./runnerTypes.js";
 
 /** Events in a streamed answer; an event stands for five tokens. */
 export const eventsPerAnswer = 6;
@@ -30,7 +30,8 @@
     let isDown = false;
     const runs: Run[] = [];
     const arrivals: Arrival[] = [];
-    const pushbacks: Arrival[] = [];
+    const pushbacks: Pushback[] = [];
+    const anomalies: string[] = [];
     let heartbeatSeq = 0;
     let orderSeq = 0;
     let membership: Membership | undefined;
@@ -50,6 +51,7 @@
         runs,
         arrivals,
         pushbacks,
+        anomalies,
         get membership() {
             return membership;
         },
@@ -118,6 +120,11 @@
                     return 200;
                 }
                 const members = order.members as string[];
+                const head = membership === undefined ? undefined : options.peer(membership.members[0]!);
+                if (membership !== undefined && membership.members[0] !== options.id && head?.isPoweredOff === false &&
+                    head.membership?.name === membership.name && head.membership.state === "open") {
+                    anomalies.push(`${options.id} takes a join of ${String(order.group)} while the head of ${membership.name} is open`);
+                }
                 const newMembership: Membership = {
                     name: String(order.group), epoch, rank: members.indexOf(options.id), members, model: String(order.model), state: "joining",
                 };
@@ -183,7 +190,7 @@
         }
         arrivals.push({ id, atMs: performance.now() });
         if (runner.pushbackS !== undefined) {
-            pushbacks.push({ id, atMs: performance.now() });
+            pushbacks.push({ id, atMs: performance.now(), forMs: runner.pushbackS * 1_000 });
             response.writeHead(503, { ...commonHeaders, "zinnialanding-not-executed": "1", "retry-after": String(runner.pushbackS) }).end();
             return;
         }
@@ -249,7 +256,7 @@
             }
             startedAtMs = Date.now();
             [heartbeatSeq, orderSeq, highestEpoch, membership] = [0, 0, 0, undefined];
-            server.listen(Number(address.split(":")[1]), "127.0.0.1", () => {
+            server.listen(Number(listensAt.split(":")[1]), "127.0.0.1", () => {
                 isDown = false;
                 void sendHeartbeat();
             });
@@ -284,7 +291,8 @@
         socket.on("close", () => sockets.delete(socket));
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const listensAt = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    address = await options.advertise?.(listensAt) ?? listensAt;
     const heartbeatTimer = setInterval(() => void sendHeartbeat(), options.heartbeatMs);
     void sendHeartbeat();
     return runner;
--- a/standin/platform/runnerTypes.ts
+++ b/standin/platform/runnerTypes.ts
@@ -26,6 +26,8 @@
     peer(id: string): Runner | undefined;
     readonly heartbeatMs: number;
     readonly joinMs: number;
+    /** Returns the address to announce in place of the one at which the runner listens, such as that of a relay. */
+    advertise?(address: string): Promise<string>;
 }
 
 /** A request as it reaches the runner, whether or not it is run. */
@@ -35,6 +37,11 @@
     readonly atMs: number;
 }
 
+/** A request that was turned away, and for how long no others are wanted. */
+export interface Pushback extends Arrival {
+    readonly forMs: number;
+}
+
 /** One execution of a request. */
 export interface Run {
     readonly id: string;
@@ -50,7 +57,9 @@
     readonly runs: Run[];
     readonly arrivals: Arrival[];
     /** The requests that were turned away with a pushback. */
-    readonly pushbacks: Arrival[];
+    readonly pushbacks: Pushback[];
+    /** Orders and requests that break a rule of groups, in words. */
+    readonly anomalies: string[];
     readonly membership: Membership | undefined;
     /** The number of join orders refused because of a stale epoch. */
     readonly refusedJoins: number;
--- a/test/rpc/client.test.ts
+++ b/test/rpc/client.test.ts
@@ -3,7 +3,7 @@
 import { expect } from "chai";
 import { createPeerConnection, createRpcServer, MemberLeaseGrantSchema, SidecarService } from "../../src/rpc/index.js";
 import { createAsyncQueue } from "../../src/runtime/index.js";
-import { startRelay } from "../support/relay.js";
+import { startRelay } from "../../standin/relay.js";
 
 const afterPingTimeoutMs = 2_300;
 const lateErrorMs = 500;
--- /dev/null
+++ b/test/soak/checks.test.ts
@@ -0,0 +1,76 @@
+import { expect } from "chai";
+import { type Bounds, findViolations } from "../../bench/soak/checks.js";
+import type { Call, History, UpstreamRecord } from "../../bench/soak/history.js";
+
+const bounds: Bounds = { configurationAppliesMs: 2_000, contactMs: 3_000, drainMs: 2_000, recoveryMs: 10_000 };
+
+function call(id: string, change: Partial<Call> = {}): Call {
+    return {
+        id, kind: "charge", entry: "entry-0", sentAtMs: 0, endedAtMs: 10, status: 200, isComplete: true, body: `done ${id}`, ...change,
+    };
+}
+
+function upstream(change: Partial<UpstreamRecord> = {}): UpstreamRecord {
+    return { id: "u1", arrivals: [], runs: [], pushbacks: [], anomalies: [], ...change };
+}
+
+/** A history without findings but for what `change` brings. */
+function checksOf(change: Partial<History>): string[] {
+    const history: History = {
+        publications: [], reads: [], outages: [], upstreams: [], calmFromMs: 0, endedAtMs: 20_000, ...change,
+        calls: [...change.calls ?? [], call("last", { kind: "read", sentAtMs: 15_000, endedAtMs: 15_010 })],
+    };
+    return findViolations(history, bounds).map(({ check }) => check);
+}
+
+const run = (id: string) => ({ id, runner: "u1", tenant: undefined, atMs: 5 });
+const at = (id: string, atMs: number) => ({ id, atMs });
+
+describe("the checks of the soak", () => {
+    it("find nothing in a sound history", () => {
+        const upstreams = [upstream({ arrivals: [at("a", 5)], runs: [run("a")] })];
+        expect(checksOf({ calls: [call("a")], upstreams })).to.deep.equal([]);
+    });
+
+    it("find requests that ran twice, false refusals, and answers that aren't the request's own", () => {
+        const twice = upstream({ runs: [run("a"), run("a")] });
+        expect(checksOf({ calls: [call("a")], upstreams: [twice] })).to.deep.equal(["runsAtMostOnce"]);
+        expect(checksOf({ calls: [call("a", { status: 503 })], upstreams: [upstream({ runs: [run("a")] })] })).to.deep.equal(["refusalsAreTrue"]);
+        expect(checksOf({ calls: [call("a", { body: "done b" })] })).to.deep.equal(["answersAreWholeAndOwn"]);
+        expect(checksOf({ calls: [call("a", { kind: "caption", body: "id: 1\ndata: a 1\n\n" })] })).to.deep.equal(["answersAreWholeAndOwn"]);
+    });
+
+    it("find requests during a pushback, unless the entry was disturbed", () => {
+        const calls = ["a", "b", "c", "d"].map((id, index) => call(id, { sentAtMs: index * 1_000, endedAtMs: index * 1_000 + 10 }));
+        const upstreams = [upstream({
+            pushbacks: [{ ...at("a", 5), forMs: 5_000 }], arrivals: [at("a", 5), at("b", 1_005), at("c", 2_005), at("d", 3_005)],
+        })];
+        const outages = [{ daemon: "entry-0", kind: "unplanned" as const, fromMs: 500, toMs: 900 }];
+        expect(checksOf({ calls, upstreams })).to.deep.equal(["pushbacksAreKept"]);
+        expect(checksOf({ calls, upstreams, outages })).to.deep.equal([]);
+    });
+
+    it("find requests to an upstream that has said to the entry that it leaves", () => {
+        const calls = [call("a", { leavingUpstream: "u1" }), call("b", { sentAtMs: 2_500, endedAtMs: 2_510 })];
+        const upstreams = [upstream({ arrivals: [at("a", 5), at("b", 2_505)] })];
+        expect(checksOf({ calls, upstreams })).to.deep.equal(["leavingUpstreamsGetNothing"]);
+    });
+
+    it("find configurations that are stale, not in force in time, or gone again", () => {
+        const publications = [{ version: 1, sentAtMs: 0, acknowledgedAtMs: 10 }, { version: 2, sentAtMs: 50, acknowledgedAtMs: 100 }];
+        const route = (id: string, sentAtMs: number, status: number) =>
+            call(id, { kind: "route", routeVersion: 2, sentAtMs, endedAtMs: sentAtMs + 10, status, body: `done ${id}` });
+        expect(checksOf({ publications, reads: [{ daemon: "control-0", sentAtMs: 5_000, version: 1 }] })).to.deep.equal(["readsAreNotStale"]);
+        expect(checksOf({ publications, calls: [route("a", 5_000, 404)] })).to.deep.equal(["configurationsApply"]);
+        expect(checksOf({ publications, calls: [route("a", 300, 200), route("b", 600, 404)] })).to.deep.equal(["configurationsNeverRevert"]);
+    });
+
+    it("find requests cut off by a planned stop, unsound groups, and a site that doesn't recover", () => {
+        const outages = [{ daemon: "entry-0", kind: "planned" as const, fromMs: 2, toMs: 500 }];
+        const cutOff = call("a", { status: undefined, isComplete: false, body: "" });
+        expect(checksOf({ calls: [cutOff], outages, upstreams: [upstream({ arrivals: [at("a", 5)] })] })).to.deep.equal(["plannedStopsLoseNothing"]);
+        expect(checksOf({ upstreams: [upstream({ anomalies: ["two groups"] })] })).to.deep.equal(["groupsAreSound"]);
+        const failing = Array.from({ length: 9 }, (_, index) => call(`f${index}`, { kind: "read", sentAtMs: 12_000, status: 502 }));
+        expect(checksOf({ calls: failing })).to.deep.equal(["recovers"]);
+    });
+});
--- a/test/support/voters.ts
+++ b/test/support/voters.ts
@@ -10,7 +10,7 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { startRelay } from "./relay.js";
+import { startRelay } from "../../standin/relay.js";
 import { type ConsensusNode, createReplicatedLog, type ReplicatedLogOptions, type SettingsPeer } from "../../src/consensus/index.js";
 
 /** Short enough for tests, long enough to tolerate a stalled event loop. */
