Soak: faults that the checks can tell from sound runs

Pushbacks struck idle members and lasted too long to matter, no fault lost the answer of a plain service, and control daemons were not frozen for longer than the time in which a change applies. Now serving upstreams push back and accept again while their time runs, plain services lose answers, control daemons are frozen for up to 9 s, configurations come more often, and the bounds are those of the users' sheet (2 s, 3 s) without a margin.

--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -43,8 +43,8 @@
     readonly findings: readonly Finding[];
 }
 
-/** The bounds that the site states, with a second more for a busy machine where a bound is a time. */
-const bounds: Bounds = { configurationAppliesMs: 3_000, contactMs: 4_000, drainMs: 2_000, recoveryMs: 12_000 };
+/** The bounds that the smaller of the users' sites state. */
+const bounds: Bounds = { configurationAppliesMs: 2_000, contactMs: 3_000, drainMs: 2_000, recoveryMs: 12_000 };
 /** Time after the recovery in which callers must be served again. */
 const servedMs = 3_000;
 
--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -10,7 +10,7 @@
 export const faultKinds = [
     "terminate-entry", "kill-entry", "freeze-entry", "reload-entry",
     "terminate-control", "kill-control", "freeze-control", "kill-all",
-    "power-off-upstream", "push-back", "limit-upstream", "replace-upstream", "delay-orders", "reset-streams",
+    "power-off-upstream", "push-back", "limit-upstream", "replace-upstream", "delay-orders", "reset-streams", "lose-answers",
     "silence-link", "reset-link", "refuse-link",
     "publish", "evacuate",
 ] as const;
@@ -33,8 +33,12 @@
     readonly kinds?: readonly FaultKind[];
 }
 
-const meanIntervalMs = 450;
+const meanIntervalMs = 400;
 const [minForMs, maxForMs] = [200, 3_000];
+/** How much longer than other faults a control daemon is frozen, so that changes are accepted without it. */
+const controlFreezeFactor = 3;
+/** How often a kind is drawn in comparison with the others. */
+const kindWeights: Partial<Record<FaultKind, number>> = { publish: 4, "push-back": 2 };
 /** Time from the end of a control daemon's fault to the next one. */
 const controlRestMs = 3_000;
 const maxReplacements = 2;
@@ -50,9 +54,11 @@
 }
 
 function drawFault(random: Random, atMs: number, kinds: readonly FaultKind[]): Fault {
-    const kind = kinds[Math.floor(random() * kinds.length)]!;
+    const weighted = kinds.flatMap(kind => Array<FaultKind>(kindWeights[kind] ?? 1).fill(kind));
+    const kind = weighted[Math.floor(random() * weighted.length)]!;
+    const forMs = (minForMs + random() * (maxForMs - minForMs)) * (kind === "freeze-control" ? controlFreezeFactor : 1);
     return {
-        kind, atMs: Math.round(atMs), forMs: Math.round(minForMs + random() * (maxForMs - minForMs)),
+        kind, atMs: Math.round(atMs), forMs: Math.round(forMs),
         target: Math.floor(random() * maxTarget),
     };
 }
--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -30,7 +30,9 @@
 const readIntervalMs = 300;
 /** Routes of this many versions are in each configuration. */
 const routeVersions = 4;
-const [pushbackS, limitPerSecond, orderDelayMs, eventsUntilReset] = [2, 3, 2_500, 2];
+const [limitPerSecond, orderDelayMs, eventsUntilReset] = [3, 2_500, 2];
+/** An upstream that pushes back turns requests away for a short time, and asks for none for a longer one. */
+const [turningAwayMs, pushbackS] = [400, 4];
 /** An upstream that is replaced says that it leaves for this long before it drains, and then before it exits. */
 const [leavingMs, drainingMs] = [1_000, 4_000];
 /** Time after a process was started or continued in which it counts as disturbed. */
@@ -183,7 +185,7 @@
     }
 
     /** Sets a property of a runner for a while. */
-    async function during<Key extends "isPoweredOff" | "pushbackS" | "limitPerSecond" | "orderDelayMs" | "resetAfterEvents">(
+    async function during<Key extends "isPoweredOff" | "pushbackS" | "limitPerSecond" | "orderDelayMs" | "resetAfterEvents" | "losesAnswers">(
         runner: Runner, key: Key, value: Runner[Key], forMs: number,
     ) {
         const before = runner[key];
@@ -196,7 +198,9 @@
         const entry = entries[target % entries.length]!;
         const control = controls[target % controls.length]!;
         const engine = engines()[target % engines().length]!;
-        const upstream = runners[target % runners.length]!;
+        const plain = runners.filter(({ id }) => !id.startsWith("i-pool"));
+        const heads = engines().filter(({ membership }) => membership?.rank === 0 && membership.state === "open");
+        const serving = [...plain, ...heads][target % (plain.length + heads.length)]!;
         const relay = relays.get(engine.id)!;
         switch (kind) {
             case "terminate-entry":
@@ -219,7 +223,7 @@
             case "power-off-upstream":
                 return during(engine, "isPoweredOff", true, forMs);
             case "push-back":
-                return during(upstream, "pushbackS", pushbackS, forMs);
+                return during(serving, "pushbackS", pushbackS, turningAwayMs);
             case "limit-upstream":
                 return during(engine, "limitPerSecond", limitPerSecond, forMs);
             case "replace-upstream":
@@ -228,6 +232,8 @@
                 return during(engine, "orderDelayMs", orderDelayMs, forMs);
             case "reset-streams":
                 return during(engine, "resetAfterEvents", eventsUntilReset, forMs);
+            case "lose-answers":
+                return during(plain[target % plain.length]!, "losesAnswers", true, forMs);
             case "silence-link":
                 relay.silence(...target % 2 === 0 ? ["there", "back"] as const : ["back"] as const);
                 return;
--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -65,6 +65,7 @@
         limitPerSecond: undefined,
         pushbackS: undefined,
         saysLeaving: false,
+        losesAnswers: false,
         get crashes() {
             return crashes;
         },
@@ -197,6 +198,10 @@
         const tenant = message.headers["zinnialanding-tenant"] as string | undefined;
         if (options.domain === undefined) {
             runs.push({ id, runner: options.id, tenant, atMs: performance.now() });
+            if (runner.losesAnswers) {
+                response.socket?.resetAndDestroy();
+                return;
+            }
             response.writeHead(200, { ...commonHeaders, "zinnialanding-upstream-signature": `${options.id}.${id}` }).end(`done ${id}`);
             return;
         }
--- a/standin/platform/runnerTypes.ts
+++ b/standin/platform/runnerTypes.ts
@@ -69,6 +69,8 @@
     orderDelayMs: number;
     /** Resets the connection of each answer after this many events; undefined for no resets. */
     resetAfterEvents: number | undefined;
+    /** While set, a plain service runs requests and resets their connections in place of an answer. */
+    losesAnswers: boolean;
     /** Simulates a crash whenever a request with this path begins to run; the runner restarts under the same id. */
     crashPath: string | undefined;
     /** The limit in requests per second that answers state in the `server-limit` header; undefined for no header. */
