Round Retry-After up

Rounded to the nearest hundredth of a second, a caller could come back 5 ms before the first upstream accepts requests again.

--- a/src/gateway/answer.ts
+++ b/src/gateway/answer.ts
@@ -86,7 +86,8 @@
             }
             isOver = true;
             const body = Buffer.from(JSON.stringify({ status, reason }));
-            const retryAfter = retryAfterMs === undefined ? [] : ["Retry-After", (retryAfterMs / 1_000).toFixed(2)];
+            // Rounded up, so that no caller returns before the time.
+            const retryAfter = retryAfterMs === undefined ? [] : ["Retry-After", (Math.ceil(retryAfterMs / 10) / 100).toFixed(2)];
             writeHead(status, [...options.ownHeaders, ...retryAfter, "Content-Type", "application/json", "Content-Length", String(body.length)]);
             response.write(body);
             // Ending the connection while bytes of the request are unread resets it, and the caller could lose this answer.
--- a/src/gateway/signals.ts
+++ b/src/gateway/signals.ts
@@ -9,6 +9,7 @@
 import { headerValue, type HeaderNames } from "./headers.js";
 
 const leavingMark = "1";
+
 function parseLoad(text: string | undefined): UpstreamSignals["load"] {
     const [running, waiting] = (text ?? "").split(",").map(parseAmount);
     return running === undefined || waiting === undefined ? undefined : { running, waiting };
