--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -36,7 +36,7 @@
     /** Pause of a caller between two requests. */
     readonly pauseMs: number;
     readonly random: Random;
-    /** Returns the versions whose routes may be called; undefined while there is none. */
+    /** Returns the version of the configuration whose own route may be called; undefined while none is acknowledged. */
     routeVersion(): number | undefined;
 }
 
--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -43,7 +43,7 @@
     return new Promise(resolve => setTimeout(resolve, ms));
 }
 
-export async function waitUntil(description: string, condition: () => Promise<boolean> | boolean): Promise<void> {
+async function waitUntil(description: string, condition: () => Promise<boolean> | boolean): Promise<void> {
     const deadlineMs = performance.now() + readinessTimeoutMs;
     while (!await condition()) {
         if (performance.now() > deadlineMs) {
@@ -55,7 +55,7 @@
 
 export interface World {
     readonly processes: SiteProcesses;
-    /** A version whose route is in the newest acknowledged configuration and those after it. */
+    /** The newest acknowledged version; its route is also in the next few configurations. */
     routeVersion(): number | undefined;
     /** Brings about a fault; resolves when it is over. */
     apply(fault: Fault): Promise<void>;
@@ -145,7 +145,6 @@
     const restart = (daemon: DaemonSpec, signal: "SIGTERM" | "SIGKILL", downMs: number) =>
         withOutage(daemon, signal === "SIGTERM" ? "planned" : "unplanned", async () => {
             await processes.signal(daemon.id, signal);
-            // A stopped process is as disturbed as a killed one until it serves again.
             await pause(downMs);
             processes.start(daemon.id);
         });
