--- a/src/config/siteSettings.ts
+++ b/src/config/siteSettings.ts
@@ -48,6 +48,14 @@
         /** The number of repeated sends that a window may have in addition to the ratio. */
         slack: z.number().min(0),
     }),
+    overload: z.strictObject({
+        /** Whether overload control acts: always, never, or for the services for which the published site calls for it. */
+        mode: z.enum(["auto", "on", "off"]).default("auto"),
+    }).prefault({}),
+    memory: z.strictObject({
+        /** The memory that this process may use. If set, the bytes held for callers and upstreams are bounded. */
+        limitMb: z.number().positive(),
+    }).optional(),
 });
 
 export type SiteSettings = z.infer<typeof siteSettingsSchema>;
--- a/src/site/index.ts
+++ b/src/site/index.ts
@@ -1,4 +1,5 @@
 export * from "./check.js";
 export * from "./dialect.js";
+export * from "./overload.js";
 export * from "./table.js";
 export * from "./types.js";
--- a/src/site/types.ts
+++ b/src/site/types.ts
@@ -63,6 +63,14 @@
     stepPerRequestMs: z.number().min(0),
     stepPerThousandTokensMs: z.number().min(0),
     promptTokensPerSecond: z.number().positive(),
+    /** Decoding steps in one pass of the batch. Prompts are read and events are sent once per pass. */
+    stepsPerPass: z.number().int().min(1).default(1),
+    /** The maximum number of prompt tokens read in one pass; undefined if the engine states none. */
+    promptTokensPerPass: z.number().int().positive().optional(),
+    /** Added to the reading time of a prompt for each million pairs of a token and an earlier one. */
+    millionPairsMs: z.number().min(0).default(0),
+    /** One-way network delays between data centres. */
+    delays: z.array(z.strictObject({ from: name, to: name, delayMs: z.number().min(0) })).default([]),
     /** Mean prompt and answer sizes of a request, in tokens. */
     usualPromptTokens: z.number().min(0),
     usualAnswerTokens: z.number().min(0),
