Exchange of loads between entries through the control leader

Cause: an entry learns the load of a group only from its own answers, so that several entries fill the same room at once. Change: reports carry the entry's requests by head and its arrivals by model; the leader answers with the sums and the entry's share. The allowance rule divides the room of a view. Only where overload control acts.

--- /dev/null
+++ b/src/admission/allowance.ts
@@ -0,0 +1,72 @@
+/**
+ * How many requests one entry may send to a group that several entries share, given a view of their requests that may be old.
+ *
+ * @module
+ */
+
+/** A view older than this is not used: the entry keeps to its share of the limit. */
+const maxViewAgeMs = 500;
+/**
+ * Below this part of the limit an entry may use `looseFactor` times its share, and at least one request for each view, since few entries
+ * have requests for the same group between two views. If each could use all of the room there, a burst that 16 entries see at once would
+ * fill a group to 2.4 times its limit.
+ */
+const loosePart = 0.75;
+const looseFactor = 2;
+
+/** What is carried over from one view to the next, for one group. */
+export interface AllowanceState {
+    readonly viewNumber: number;
+    /** The fraction of a request left over from earlier views, from 0 to 1. */
+    readonly carried: number;
+    /** The part of the room that the current view gave this entry; negative if the group was over its limit. */
+    readonly granted: number;
+    /** This entry's requests as the current view counts them. */
+    readonly countedOwn: number;
+}
+
+export const initialAllowance: AllowanceState = { viewNumber: 0, carried: 0, granted: 0, countedOwn: 0 };
+
+export interface AllowanceInput {
+    readonly viewNumber: number;
+    /** Age of the view; Infinity if there is none. */
+    readonly ageMs: number;
+    /** The number of requests at the group up to which one more is on time. */
+    readonly limit: number;
+    /** Requests of other entries by the view; undefined if it is too old. */
+    readonly others: number | undefined;
+    /** This entry's requests at the group, now and as the view counts them. */
+    readonly own: number;
+    readonly countedOwn: number;
+    /** This entry's share of the requests for the model, from 0 to 1. */
+    readonly share: number;
+    /** This entry's requests at all groups of the model. */
+    readonly ownAtModel: number;
+}
+
+export interface Allowance {
+    readonly state: AllowanceState;
+    /** The number of requests that may be sent now; one may be sent while it is at least 1. It can be fractional or negative. */
+    readonly allowance: number;
+}
+
+/**
+ * Computes the allowance. By one view all entries stay within the limit together, apart from at most one request each by `carried`: each
+ * may have its counted requests plus its share of the room. Of the room of its requests that end, an entry may use its share at once; the
+ * rest is divided by the next view, so that entries with many requests do not keep all of it.
+ */
+export function computeAllowance(state: AllowanceState, input: AllowanceInput): Allowance {
+    const { viewNumber, ageMs, limit, others, own, countedOwn, share, ownAtModel } = input;
+    if (others === undefined || ageMs >= maxViewAgeMs) {
+        const allowance = limit * share - own;
+        return { state, allowance: ownAtModel === 0 ? Math.max(1, allowance) : allowance };
+    }
+    const room = limit - others - countedOwn;
+    const looseRoom = Math.max(0, room - limit * (1 - loosePart));
+    const granted = looseRoom * Math.min(1, share * looseFactor) + (room - looseRoom) * share;
+    const unused = state.granted + state.carried - Math.max(0, own - state.countedOwn);
+    const carried = viewNumber === state.viewNumber ? state.carried : Math.min(1, Math.max(0, unused));
+    const spent = own > countedOwn ? own - countedOwn : (own - countedOwn) * share;
+    const allowed = Math.max(granted + carried, looseRoom >= 1 ? 1 : -Infinity);
+    return { state: { viewNumber, carried, granted, countedOwn }, allowance: allowed - spent };
+}
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -1,3 +1,4 @@
+export { type Allowance, type AllowanceInput, type AllowanceState, computeAllowance, initialAllowance } from "./allowance.js";
 export {
     type ColdStartEffect, type ColdStartEvent, type ColdStartPolicy, type ColdStartState, coldStartReducer, coldStartDefaults,
     initialColdStart, startingCount,
--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -8,6 +8,7 @@
 import type { ConnectRouter } from "@connectrpc/connect";
 import { type SiteFrame, SiteFrameSchema, SiteReportSummarySchema, SiteService, type WatchSiteRequest, WatchScope } from "../rpc/index.js";
 import { type Frame, type Report, reportSchema } from "./frames.js";
+import { createLoadsDecoder, type EntryLoads, entryLoadsSchema } from "./loads.js";
 
 /** How long an entry is still counted after it was last seen. An entry that is cut off keeps serving and using its share of limits. */
 const entryRetentionMs = 600_000;
@@ -51,6 +52,10 @@
      */
     initialFrames(kinds: readonly FrameKind[]): Iterable<Frame>;
     onReport(daemonId: string, report: Report): void;
+    /** Records the loads of a report. Returns the encoded answer; undefined if this daemon does not answer about loads. */
+    onLoads?(daemonId: string, loads: EntryLoads): Uint8Array | undefined;
+    /** Called once, with the first loads that can't be read. The rest of their report counts. */
+    onUnreadableLoads?(error: string): void;
     nowMs(): number;
 }
 
@@ -103,6 +108,7 @@
     /** Entries that are watching or have watched, with the time at which they were last seen. */
     const entriesSeenAtMs = new Map<string, number>();
     const watchingEntries = new Map<Watcher, string>();
+    const decodeLoads = createLoadsDecoder(entryLoadsSchema, error => options.onUnreadableLoads?.(error));
 
     function entryCount(): number {
         watchingEntries.forEach(id => entriesSeenAtMs.set(id, options.nowMs()));
@@ -181,7 +187,8 @@
             watch: (request, context) => watch(request, context.signal),
             async report(request) {
                 options.onReport(request.daemonId, reportSchema.parse(JSON.parse(Buffer.from(request.report).toString("utf8"))));
-                return create(SiteReportSummarySchema, {});
+                const loads = decodeLoads(request.loads);
+                return create(SiteReportSummarySchema, { loads: loads && options.onLoads?.(request.daemonId, loads) });
             },
         }),
         publish(frame, role) {
--- a/src/feed/watcher.ts
+++ b/src/feed/watcher.ts
@@ -12,6 +12,7 @@
 import { createPeerConnection, type PeerConnection, SiteService, WatchScope } from "../rpc/index.js";
 import { chooseDaemonToFollow, type FollowCandidate, type FollowedDaemon, newestSiteVersion } from "./follow.js";
 import { type AliveFrame, type Frame, frameSchema, type Report } from "./frames.js";
+import { createLoadsDecoder, type EntryLoads, type SharedLoadsAnswer, sharedLoadsSchema } from "./loads.js";
 
 /** Interval at which control daemons send `alive` frames. A stream counts as dead after three intervals without a frame. */
 export const aliveIntervalMs = 500;
@@ -27,8 +28,11 @@
     watch(addresses: readonly string[]): void;
     /** Stops watching all control daemons that are not in `addresses`. */
     keepOnly(addresses: readonly string[]): void;
-    /** Sends a report to the control daemons that claim to lead. Lost reports are not sent again. */
-    report(report: Report): void;
+    /**
+     * Sends a report, with the loads if given, to the control daemons that claim to lead. Lost reports are not sent again. `onLoads` gets
+     * the answer of each daemon that leads and is not older than this message.
+     */
+    report(report: Report, loads?: EntryLoads, onLoads?: (answer: SharedLoadsAnswer) => void): void;
     /** Addresses of the control daemons that are currently heard. */
     readonly heard: readonly string[];
     /** Address of the followed control daemon; undefined while there is none. */
@@ -43,6 +47,8 @@
     readonly dataCentre: string;
     onFrame(frame: Frame, address: string): void;
     onHeardChanged(address: string, isHeard: boolean): void;
+    /** Called once, with the first answer about loads that can't be read. Such answers are ignored. */
+    onUnreadableLoads?(error: string): void;
     onFollowedChanged?(address: string | undefined, previous: string | undefined): void;
 }
 
@@ -71,6 +77,7 @@
 export function createFeedWatcher(options: FeedWatcherOptions): FeedWatcher {
     const { daemonId, isEntry } = options;
     const daemons = new Map<string, WatchedDaemon>();
+    const decodeLoads = createLoadsDecoder(sharedLoadsSchema, error => options.onUnreadableLoads?.(error));
     let followed: ContentStream | undefined;
     let isClosed = false;
     const followTimer = isEntry ? setInterval(updateFollowed, followIntervalMs) : undefined;
@@ -220,13 +227,21 @@
                 }
             }
         },
-        report(report) {
+        report(report, loads, onLoads) {
             const bytes = Buffer.from(JSON.stringify(report));
+            const loadsBytes = loads === undefined ? undefined : Buffer.from(JSON.stringify(loads));
+            const applyAnswer = (answer: SharedLoadsAnswer | undefined) => {
+                if (answer !== undefined) {
+                    onLoads?.(answer);
+                }
+            };
             for (const daemon of daemons.values()) {
                 if (daemon.isHeard && daemon.alive?.leads === true && daemon.connection !== undefined) {
                     const client = createClient(SiteService, daemon.connection.transport);
                     // A lost report is followed by the next one within a second.
-                    client.report({ daemonId, report: bytes }, { timeoutMs: 1_000 }).catch(() => undefined);
+                    client.report({ daemonId, report: bytes, loads: loadsBytes }, { timeoutMs: 1_000 })
+                        .then(summary => applyAnswer(decodeLoads(summary.loads)))
+                        .catch(() => undefined);
                 }
             }
         },
--- a/src/gateway/balancer.ts
+++ b/src/gateway/balancer.ts
@@ -49,6 +49,8 @@
     /** Removes a request from the late queue. `hasStarted` false: it left before it was served. */
     lateDequeued(upstream: Upstream, sentAtMs: number, hasStarted: boolean): void;
     requestEnded(upstream: Upstream): void;
+    /** This entry's own requests at an upstream, running and queued. */
+    ownRequests(upstream: Upstream): number;
     streamStarted(upstream: Upstream): void;
     /** `hasStarted`: the stream has brought an event. */
     streamEnded(upstream: Upstream, hasStarted: boolean): void;
@@ -200,6 +202,7 @@
             state.running = Math.max(0, state.running - 1);
             state.load = Math.max(0, state.load - 1);
         },
+        ownRequests: upstream => stateOf(upstream).running,
         streamStarted(upstream) {
             const state = stateOf(upstream);
             if (state.streams === 0) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,16 +8,18 @@
 import { createFeedWatcher } from "../feed/index.js";
 import { createPushbacks } from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
-import type { SiteDialect } from "../site/index.js";
+import type { OverloadMode, SiteDialect } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createBalancer } from "./balancer.js";
 import { createConnections } from "./connections.js";
 import { createCrashLog, fingerprintOf } from "./crashes.js";
 import { createEntryCount, shareOfSlack } from "./entryCount.js";
 import type { HeaderNames } from "./headers.js";
+import { createLoadReports } from "./loadReports.js";
 import { createLoopTicks } from "./loopTicks.js";
 import { createLimits } from "./limits.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
+import { createSharedLoads } from "./sharedLoads.js";
 import { createSiteView } from "./siteView.js";
 import { queueLimitsFor } from "./work.js";
 import { createWorkload } from "./workload.js";
@@ -31,6 +33,8 @@
     readonly headerNames: HeaderNames;
     /** The retry budget of all entries together: this ratio of the requests, plus this many retries in each window. */
     readonly retries: { readonly ratio: number; readonly slack: number };
+    /** Whether overload control acts; by default for the services for which the published site calls for it. */
+    readonly overloadMode?: OverloadMode;
     readonly logger: Logger;
     readonly metrics: SiteMetrics;
 }
@@ -79,6 +83,8 @@
         nowMs, random: Math.random, entries: () => entryCount.upperBound, shareOfLimit: limits.shareOf,
         pushbackLeftMs: pushbacks.leftMs,
     });
+    const sharedLoads = createSharedLoads({ nowMs, entries: () => entryCount.upperBound, logger });
+    const loadReports = createLoadReports({ view, balancer, sharedLoads, mode: options.overloadMode ?? "auto" });
     const connections = createConnections();
     const crashes = createCrashLog(nowMs);
     const workload = createWorkload();
@@ -93,16 +99,20 @@
     function report() {
         const { suspectIds, movingIds } = balancer;
         const isNew = suspectIds.some(id => !reportedSuspects.includes(id));
-        if (!isNew && nowMs() - reportedAtMs < reportIntervalMs) {
+        if (!isNew && nowMs() - reportedAtMs < loadReports.intervalMs(reportIntervalMs)) {
             return;
         }
+        const loads = loadReports.drain();
+        if (loads !== undefined) {
+            metrics.recordLoadReport();
+        }
         reportedAtMs = nowMs();
         reportedSuspects = suspectIds;
         watcher.report({
             workByModel: workload.drain(), requests, suspectIds: [...suspectIds], movingIds: [...movingIds], crashes: [...crashes.recent],
             limits: limits.observedLimits(), draining: [...view.observedDraining],
             vm, pushbacks: pushbacks.relayed(),
-        });
+        }, loads, sharedLoads.apply);
         requests = 0;
     }
 
@@ -139,6 +149,7 @@
             }
         },
         onHeardChanged: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
+        onUnreadableLoads: error => logger.warn("answer about shared loads ignored", { error }),
         onFollowedChanged: (address, previous) => logger.info("followed control daemon changed", { address, previous }),
     });
     watcher.watch(options.controlAddresses);
@@ -149,6 +160,7 @@
         mayRetry: service => budgetOf(service).tryRetry(nowMs()) === undefined,
         recordLimit: limits.limitSeen,
         recordCrash: (request, upstream) => crashes.record(request, upstream),
+        recordArrival: loadReports.requestArrived,
         isBarred: request => view.barred.size > 0 && view.barred.has(fingerprintOf(request)),
         countFailedAttempt: kind => metrics.recordAttemptWithoutAnswer(kind),
         countEarlyRefusal: status => metrics.recordRefusal(status),
@@ -172,12 +184,14 @@
     metrics.registerGauge("zinnialanding_site_version", () => view.version);
     metrics.registerGauge("zinnialanding_upstreams_limited", () => limits.count);
     metrics.registerGauge("zinnialanding_upstreams_pushing_back", () => pushbacks.relayed().length);
+    metrics.registerGauge("zinnialanding_shared_loads_age_seconds", () => Number.isFinite(sharedLoads.ageMs) ? sharedLoads.ageMs / 1_000 : NaN);
     metrics.registerGauge("zinnialanding_control_daemons_heard", () => watcher.heard.length);
 
     const loopTicks = createLoopTicks(nowMs);
     const timers = [
         setInterval(() => {
             loopTicks.tick();
+            sharedLoads.checkAge();
             report();
         }, suspectCheckIntervalMs),
         setInterval(() => connections.sweep(view.addresses), sweepIntervalMs),
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -60,6 +60,8 @@
 export interface ServerDependencies extends RequestDependencies {
     /** Counts a request that was refused before an upstream was chosen. */
     countEarlyRefusal(status: number): void;
+    /** Counts a request that was read completely, before an upstream is chosen. */
+    recordArrival(request: ParsedRequest): void;
     /** Counts a request that arrived or was cut off during the shutdown. */
     countWhileStopping(labels: StopLabels): void;
 }
@@ -156,6 +158,7 @@
         stopRecord.requestTaken({ attemptId, carried: place.precedingRequests, outcome: "served" });
         const hasBody = body.length > 0 || message.headers["content-length"] !== undefined || message.headers["transfer-encoding"] !== undefined;
         const parsed: ParsedRequest = { ...head.request, body: hasBody ? body : undefined };
+        dependencies.recordArrival(parsed);
         served.runningRequest = startRequest(parsed, answer, dependencies);
     }
 
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -12,8 +12,10 @@
 import { type PeerConnections, splitAddress } from "../rpc/index.js";
 import { createSiteTable, type DecodedSite, type SiteDialect, type SiteFinding, type SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import { barredFingerprints, recordCrashes } from "./crashRecords.js";
 import { createGroupLeader, type EngineClient } from "./groupLeader.js";
 import { createLimitDistributor } from "./limitDistributor.js";
+import { createLoadTable } from "./loadTable.js";
 import { createSiteFrames, upstreamFrames } from "./initialFrames.js";
 import { registerControlMetrics } from "./metrics.js";
 import { createPlanPacer } from "./planPacer.js";
@@ -62,8 +64,6 @@
 /** Delay from a change to the next planning step, which covers all changes in between. Each phase of a repair waits for it. */
 const planDelayMs = 10;
 const cleanupIntervalMs = 10_000;
-/** Number of upstreams that must crash under a request before it is barred: requests that are not the cause rarely reach three. */
-const minCrashesToBar = 3;
 
 /** Creates the role. It plans and publishes nothing before `start` is called. */
 export function createSiteControl(options: SiteControlOptions): SiteControl {
@@ -84,6 +84,7 @@
     let planTimer: NodeJS.Timeout | undefined;
     const planPacer = createPlanPacer(nowMs);
     const limitDistributor = createLimitDistributor(nowMs);
+    const loadTable = createLoadTable({ daemonId: options.daemonId, leads: isLeader, nowMs });
     const vm = splitAddress(options.address).host;
     const pushbacks = createPushbacks(nowMs, (upstream, forMs) => logger.info("upstream wants no requests", { upstream, forMs }));
     const groupLeader = createGroupLeader({
@@ -139,7 +140,11 @@
         };
     }
 
-    const feed: FeedServer = createFeedServer({ initialFrames, onReport, nowMs });
+    const feed: FeedServer = createFeedServer({
+        initialFrames, onReport, nowMs,
+        onLoads: loadTable.report,
+        onUnreadableLoads: error => logger.warn("loads in a report ignored", { error }),
+    });
 
     function onReport(daemonId: string, received: Report) {
         groupLeader.recordReport(received);
@@ -148,23 +153,7 @@
             pushbacks.merge(received.pushbacks);
         }
         publishChanged(received.draining.flatMap(incarnation => directory.markDraining(incarnation)));
-        void recordCrashes(received.crashes);
-    }
-
-    /** Records new crashes in the replicated log, so that the next leader continues the count. */
-    async function recordCrashes(crashes: Report["crashes"]) {
-        const known = log.state.suspects.byFingerprint;
-        const unrecorded = crashes.filter(crash => known[crash.fingerprint]?.engineBootIds.includes(crash.upstream) !== true);
-        for (const upstream of new Set(unrecorded.map(crash => crash.upstream))) {
-            const fingerprints = unrecorded.filter(crash => crash.upstream === upstream).map(crash => crash.fingerprint);
-            await log.propose({ kind: "report-crash", engineBootId: upstream, fingerprints, atMs: Date.now() }, operatorTimeoutMs);
-        }
-    }
-
-    /** Fingerprints of requests under which so many upstreams have crashed that they are the likely cause. */
-    function barredFingerprints(): string[] {
-        const { byFingerprint } = log.state.suspects;
-        return Object.keys(byFingerprint).filter(fingerprint => byFingerprint[fingerprint]!.crashes >= minCrashesToBar);
+        void recordCrashes(log, received.crashes);
     }
 
     const watcher: FeedWatcher = createFeedWatcher({
@@ -192,7 +181,7 @@
     }
 
     function judgedFrame(): Frame {
-        return { kind: "judged", lostIds: [...groupLeader.lostIds], barred: barredFingerprints() };
+        return { kind: "judged", lostIds: [...groupLeader.lostIds], barred: barredFingerprints(log) };
     }
 
     function currentTable(): SiteTable | undefined {
@@ -262,7 +251,7 @@
     }
 
     function publishJudged() {
-        const lost = [...groupLeader.lostIds, ...barredFingerprints()].join(",");
+        const lost = [...groupLeader.lostIds, ...barredFingerprints(log)].join(",");
         if (lost !== lastPublished.lost) {
             feed.publish(judgedFrame());
             lastPublished = { ...lastPublished, lost };
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -90,6 +90,7 @@
         countFailedAttempt: () => undefined,
         pushbacks,
         recordCrash: () => undefined,
+        recordArrival: () => undefined,
         isBarred: () => false,
         countEarlyRefusal: () => undefined,
         recordLimit: () => undefined, countWhileStopping: labels => stopCounts.push(labels),
