Predict first events and choose groups by them under overload control

Cause: all groups counted as equally fast, data centres as half a request apart, and the bound on a group's queue did not follow the time to the first event.

Change: src/latency predicts first events from the engine's stated costs and learns differences and speed factors; the balancer chooses by the prediction where overload control is active. Elsewhere the choice is unchanged.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -10,8 +10,9 @@
 import type { ParsedRequest } from "./parsedRequest.js";
 import type { Balancer } from "./balancer.js";
 import type { Connections, ExchangeRequest } from "./connections.js";
-import type { EventSplitter } from "./events.js";
+import { countEvents, type EventSplitter } from "./events.js";
 import { type HeaderNames, forwardedHeaders, headerValue } from "./headers.js";
+import type { LatencyObserver } from "./latencyTracker.js";
 import { readSignals } from "./signals.js";
 import type { SiteView } from "./siteView.js";
 
@@ -39,6 +40,8 @@
     nowMs(): number;
     /** Records the limit in requests a second, or its absence, that the answer to a request sent at `sentAtMs` states. */
     recordLimit(upstream: Upstream, perSecond: number | undefined, sentAtMs: number): void;
+    /** Observes when the events of streams come. */
+    readonly latency?: LatencyObserver;
 }
 
 export interface AttemptOptions {
@@ -50,6 +53,8 @@
     readonly isRepeatable: boolean;
     /** How long the request may make no progress before another upstream is tried. */
     readonly stallTimeoutMs: number;
+    /** Whether the request waits in the late queue, where it is served after others. */
+    readonly isLate?: boolean;
     /** Headers of the request to the upstream. */
     readonly headers: string[];
     /** Asks whether a stalled attempt may be retried at another upstream. True: the attempt has to end. */
@@ -91,7 +96,10 @@
     let isForwarding = false;
     let hasEvents = false;
     let isOver = false;
+    /** Whether reading from the upstream has been paused since the last event. */
+    let wasPaused = false;
 
+    const observation = isObserved() ? dependencies.latency?.requestSent(upstream, request, needsConnection()) : undefined;
     balancer.requestSent(upstream, upstream.coldUntilMs > dependencies.nowMs());
     if (isStream) {
         balancer.streamStarted(upstream);
@@ -100,6 +108,15 @@
     let lastProgressAtMs = sentAtMs;
     const stallTimer = options.isRepeatable ? setInterval(checkStalled, stallCheckIntervalMs) : undefined;
 
+    /** Late streams wait for others, and a continued one has its previous events as a further prompt. */
+    function isObserved(): boolean {
+        return isStream && options.isLate !== true && splitter.lastId === undefined;
+    }
+
+    function needsConnection(): boolean {
+        return !options.isRepeatable || !dependencies.connections.hasIdle(upstream.address);
+    }
+
     function end() {
         isOver = true;
         clearInterval(stallTimer);
@@ -207,6 +224,7 @@
 
     function forward(bytes: Buffer) {
         if (!answer.write(bytes)) {
+            wasPaused = true;
             exchange.pause();
         }
     }
@@ -218,6 +236,8 @@
                 balancer.eventReceived(upstream, !hasEvents);
                 hasEvents = true;
                 lastProgressAtMs = dependencies.nowMs();
+                observation?.eventsReceived(countEvents(events), wasPaused);
+                wasPaused = false;
                 options.onEvents();
                 forward(events);
             }
--- a/src/gateway/balancer.ts
+++ b/src/gateway/balancer.ts
@@ -12,10 +12,11 @@
 
 import type { Upstream } from "../fleet/index.js";
 import { shareOfColdRate } from "./entryCount.js";
+import { chooseByFirstEvent, type ChoiceScoring, type ScoredCandidate } from "./scoredChoice.js";
 import type { Candidate } from "./siteView.js";
 import {
-    estimateLoad, decayedFailures, createUpstreamState, isLateQueueStalled, isMakingProgress, isStalled, isSuspect, lateShare,
-    refillLimitTokens, type UpstreamState,
+    estimateLoad, decayedFailures, createUpstreamState, hasRecentLoad, isLateQueueStalled, isMakingProgress, isStalled, isSuspect,
+    lateShare, refillLimitTokens, type UpstreamState,
 } from "./upstreamState.js";
 
 /** How long a late queue is blocked after a caller has left it unserved. An overload that outlasts a caller lasts for seconds more. */
@@ -41,6 +42,13 @@
     onTimeEstimate(upstream: Upstream): number;
     /** Estimates the late queue of an upstream under the same assumption. */
     lateEstimate(upstream: Upstream): number;
+    /** The requests of this entry at an upstream. */
+    ownRunning(upstream: Upstream): number;
+    /**
+     * The requests of all entries at an upstream. `others` are those of the other entries; if undefined, the load that the upstream has
+     * reported is used. Undefined if neither is known.
+     */
+    knownLoad(upstream: Upstream, others: number | undefined): number | undefined;
     requestSent(upstream: Upstream, isCold: boolean): void;
     /** Whether a request in the late queue has waited for longer than `maxWaitMs`, or one has recently left it unserved. */
     isLateQueueStalled(upstream: Upstream, maxWaitMs: number): boolean;
@@ -74,6 +82,8 @@
     readonly dataCentre: string;
     /** Whether the request can use an open idle connection to this upstream. */
     hasIdle(upstream: Upstream): boolean;
+    /** Predictions to choose by while overload control is active; undefined to choose by load. */
+    readonly scoring?: ChoiceScoring | undefined;
 }
 
 /** An upstream in another data centre counts as if it had this many more requests. */
@@ -139,9 +149,31 @@
             isWithinLimit(upstream, state);
     }
 
+    function isAvoided(state: UpstreamState, candidate: Candidate): boolean {
+        return state.backoffUntilMs > nowMs() || isStalled(state, nowMs()) || candidate.isReportedSilent;
+    }
+
+    function chooseScored(candidates: readonly Candidate[], request: ChooseOptions, scoring: ChoiceScoring): Candidate | undefined {
+        const scored: ScoredCandidate[] = [];
+        for (const candidate of candidates) {
+            const { upstream } = candidate;
+            if (request.without.has(upstream.id) || !mayReceive(upstream, request.coldRequestsPerSecond)) {
+                continue;
+            }
+            const state = stateOf(upstream);
+            const { firstEventMs, allowance } = scoring.at(candidate, decayedFailures(state, nowMs()) * failureWeight);
+            const connectMs = request.hasIdle(upstream) ? 0 : scoring.connectMs(candidate);
+            scored.push({ candidate, firstEventMs: firstEventMs + connectMs, allowance, isAvoided: isAvoided(state, candidate) });
+        }
+        return chooseByFirstEvent(scored, scoring.errorMs, random());
+    }
+
     return {
         mayReceive,
         choose(candidates, request) {
+            if (request.scoring !== undefined) {
+                return chooseScored(candidates, request, request.scoring);
+            }
             let best: Candidate | undefined;
             let bestScore = Infinity;
             for (const candidate of candidates) {
@@ -150,11 +182,10 @@
                     continue;
                 }
                 const state = stateOf(upstream);
-                const isAvoided = state.backoffUntilMs > nowMs() || isStalled(state, nowMs()) || candidate.isReportedSilent;
                 const remotePenalty = upstream.dataCentre === request.dataCentre ? 0 : remoteWeight;
                 const connectPenalty = request.hasIdle(upstream) ? 0 : connectWeight;
                 const load = estimateLoad(state, nowMs()) + decayedFailures(state, nowMs()) * failureWeight;
-                const score = load + remotePenalty + connectPenalty + random() + (isAvoided ? 1_000 : 0);
+                const score = load + remotePenalty + connectPenalty + random() + (isAvoided(state, candidate) ? 1_000 : 0);
                 if (score < bestScore) {
                     best = candidate;
                     bestScore = score;
@@ -170,6 +201,14 @@
             const state = stateOf(upstream);
             return estimateLoad(state, nowMs()) * lateShare(state);
         },
+        ownRunning: upstream => stateOf(upstream).running,
+        knownLoad(upstream, others) {
+            const state = stateOf(upstream);
+            if (others !== undefined) {
+                return state.running + others;
+            }
+            return hasRecentLoad(state, nowMs()) ? estimateLoad(state, nowMs()) : undefined;
+        },
         isLateQueueStalled: (upstream, maxWaitMs) => isLateQueueStalled(stateOf(upstream), maxWaitMs, nowMs()),
         lateQueued(upstream) {
             const sentAtMs = nowMs();
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -33,6 +33,19 @@
     return 0;
 }
 
+/** Counts the events in bytes that consist of complete events. */
+export function countEvents(bytes: Buffer): number {
+    let count = 0;
+    let previous = -1;
+    // An event ends with a blank line: two line breaks that only a carriage return may separate.
+    for (let index = bytes.indexOf(newline); index >= 0; index = bytes.indexOf(newline, index + 1)) {
+        const isBlank = index - previous === 1 || (index - previous === 2 && bytes[index - 1] === carriageReturn);
+        count += isBlank ? 1 : 0;
+        previous = index;
+    }
+    return count;
+}
+
 function lastIdIn(events: string): string | undefined {
     return [...events.matchAll(/(?:^|\n)id:[ ]?([^\r\n]*)/g)].at(-1)?.[1];
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,12 +8,13 @@
 import { createFeedWatcher } from "../feed/index.js";
 import { createPushbacks } from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
-import type { SiteDialect } from "../site/index.js";
+import type { OverloadMode, SiteDialect } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createBalancer } from "./balancer.js";
 import { createConnections } from "./connections.js";
 import { createCrashLog, fingerprintOf } from "./crashes.js";
 import { createEntryCount, shareOfSlack } from "./entryCount.js";
+import { createGroupPrediction } from "./groupPrediction.js";
 import type { HeaderNames } from "./headers.js";
 import { createLoopTicks } from "./loopTicks.js";
 import { createLimits } from "./limits.js";
@@ -31,6 +32,8 @@
     readonly headerNames: HeaderNames;
     /** The retry budget of all entries together: this ratio of the requests, plus this many retries in each window. */
     readonly retries: { readonly ratio: number; readonly slack: number };
+    /** Whether overload control acts; by default if the published site calls for it. */
+    readonly overloadMode?: OverloadMode;
     readonly logger: Logger;
     readonly metrics: SiteMetrics;
 }
@@ -50,6 +53,8 @@
 const usedRetryRatioShare = 0.85;
 /** Interval of reports to the control daemons. A new suspect is reported at once. */
 const reportIntervalMs = 250;
+/** Without a tick for this long, three halves of the tick interval, the event loop counts as blocked. */
+const blockedAfterMs = 75;
 /** How often group heads are checked for suspects. It is short compared with the 0.5 s within which a lost member is detected. */
 const suspectCheckIntervalMs = 50;
 const sweepIntervalMs = 500;
@@ -79,6 +84,10 @@
         nowMs, random: Math.random, entries: () => entryCount.upperBound, shareOfLimit: limits.shareOf,
         pushbackLeftMs: pushbacks.leftMs,
     });
+    const loopTicks = createLoopTicks(nowMs, blockedAfterMs);
+    const { groupRoom, latency } = createGroupPrediction({
+        ...options, nowMs, balancer, hasBlockedSince: loopTicks.hasBlockedSince, entries: () => entryCount.upperBound,
+    });
     const connections = createConnections();
     const crashes = createCrashLog(nowMs);
     const workload = createWorkload();
@@ -145,7 +154,7 @@
 
     const server: GatewayServer = await listenForCallers(options.callerAddress, {
         names: options.headerNames, view, balancer, connections, pushbacks, logger, dataCentre: options.dataCentre,
-        nowMs, random: Math.random, queueLimits: queueLimitsFor,
+        nowMs, random: Math.random, queueLimits: queueLimitsFor, groupRoom, latency,
         mayRetry: service => budgetOf(service).tryRetry(nowMs()) === undefined,
         recordLimit: limits.limitSeen,
         recordCrash: (request, upstream) => crashes.record(request, upstream),
@@ -174,7 +183,6 @@
     metrics.registerGauge("zinnialanding_upstreams_pushing_back", () => pushbacks.relayed().length);
     metrics.registerGauge("zinnialanding_control_daemons_heard", () => watcher.heard.length);
 
-    const loopTicks = createLoopTicks(nowMs);
     const timers = [
         setInterval(() => {
             loopTicks.tick();
--- a/src/gateway/groupRoom.ts
+++ b/src/gateway/groupRoom.ts
@@ -4,8 +4,15 @@
  * @module
  */
 
+import { isLearned, onTimeLimit, passMs } from "../latency/index.js";
+import type { Route } from "../site/index.js";
+import type { Balancer } from "./balancer.js";
+import type { LatencyTracker, TrackedModel } from "./latencyTracker.js";
 import type { ParsedRequest } from "./parsedRequest.js";
+import type { ChoiceScoring } from "./scoredChoice.js";
+import type { SharedLoads } from "./sharedLoads.js";
 import type { Candidate } from "./siteView.js";
+import { queueLimitsFor } from "./work.js";
 
 /** The room at one group for one request. */
 export interface RoomAtGroup {
@@ -25,3 +32,135 @@
     /** Returns the room at a candidate; undefined if the site lacks the figures to predict it, in which case fixed bounds apply. */
     at(candidate: Candidate, request: ParsedRequest): RoomAtGroup | undefined;
 }
+
+/** What the allowance of an entry at a group is derived from. */
+export interface AllowanceInput {
+    readonly headId: string;
+    /** The number of requests at the group up to which a further one is on time. */
+    readonly limit: number;
+    /** The requests of the other entries, estimated from the head's answers if there is no recent view of them. */
+    readonly others: number;
+    /** The requests of this entry. */
+    readonly own: number;
+    /** This entry's share of the requests for the model, from 0 to 1. */
+    readonly share: number;
+    /** The age of the view of the other entries' requests; Infinity if there is none. */
+    readonly ageMs: number;
+}
+
+export interface GroupRoomOptions {
+    readonly balancer: Pick<Balancer, "ownRunning" | "knownLoad">;
+    readonly sharedLoads: SharedLoads;
+    readonly tracker: LatencyTracker;
+    /** Whether overload control is active for a service of the request's site. */
+    isActive(service: string, request: ParsedRequest): boolean;
+    /** Returns how many requests this entry may send to a group now. */
+    allowanceOf(input: AllowanceInput): number;
+}
+
+export interface PredictingGroupRoom extends GroupRoom {
+    /** Returns what a choice for this request compares; undefined if overload control is not active or the site lacks figures. */
+    scoringFor(service: string, request: ParsedRequest): ChoiceScoring | undefined;
+    /** The lowest on-time limit of a route at a group of usual speed, by model. */
+    readonly onTimeLimits: ReadonlyMap<string, number>;
+}
+
+/** Speed factors are rounded to a multiple of this for limits, so that limits don't change with each observation. */
+const limitFactorStep = 0.25;
+
+/** The limits of one route for the upper quantile of which they were computed, by speed factor and round trip. */
+interface CachedLimits {
+    readonly upperMs: number;
+    readonly byTerms: Map<number, number>;
+}
+
+/** Creates the view of the room at groups from predictions, loads and the allowance. */
+export function createGroupRoom(options: GroupRoomOptions): PredictingGroupRoom {
+    const { balancer, sharedLoads, tracker, isActive, allowanceOf } = options;
+    const limitsByModel = new WeakMap<TrackedModel, Map<Route, CachedLimits>>();
+
+    function modelOf(serviceName: string, name: string | undefined, request: ParsedRequest): TrackedModel | undefined {
+        const service = request.table.service(serviceName);
+        return service === undefined || name === undefined || !isActive(serviceName, request) ? undefined : tracker.model(service, name);
+    }
+
+    function cachedLimits(model: TrackedModel, route: Route, upperMs: number): Map<number, number> {
+        let byRoute = limitsByModel.get(model);
+        if (byRoute === undefined) {
+            byRoute = new Map();
+            limitsByModel.set(model, byRoute);
+        }
+        let cached = byRoute.get(route);
+        if (cached?.upperMs !== upperMs) {
+            cached = { upperMs, byTerms: new Map() };
+            byRoute.set(route, cached);
+        }
+        return cached.byTerms;
+    }
+
+    function limitAt(model: TrackedModel, candidate: Candidate, request: ParsedRequest, networkMs: number): number {
+        const { differences } = model.learned;
+        if (!isLearned(differences)) {
+            return queueLimitsFor(candidate, request).onTime;
+        }
+        const { route } = request;
+        const upperMs = Math.round(differences.upperMs);
+        const steps = Math.max(1 / limitFactorStep, Math.round(tracker.factorOf(candidate.upstream) / limitFactorStep));
+        const limits = cachedLimits(model, route, upperMs);
+        const key = steps * 100_000 + Math.round(networkMs * 10);
+        let limit = limits.get(key);
+        if (limit === undefined) {
+            limit = onTimeLimit(model.costs, {
+                latenessMs: route.latenessMs ?? route.timeoutMs, pauseMs: route.pauseMs, addedMs: upperMs + networkMs,
+                factor: steps * limitFactorStep,
+            });
+            limits.set(key, limit);
+        }
+        return limit;
+    }
+
+    function roomAt(model: TrackedModel, candidate: Candidate, request: ParsedRequest, extraRequests: number): RoomAtGroup {
+        const { upstream } = candidate;
+        const own = balancer.ownRunning(upstream);
+        const running = balancer.knownLoad(upstream, sharedLoads.othersAt(upstream.id)) ?? own;
+        const networkMs = tracker.roundTripMs(model.engine, upstream.dataCentre);
+        const limit = limitAt(model, candidate, request, networkMs);
+        const { ageMs } = sharedLoads;
+        const allowance = allowanceOf({
+            headId: upstream.id, limit, others: Math.max(0, running - own), own, share: sharedLoads.shareOf(model.name), ageMs,
+        });
+        const predictedMs = tracker.predictMs(model, upstream, running + extraRequests, request);
+        return { running, limit, allowance, firstEventMs: predictedMs + model.learned.differences.medianMs + networkMs, ageMs };
+    }
+
+    return {
+        at(candidate, request) {
+            const model = modelOf(candidate.upstream.service, candidate.model, request);
+            return model === undefined ? undefined : roomAt(model, candidate, request, 0);
+        },
+        scoringFor(service, request) {
+            const model = modelOf(service, request.model, request);
+            if (model === undefined) {
+                return undefined;
+            }
+            const { medianMs, upperMs } = model.learned.differences;
+            return {
+                at: (candidate, extraRequests) => roomAt(model, candidate, request, extraRequests),
+                connectMs: ({ upstream }) => tracker.roundTripMs(model.engine, upstream.dataCentre),
+                // An event can be late by a pass in any case, also while no differences have been learned.
+                errorMs: Math.max(passMs(model.costs, 1), upperMs - medianMs),
+            };
+        },
+        get onTimeLimits() {
+            const lowest = new Map<string, number>();
+            for (const [name, model] of tracker.models) {
+                const limits = [...limitsByModel.get(model)?.values() ?? []].flatMap(({ byTerms }) =>
+                    [...byTerms].filter(([key]) => key < (1 / limitFactorStep + 1) * 100_000).map(([, limit]) => limit));
+                if (limits.length > 0) {
+                    lowest.set(name, Math.min(...limits));
+                }
+            }
+            return lowest;
+        },
+    };
+}
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -17,6 +17,7 @@
 import type { ParsedRequest } from "./parsedRequest.js";
 import { answerHeaders, type AttemptDependencies, type AttemptFailure, type RunningAttempt, startAttempt } from "./attempt.js";
 import { createEventSplitter } from "./events.js";
+import type { PredictingGroupRoom } from "./groupRoom.js";
 import { outgoingHeaders } from "./outgoingHeaders.js";
 import { retryAfterMs } from "./retryAfter.js";
 import type { Candidate } from "./siteView.js";
@@ -30,6 +31,8 @@
     mayRetry(service: string): boolean;
     /** The numbers of requests at an upstream beyond which further ones are refused. */
     queueLimits(candidate: Candidate, request: ParsedRequest): QueueLimits;
+    /** The room at groups while overload control is active; undefined to choose by load. */
+    readonly groupRoom?: PredictingGroupRoom;
     recordOutcome(outcome: Outcome, request: ParsedRequest, tookMs: number, firstMs: number | undefined): void;
     countFailedAttempt(failure: AttemptFailure["kind"]): void;
     /** Records that the connection to an upstream broke while it ran the request. */
@@ -164,6 +167,7 @@
             coldRequestsPerSecond,
             dataCentre: dependencies.dataCentre,
             hasIdle: upstream => isRepeatable && dependencies.connections.hasIdle(upstream.address),
+            scoring: dependencies.groupRoom?.scoringFor(service, request),
         });
         if (candidate === undefined) {
             giveUp(reasonWithoutCandidate(all));
@@ -289,7 +293,7 @@
             }
         };
         currentAttempt = startAttempt({
-            request, upstream, answer, splitter, isRepeatable, headers: headersTo(upstream, isLate), mayFailOver,
+            request, upstream, answer, splitter, isRepeatable, isLate, headers: headersTo(upstream, isLate), mayFailOver,
             stallTimeoutMs: isLate ? Infinity : stallTimeoutMs(),
             onEnded: () => leaveLateQueue(false),
             onDelivered: fields => finish("delivered", { upstream: upstream.id, ...fields }),
--- a/src/gateway/upstreamState.ts
+++ b/src/gateway/upstreamState.ts
@@ -53,13 +53,17 @@
     };
 }
 
+/** Whether the last reported load is recent enough to be used. */
+export function hasRecentLoad(state: UpstreamState, nowMs: number): boolean {
+    return nowMs - state.loadAtMs < maxLoadAgeMs;
+}
+
 /**
  * Estimates the requests at the upstream: the last reported load, adjusted by what this entry has sent and finished since, but at least
  * this entry's own requests.
  */
 export function estimateLoad(state: UpstreamState, nowMs: number): number {
-    const isFresh = nowMs - state.loadAtMs < maxLoadAgeMs;
-    return Math.max(state.running, isFresh ? state.load : 0);
+    return Math.max(state.running, hasRecentLoad(state, nowMs) ? state.load : 0);
 }
 
 /** The estimated share of the late queue in the requests at the upstream, assuming that it is the same for all entries. */
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -50,6 +50,10 @@
     zinnialanding_model_groups_open: "Groups that serve a model, by the control leader's plan.",
     zinnialanding_model_vms: "VMs in groups of a model that serve or form.",
     zinnialanding_model_demand_vms: "VMs that the work of callers keeps busy, by model.",
+    zinnialanding_model_on_time_limit: "Requests at a group of usual speed up to which a further one is on time, for the strictest route.",
+    zinnialanding_model_first_event_difference_p50_ms: "Median of observed minus predicted times to the first event.",
+    zinnialanding_model_first_event_difference_p75_ms: "Upper quartile of observed minus predicted times to the first event.",
+    zinnialanding_model_highest_speed_factor: "Highest speed factor of a group; 2 is twice as slow as predicted.",
 } as const;
 export type ModelGaugeName = keyof typeof modelGaugeHelp;
 
