Merge the prediction of first events and the choice by them

Groups are chosen by the predicted first event, learned from the entry's own streams, where overload control is active. The room at a group uses the exchanged loads and the allowance of this entry.

--- a/src/gateway/balancer.ts
+++ b/src/gateway/balancer.ts
@@ -12,10 +12,11 @@
 
 import type { Upstream } from "../fleet/index.js";
 import { shareOfColdRate } from "./entryCount.js";
+import { chooseByFirstEvent, type ChoiceScoring, type ScoredCandidate } from "./scoredChoice.js";
 import type { Candidate } from "./siteView.js";
 import {
-    estimateLoad, decayedFailures, createUpstreamState, isLateQueueStalled, isMakingProgress, isStalled, isSuspect, lateShare,
-    refillLimitTokens, type UpstreamState,
+    estimateLoad, decayedFailures, createUpstreamState, hasRecentLoad, isLateQueueStalled, isMakingProgress, isStalled, isSuspect,
+    lateShare, refillLimitTokens, type UpstreamState,
 } from "./upstreamState.js";
 
 /** How long a late queue is blocked after a caller has left it unserved. An overload that outlasts a caller lasts for seconds more. */
@@ -41,6 +42,11 @@
     onTimeEstimate(upstream: Upstream): number;
     /** Estimates the late queue of an upstream under the same assumption. */
     lateEstimate(upstream: Upstream): number;
+    /**
+     * The requests of all entries at an upstream. `others` are those of the other entries; if undefined, the load that the upstream has
+     * reported is used. Undefined if neither is known.
+     */
+    knownLoad(upstream: Upstream, others: number | undefined): number | undefined;
     requestSent(upstream: Upstream, isCold: boolean): void;
     /** Whether a request in the late queue has waited for longer than `maxWaitMs`, or one has recently left it unserved. */
     isLateQueueStalled(upstream: Upstream, maxWaitMs: number): boolean;
@@ -76,6 +82,8 @@
     readonly dataCentre: string;
     /** Whether the request can use an open idle connection to this upstream. */
     hasIdle(upstream: Upstream): boolean;
+    /** Predictions to choose by while overload control is active; undefined to choose by load. */
+    readonly scoring?: ChoiceScoring | undefined;
 }
 
 /** An upstream in another data centre counts as if it had this many more requests. */
@@ -114,36 +122,62 @@
     }
 
     /** Whether one more request stays within this entry's share of the rate that a cold upstream can serve. */
-    function isWithinColdRate(upstream: Upstream, state: UpstreamState, perSecond: number): boolean {
-        if (perSecond <= 0 || upstream.coldUntilMs <= nowMs()) {
+    function isWithinColdRate(upstream: Upstream, state: UpstreamState, perSecond: number, atMs: number): boolean {
+        if (perSecond <= 0 || upstream.coldUntilMs <= atMs) {
             return true;
         }
         const { count, windowMs } = shareOfColdRate(perSecond, entries());
-        state.coldSentAtMs = state.coldSentAtMs.filter(atMs => nowMs() - atMs < windowMs);
+        state.coldSentAtMs = state.coldSentAtMs.filter(sentAtMs => atMs - sentAtMs < windowMs);
         return state.coldSentAtMs.length < count;
     }
 
     /** Whether one more request stays within this entry's share of the limit that the upstream states. */
-    function isWithinLimit(upstream: Upstream, state: UpstreamState): boolean {
+    function isWithinLimit(upstream: Upstream, state: UpstreamState, atMs: number): boolean {
         const perSecond = shareOfLimit(upstream);
         if (perSecond === undefined) {
             state.limitTokens = 0;
-            state.limitTokensAtMs = nowMs();
+            state.limitTokensAtMs = atMs;
             return true;
         }
-        refillLimitTokens(state, perSecond, nowMs());
+        refillLimitTokens(state, perSecond, atMs);
         return state.limitTokens >= 1;
     }
 
+    function mayReceiveAt(upstream: Upstream, state: UpstreamState, coldRequestsPerSecond: number, atMs: number): boolean {
+        return pushbackLeftMs(upstream.id) === 0 && isWithinColdRate(upstream, state, coldRequestsPerSecond, atMs) &&
+            isWithinLimit(upstream, state, atMs);
+    }
+
     function mayReceive(upstream: Upstream, coldRequestsPerSecond: number): boolean {
-        const state = stateOf(upstream);
-        return pushbackLeftMs(upstream.id) === 0 && isWithinColdRate(upstream, state, coldRequestsPerSecond) &&
-            isWithinLimit(upstream, state);
+        return mayReceiveAt(upstream, stateOf(upstream), coldRequestsPerSecond, nowMs());
+    }
+
+    function isAvoided(state: UpstreamState, candidate: Candidate, atMs: number): boolean {
+        return state.backoffUntilMs > atMs || isStalled(state, atMs) || candidate.isReportedSilent;
+    }
+
+    function chooseScored(candidates: readonly Candidate[], request: ChooseOptions, scoring: ChoiceScoring): Candidate | undefined {
+        const scored: ScoredCandidate[] = [];
+        const atMs = nowMs();
+        for (const candidate of candidates) {
+            const { upstream } = candidate;
+            const state = stateOf(upstream);
+            if (request.without.has(upstream.id) || !mayReceiveAt(upstream, state, request.coldRequestsPerSecond, atMs)) {
+                continue;
+            }
+            const { firstEventMs, allowance } = scoring.at(candidate, decayedFailures(state, atMs) * failureWeight);
+            const connectMs = request.hasIdle(upstream) ? 0 : scoring.connectMs(candidate);
+            scored.push({ candidate, firstEventMs: firstEventMs + connectMs, allowance, isAvoided: isAvoided(state, candidate, atMs) });
+        }
+        return chooseByFirstEvent(scored, scoring.errorMs, random());
     }
 
     return {
         mayReceive,
         choose(candidates, request) {
+            if (request.scoring !== undefined) {
+                return chooseScored(candidates, request, request.scoring);
+            }
             let best: Candidate | undefined;
             let bestScore = Infinity;
             for (const candidate of candidates) {
@@ -152,11 +186,10 @@
                     continue;
                 }
                 const state = stateOf(upstream);
-                const isAvoided = state.backoffUntilMs > nowMs() || isStalled(state, nowMs()) || candidate.isReportedSilent;
                 const remotePenalty = upstream.dataCentre === request.dataCentre ? 0 : remoteWeight;
                 const connectPenalty = request.hasIdle(upstream) ? 0 : connectWeight;
                 const load = estimateLoad(state, nowMs()) + decayedFailures(state, nowMs()) * failureWeight;
-                const score = load + remotePenalty + connectPenalty + random() + (isAvoided ? 1_000 : 0);
+                const score = load + remotePenalty + connectPenalty + random() + (isAvoided(state, candidate, nowMs()) ? 1_000 : 0);
                 if (score < bestScore) {
                     best = candidate;
                     bestScore = score;
@@ -172,6 +205,14 @@
             const state = stateOf(upstream);
             return estimateLoad(state, nowMs()) * lateShare(state);
         },
+        ownRequests: upstream => stateOf(upstream).running,
+        knownLoad(upstream, others) {
+            const state = stateOf(upstream);
+            if (others !== undefined) {
+                return state.running + others;
+            }
+            return hasRecentLoad(state, nowMs()) ? estimateLoad(state, nowMs()) : undefined;
+        },
         isLateQueueStalled: (upstream, maxWaitMs) => isLateQueueStalled(stateOf(upstream), maxWaitMs, nowMs()),
         lateQueued(upstream) {
             const sentAtMs = nowMs();
@@ -202,7 +243,6 @@
             state.running = Math.max(0, state.running - 1);
             state.load = Math.max(0, state.load - 1);
         },
-        ownRequests: upstream => stateOf(upstream).running,
         streamStarted(upstream) {
             const state = stateOf(upstream);
             if (state.streams === 0) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,10 +10,12 @@
 import { splitAddress } from "../rpc/index.js";
 import type { OverloadMode, SiteDialect } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import { createAllowances } from "./allowances.js";
 import { createBalancer } from "./balancer.js";
 import { createConnections } from "./connections.js";
 import { createCrashLog, fingerprintOf } from "./crashes.js";
 import { createEntryCount, shareOfSlack } from "./entryCount.js";
+import { createGroupPrediction } from "./groupPrediction.js";
 import type { HeaderNames } from "./headers.js";
 import { createLoadReports } from "./loadReports.js";
 import { createLoopTicks } from "./loopTicks.js";
@@ -54,6 +56,8 @@
 const usedRetryRatioShare = 0.85;
 /** Interval of reports to the control daemons. A new suspect is reported at once. */
 const reportIntervalMs = 250;
+/** Without a tick for this long, three halves of the tick interval, the event loop counts as blocked. */
+const blockedAfterMs = 75;
 /** How often group heads are checked for suspects. It is short compared with the 0.5 s within which a lost member is detected. */
 const suspectCheckIntervalMs = 50;
 const sweepIntervalMs = 500;
@@ -85,6 +89,12 @@
     });
     const sharedLoads = createSharedLoads({ nowMs, entries: () => entryCount.upperBound, logger });
     const loadReports = createLoadReports({ view, balancer, sharedLoads, mode: options.overloadMode ?? "auto" });
+    const loopTicks = createLoopTicks(nowMs, blockedAfterMs);
+    const { groupRoom, latency } = createGroupPrediction({
+        ...options, nowMs, balancer, hasBlockedSince: loopTicks.hasBlockedSince, sharedLoads, allowanceOf: createAllowances(sharedLoads),
+        ownAtModel: (service, model) =>
+            view.candidates(service, model).reduce((sum, { upstream }) => sum + balancer.ownRequests(upstream), 0),
+    });
     const connections = createConnections();
     const crashes = createCrashLog(nowMs);
     const workload = createWorkload();
@@ -156,7 +166,7 @@
 
     const server: GatewayServer = await listenForCallers(options.callerAddress, {
         names: options.headerNames, view, balancer, connections, pushbacks, logger, dataCentre: options.dataCentre,
-        nowMs, random: Math.random, queueLimits: queueLimitsFor,
+        nowMs, random: Math.random, queueLimits: queueLimitsFor, groupRoom, latency,
         mayRetry: service => budgetOf(service).tryRetry(nowMs()) === undefined,
         recordLimit: limits.limitSeen,
         recordCrash: (request, upstream) => crashes.record(request, upstream),
@@ -187,7 +197,6 @@
     metrics.registerGauge("zinnialanding_shared_loads_age_seconds", () => Number.isFinite(sharedLoads.ageMs) ? sharedLoads.ageMs / 1_000 : NaN);
     metrics.registerGauge("zinnialanding_control_daemons_heard", () => watcher.heard.length);
 
-    const loopTicks = createLoopTicks(nowMs);
     const timers = [
         setInterval(() => {
             loopTicks.tick();
