Queue, reserve and shell of the admission by priority

An entry sent or refused a stream at once, so in overload nearly all were late. A queue for each model now offers room to the most urgent request that can still be on time. Not wired yet.

--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -6,6 +6,13 @@
 export {
     initialQueue, type QueueEffect, type QueueEvent, type QueueRefusal, queueReducer,
 } from "./queue.js";
+export {
+    initialPriorityQueue, nextWaiting, type PriorityQueueEffect, type PriorityQueueEvent, priorityQueueReducer, type PriorityQueueState,
+    type QueueBounds, type WaitingRefusal, type WaitingRequest,
+} from "./priorityQueue.js";
+export {
+    initialReserve, priorityClass, reservedFor, type ReserveEvent, reserveReducer, type ReserveState, type RoomRates, roomRates,
+} from "./reserve.js";
 export { type QueuedRequest, type QueuePolicy, type QueueState } from "./queueState.js";
 export { FairDeadlineQueue, FifoQueue, type RequestQueue } from "./requestQueue.js";
 export { jitteredRetryAfterMs } from "./retryAfter.js";
--- a/src/admission/queue.ts
+++ b/src/admission/queue.ts
@@ -15,8 +15,9 @@
  */
 
 import { type Step, step, unchanged } from "../runtime/index.js";
-import { expectedWaitMs, nextRequestIndex, workAhead } from "./queueOrder.js";
-import type { OrganisationQueue, QueuedRequest, QueuePolicy, QueueState, RunningRequest } from "./queueState.js";
+import { insertRequest, nextOrganisation, removeRequestAt, takeRequestAt, withOrganisation, workAhead } from "./fairQueue.js";
+import { expectedWaitMs, nextRequestIndex } from "./queueOrder.js";
+import type { QueuedRequest, QueuePolicy, QueueState, RunningRequest } from "./queueState.js";
 import { jitteredRetryAfterMs } from "./retryAfter.js";
 
 export type QueueEvent =
@@ -52,29 +53,6 @@
     };
 }
 
-function withOrganisation(state: QueueState, name: string, queue: OrganisationQueue): QueueState {
-    const before = state.organisations.get(name)?.waiting.length ?? 0;
-    const organisations = new Map(state.organisations).set(name, queue);
-    // The start tag of an idle organisation matters only while it is ahead of the virtual time.
-    if (queue.waiting.length === 0 && queue.startTag <= state.virtualTime) {
-        organisations.delete(name);
-    }
-    return { ...state, organisations, queued: state.queued + queue.waiting.length - before };
-}
-
-function insert(state: QueueState, request: QueuedRequest): QueueState {
-    const queue = state.organisations.get(request.organisation) ?? { waiting: [], startTag: 0 };
-    const position = queue.waiting.findIndex(other => other.dueMs > request.dueMs);
-    const waiting = queue.waiting.toSpliced(position < 0 ? queue.waiting.length : position, 0, request);
-    const startTag = queue.waiting.length === 0 ? Math.max(state.virtualTime, queue.startTag) : queue.startTag;
-    return withOrganisation(state, request.organisation, { waiting, startTag });
-}
-
-function removeAt(state: QueueState, organisation: string, index: number): QueueState {
-    const queue = state.organisations.get(organisation)!;
-    return withOrganisation(state, organisation, { ...queue, waiting: queue.waiting.toSpliced(index, 1) });
-}
-
 function refuse(request: QueuedRequest, code: QueueRefusal, waitMs: number, random: number): QueueEffect {
     return { kind: "refuse", id: request.id, code, retryAfterMs: jitteredRetryAfterMs(waitMs, random) };
 }
@@ -92,29 +70,14 @@
     return nowMs + estimateMs > request.deadlineMs;
 }
 
-/** Returns the organisation with the lowest start tag among those that have queued requests. */
-function nextOrganisation(state: QueueState): string | undefined {
-    let next: string | undefined;
-    let lowestTag = Infinity;
-    for (const [name, queue] of state.organisations) {
-        if (queue.waiting.length > 0 && queue.startTag < lowestTag) {
-            next = name;
-            lowestTag = queue.startTag;
-        }
-    }
-    return next;
-}
-
 function dispatchOne(state: QueueState, organisation: string, nowMs: number, random: number): Step<QueueState, QueueEffect> {
     const queue = state.organisations.get(organisation)!;
     const index = nextRequestIndex(queue.waiting, nowMs + (state.estimates.firstTokenMs ?? 0));
     const request = queue.waiting[index]!;
     if (cannotMeetDeadline(state, request, nowMs)) {
-        return step(removeAt(state, organisation, index), refuse(request, "deadline-unreachable", serviceMs(state, request), random));
+        return step(removeRequestAt<QueuedRequest, QueueState>(state, organisation, index), refuse(request, "deadline-unreachable", serviceMs(state, request), random));
     }
-    const advanced = { ...state, virtualTime: Math.max(state.virtualTime, queue.startTag) };
-    const waiting = queue.waiting.toSpliced(index, 1);
-    const next = withOrganisation(advanced, organisation, { waiting, startTag: queue.startTag + request.work });
+    const next = takeRequestAt<QueuedRequest, QueueState>(state, organisation, index);
     const running = new Map(state.running).set(request.id, { ...request, startedMs: nowMs });
     return step({ ...next, running }, { kind: "dispatch", id: request.id });
 }
@@ -154,7 +117,8 @@
     }
     const lastIndex = state.organisations.get(longestName)!.waiting.length - 1;
     const evicted = state.organisations.get(longestName)!.waiting[lastIndex]!;
-    return step(insert(removeAt(state, longestName, lastIndex), request), refuse(evicted, "queue-full", retryMs, random));
+    const reduced = removeRequestAt<QueuedRequest, QueueState>(state, longestName, lastIndex);
+    return step(insertRequest<QueuedRequest, QueueState>(reduced, request), refuse(evicted, "queue-full", retryMs, random));
 }
 
 function arrive(state: QueueState, request: QueuedRequest, nowMs: number, random: number): Step<QueueState, QueueEffect> {
@@ -166,7 +130,9 @@
     if (endMs > request.deadlineMs && state.running.size > 0) {
         return step(state, refuse(request, "deadline-unreachable", endMs - request.deadlineMs, random));
     }
-    const inserted = state.queued < state.policy.maxQueued ? step(insert(state, request)) : makeRoom(state, request, random);
+    const inserted = state.queued < state.policy.maxQueued
+        ? step(insertRequest<QueuedRequest, QueueState>(state, request))
+        : makeRoom(state, request, random);
     return dispatch(inserted.state, nowMs, random, inserted.effects as QueueEffect[]);
 }
 
@@ -201,7 +167,8 @@
         const late = queue.waiting.filter(request => cannotMeetDeadline(state, request, nowMs));
         if (late.length > 0) {
             effects.push(...late.map(request => refuse(request, "deadline-unreachable", serviceMs(state, request), random)));
-            current = withOrganisation(current, name, { ...queue, waiting: queue.waiting.filter(request => !late.includes(request)) });
+            const waiting = queue.waiting.filter(request => !late.includes(request));
+            current = withOrganisation<QueuedRequest, QueueState>(current, name, { ...queue, waiting });
         }
     }
     return step(current, ...effects);
@@ -209,7 +176,7 @@
 
 function cancelled(state: QueueState, id: string, organisation: string): QueueState {
     const index = state.organisations.get(organisation)?.waiting.findIndex(request => request.id === id) ?? -1;
-    return index < 0 ? removeRunning(state, id).state : removeAt(state, organisation, index);
+    return index < 0 ? removeRunning(state, id).state : removeRequestAt<QueuedRequest, QueueState>(state, organisation, index);
 }
 
 /** Applies one event to the queue of one service. */
@@ -224,7 +191,9 @@
             return dispatch(finished(state, event.id, nowMs, event.firstTokenMs), nowMs, random, []);
         case "returned": {
             const removed = removeRunning(state, event.id);
-            return removed.request === undefined ? unchanged(state) : step(insert(removed.state, removed.request));
+            return removed.request === undefined
+                ? unchanged(state)
+                : step(insertRequest<QueuedRequest, QueueState>(removed.state, removed.request));
         }
         case "cancelled":
             return dispatch(cancelled(state, event.id, event.organisation), nowMs, random, []);
--- /dev/null
+++ b/src/gateway/modelQueue.ts
@@ -0,0 +1,292 @@
+/**
+ * The requests of one model that wait for room at its groups: offers room to the most urgent one, and keeps what the decisions need about
+ * arrivals and running requests. The rules are in `admission/priorityQueue.ts` and `admission/reserve.ts`.
+ *
+ * @module
+ */
+
+import {
+    initialPriorityQueue, initialReserve, nextWaiting, type PriorityQueueEffect, type PriorityQueueEvent, priorityQueueReducer,
+    reservedFor, reserveReducer, roomRates, type WaitingRequest,
+} from "../admission/index.js";
+import { type AdmissionDecision, type AdmissionRecord, type RefusalCause, refusalReasons, type Submission } from "./admissionTypes.js";
+import type { GroupRoom } from "./groupRoom.js";
+import { createWaitingRequest, isUnpredicted, listRooms, onTimeUntilMs, roomLogFields, type Rooms } from "./modelRoom.js";
+import type { ParsedRequest } from "./parsedRequest.js";
+import { retryAfterMs, retryAfterWaitMs } from "./retryAfter.js";
+import type { Candidate, SiteView } from "./siteView.js";
+
+export interface ModelQueueDependencies {
+    readonly view: Pick<SiteView, "table" | "candidates">;
+    readonly room: GroupRoom;
+    nowMs(): number;
+    random(): number;
+    /** The time until the first of the candidates accepts requests; 0 if one does now. */
+    pushbackLeftMs(candidates: readonly Candidate[]): number;
+    record(decision: AdmissionRecord): void;
+}
+
+export interface ModelQueue {
+    submit(submission: Submission, onDecision: (decision: AdmissionDecision) => void): { cancel(): void };
+    /** Sends and refuses what is due now. */
+    pump(): void;
+    /** Refuses what waits, and from now on what gets no room at once. */
+    close(): void;
+    readonly model: string;
+    readonly waiting: number;
+    readonly nextChangeMs: number;
+    /** Whether the site in force has the model. */
+    readonly isServed: boolean;
+    /** The number of waiting requests by organisation. */
+    readonly organisations: ReadonlyMap<string, number>;
+}
+
+interface Entry {
+    readonly submission: Submission;
+    readonly waiting: WaitingRequest;
+    readonly onDecision: (decision: AdmissionDecision) => void;
+}
+
+/** Waiting requests for each slot of the model's groups: several times what can be served within the lateness targets. */
+const queuedPerSlot = 4;
+const minQueued = 64;
+const maxQueuedBytes = 8 * 1_024 * 1_024;
+/** Refusals of about the last second compete for the room that a refused caller is told to come back for. */
+const refusalDecayMs = 1_000;
+
+/** Creates the empty queue of a model. */
+export function createModelQueue(service: string, model: string, dependencies: ModelQueueDependencies): ModelQueue {
+    const { view, nowMs } = dependencies;
+    let state = initialPriorityQueue();
+    let reserve = initialReserve();
+    const entries = new Map<string, Entry>();
+    /** Requests that have to be refused unless they get room now or can expect it in time. */
+    const unsettled = new Set<string>();
+    let lastId = 0;
+    let isPumping = false;
+    let mustPumpAgain = false;
+    let isClosed = false;
+    let refused = { work: 0, atMs: 0 };
+
+    function roomsFor(request: ParsedRequest): Rooms {
+        return listRooms(view.candidates(service, model), request, dependencies.room);
+    }
+
+    function apply(event: PriorityQueueEvent) {
+        const result = priorityQueueReducer(state, event);
+        state = result.state;
+        result.effects.forEach(perform);
+    }
+
+    function perform(effect: PriorityQueueEffect) {
+        if (effect.kind === "turned-late") {
+            unsettled.add(effect.request.id);
+            return;
+        }
+        refuse(effect.request.id, effect.reason, effect.waitMs);
+    }
+
+    function forget(id: string): Entry | undefined {
+        const entry = entries.get(id);
+        entries.delete(id);
+        unsettled.delete(id);
+        return entry;
+    }
+
+    function record({ submission: { request }, waiting }: Entry, outcome: AdmissionRecord["outcome"], cause?: RefusalCause): number {
+        const waitedMs = nowMs() - waiting.arrivedMs;
+        dependencies.record({ route: request.route.name, priority: request.priority, outcome, cause, waitedMs });
+        return Math.round(waitedMs);
+    }
+
+    function retryTimeMs(request: ParsedRequest, waitMs: number, all: readonly Candidate[]): number {
+        const leftMs = Math.max(0, request.deadlineAtMs - nowMs());
+        const acceptedInMs = dependencies.pushbackLeftMs(all);
+        const { freed } = roomRates(reserve, nowMs());
+        const random = dependencies.random();
+        return freed === undefined
+            ? retryAfterMs({ leftMs, acceptedInMs, random })
+            : retryAfterWaitMs({ leftMs, acceptedInMs, waitMs, spreadMs: refused.work / freed, random });
+    }
+
+    function refuse(id: string, cause: RefusalCause, waitMs: number) {
+        const entry = forget(id);
+        if (entry === undefined) {
+            return;
+        }
+        const { request } = entry.submission;
+        const rooms = roomsFor(request);
+        const kept = Math.exp((refused.atMs - nowMs()) / refusalDecayMs);
+        refused = { work: refused.work * kept + entry.waiting.work, atMs: nowMs() };
+        entry.onDecision({
+            kind: "refuse", reason: refusalReasons[cause],
+            // Other entries serve what this one no longer does, so the caller may retry at once.
+            retryAfterMs: cause === "stopping" ? 0 : retryTimeMs(request, waitMs, rooms.all),
+            inputs: {
+                waitedMs: record(entry, "refused", cause), waiting: state.queued,
+                expectedWaitMs: Number.isFinite(waitMs) ? Math.round(waitMs) : undefined,
+                reserved: Math.round(reservedFor(reserve, request.priority, nowMs()) * 10) / 10, ...roomLogFields(rooms),
+            },
+        });
+    }
+
+    function send(entry: Entry, candidate: Candidate, isLate: boolean) {
+        const { waiting } = entry;
+        const { work, priority } = waiting;
+        forget(waiting.id);
+        apply({ kind: "take", request: waiting });
+        reserve = reserveReducer(reserve, { kind: "sent", priority, isLate, work });
+        const sentAtMs = nowMs();
+        let isReleased = false;
+        const released = () => {
+            if (!isReleased) {
+                isReleased = true;
+                const heldMs = nowMs() - sentAtMs;
+                reserve = reserveReducer(reserve, { kind: "released", nowMs: nowMs(), priority, isLate, work, heldMs });
+                pump();
+            }
+        };
+        entry.onDecision({ kind: "send", candidate, isLate, waitedMs: record(entry, isLate ? "sent-late" : "sent"), released });
+    }
+
+    /** Offers room to a request. False: there is none for it, and so none for a less urgent one. */
+    function offer(entry: Entry, isLate: boolean): boolean {
+        const { submission, waiting } = entry;
+        const { request } = submission;
+        const rooms = roomsFor(request);
+        if (isUnpredicted(rooms, submission)) {
+            if (rooms.all.length === 0) {
+                return false;
+            }
+            forget(waiting.id);
+            apply({ kind: "cancel", request: waiting });
+            entry.onDecision({ kind: "unpredicted" });
+            return true;
+        }
+        if (rooms.total - 1 < reservedFor(reserve, isLate ? Infinity : waiting.priority, nowMs())) {
+            return false;
+        }
+        const withRoom = rooms.predicted.filter(({ room }) => room.allowance >= 1);
+        const usable = isLate ? withRoom : withRoom.filter(({ room }) => nowMs() + room.firstEventMs <= onTimeUntilMs(request));
+        const chosen = submission.choose(usable.map(({ candidate }) => candidate));
+        if (chosen !== undefined) {
+            send(entry, chosen, isLate);
+            return true;
+        }
+        if (withRoom.length > 0 && usable.length === 0) {
+            unsettled.add(waiting.id);
+            apply({ kind: "turn-late", request: waiting });
+            return true;
+        }
+        return false;
+    }
+
+    function isServed(): boolean {
+        return view.table?.service(service)?.engine?.models.some(({ name }) => name === model) ?? false;
+    }
+
+    function refuseAll(cause: RefusalCause) {
+        for (const { waiting } of [...entries.values()]) {
+            apply({ kind: "cancel", request: waiting });
+            refuse(waiting.id, cause, 0);
+        }
+    }
+
+    function settleAll() {
+        const all = view.candidates(service, model);
+        const slots = view.table?.service(service)?.engine?.slots ?? 0;
+        const bounds = { maxQueued: Math.max(minQueued, queuedPerSlot * slots * all.length), maxBytes: maxQueuedBytes };
+        for (const id of [...unsettled]) {
+            unsettled.delete(id);
+            const entry = entries.get(id);
+            if (entry !== undefined) {
+                const rates = roomRates(reserve, nowMs());
+                apply({
+                    kind: "settle", nowMs: nowMs(), request: entry.waiting, rates, bounds, minWaitMs: dependencies.pushbackLeftMs(all),
+                });
+            }
+        }
+    }
+
+    function pumpOnce() {
+        if (!isServed()) {
+            refuseAll("gone");
+            return;
+        }
+        apply({ kind: "advance", nowMs: nowMs(), rates: roomRates(reserve, nowMs()) });
+        for (let next = nextWaiting(state); next !== undefined; next = nextWaiting(state)) {
+            if (!offer(entries.get(next.request.id)!, next.isLate)) {
+                break;
+            }
+        }
+        settleAll();
+        if (isClosed) {
+            refuseAll("stopping");
+        }
+    }
+
+    function pump() {
+        mustPumpAgain = true;
+        if (isPumping) {
+            return;
+        }
+        isPumping = true;
+        try {
+            while (mustPumpAgain && entries.size > 0) {
+                mustPumpAgain = false;
+                pumpOnce();
+            }
+        }
+        finally {
+            isPumping = false;
+        }
+    }
+
+    return {
+        submit(submission, onDecision) {
+            const { request } = submission;
+            const rooms = roomsFor(request);
+            if (isUnpredicted(rooms, submission)) {
+                onDecision({ kind: "unpredicted" });
+                return { cancel: () => undefined };
+            }
+            const waiting = createWaitingRequest(String(++lastId), submission, rooms, reserve.heldMs);
+            reserve = reserveReducer(reserve, { kind: "arrived", nowMs: nowMs(), priority: waiting.priority, work: waiting.work });
+            entries.set(waiting.id, { submission, waiting, onDecision });
+            unsettled.add(waiting.id);
+            apply({ kind: "arrive", nowMs: nowMs(), request: waiting });
+            pump();
+            return {
+                cancel() {
+                    const entry = forget(waiting.id);
+                    if (entry !== undefined) {
+                        apply({ kind: "cancel", request: waiting });
+                        record(entry, "left");
+                    }
+                },
+            };
+        },
+        pump,
+        close() {
+            isClosed = true;
+            pump();
+        },
+        model,
+        get waiting() {
+            return state.queued;
+        },
+        get nextChangeMs() {
+            return state.queued === 0 ? Infinity : state.nextChangeMs;
+        },
+        get isServed() {
+            return isServed();
+        },
+        get organisations() {
+            const counts = new Map<string, number>();
+            for (const { waiting: { organisation } } of entries.values()) {
+                counts.set(organisation, (counts.get(organisation) ?? 0) + 1);
+            }
+            return counts;
+        },
+    };
+}
--- /dev/null
+++ b/src/gateway/modelRoom.ts
@@ -0,0 +1,81 @@
+/**
+ * The room at the groups of one model for a request, and the times until which the request can use it.
+ *
+ * @module
+ */
+
+import type { WaitingRequest } from "../admission/index.js";
+import type { Submission } from "./admissionTypes.js";
+import type { GroupRoom, RoomAtGroup } from "./groupRoom.js";
+import type { ParsedRequest } from "./parsedRequest.js";
+import type { Candidate } from "./siteView.js";
+import { estimateWork, expectedAnswerTokens } from "./work.js";
+
+export interface Rooms {
+    readonly all: readonly Candidate[];
+    readonly predicted: readonly { readonly candidate: Candidate; readonly room: RoomAtGroup }[];
+    /** The number of requests that this entry may send to all of them together. */
+    readonly total: number;
+}
+
+/** Requests without an organisation count as those of one. */
+const noOrganisation = "none";
+
+/** Asks for the room at each candidate. */
+export function listRooms(all: readonly Candidate[], request: ParsedRequest, groupRoom: GroupRoom): Rooms {
+    const predicted: { candidate: Candidate; room: RoomAtGroup }[] = [];
+    let total = 0;
+    for (const candidate of all) {
+        const room = groupRoom.at(candidate, request);
+        if (room !== undefined) {
+            predicted.push({ candidate, room });
+            total += Math.max(0, room.allowance);
+        }
+    }
+    return { all, predicted, total };
+}
+
+/** Whether fixed bounds apply, since nothing is predicted for the upstream that the request would be sent to. */
+export function isUnpredicted({ all, predicted }: Rooms, submission: Submission): boolean {
+    if (predicted.length === all.length) {
+        return all.length === 0;
+    }
+    const best = submission.choose(all);
+    return predicted.length === 0 || (best !== undefined && !predicted.some(({ candidate }) => candidate === best));
+}
+
+/** Returns until when the first event of a request is on time. */
+export function onTimeUntilMs({ arrivedAtMs, route }: ParsedRequest): number {
+    return arrivedAtMs + (route.latenessMs ?? route.timeoutMs);
+}
+
+/**
+ * Returns a request as the queue takes it. `answerMs` is the usual time from sending a request to its end; undefined if it is not known.
+ * The service has to have engines, and at least one room has to be predicted.
+ */
+export function createWaitingRequest(id: string, { request, service, model }: Submission, rooms: Rooms, answerMs: number | undefined): WaitingRequest {
+    const { arrivedAtMs, giveUpAtMs, route } = request;
+    const engine = request.table.service(service)!.engine!;
+    const promptTokens = request.promptTokens || engine.usualPromptTokens;
+    const { groupMs } = estimateWork(engine, model, promptTokens, expectedAnswerTokens(engine, request));
+    // A group beyond its limit has to drain to it before the request is sent, so what is predicted for its present load is too long.
+    const firstEventMs = Math.min(...rooms.predicted.map(({ room }) =>
+        room.firstEventMs * Math.min(1, room.limit / Math.max(1, room.running))));
+    const lastEndMs = giveUpAtMs - (answerMs ?? firstEventMs);
+    const dueMs = Math.min(onTimeUntilMs(request) - firstEventMs, lastEndMs);
+    return {
+        id, organisation: request.organisation ?? noOrganisation, priority: request.priority, arrivedMs: arrivedAtMs, dueMs,
+        lastStartMs: Math.max(dueMs, Math.min(arrivedAtMs + route.patienceMs - firstEventMs, lastEndMs)),
+        work: Math.max(1, groupMs), bytes: request.body?.length ?? 0,
+    };
+}
+
+/** Sums over the groups, and the age of the oldest view, for the log. */
+export function roomLogFields({ predicted, total }: Rooms) {
+    const ages = predicted.map(({ room }) => room.ageMs).filter(Number.isFinite);
+    const sum = (of: (room: RoomAtGroup) => number) => Math.round(predicted.reduce((before, { room }) => before + of(room), 0) * 10) / 10;
+    return {
+        room: Math.round(total * 10) / 10, running: sum(room => room.running), limit: sum(room => room.limit),
+        viewAgeMs: ages.length === 0 ? undefined : Math.round(Math.max(...ages)),
+    };
+}
--- a/src/gateway/retryAfter.ts
+++ b/src/gateway/retryAfter.ts
@@ -25,3 +25,23 @@
 export function retryAfterMs({ leftMs, acceptedInMs, random }: RetryAfterOptions): number {
     return Math.max(leftMs * share, acceptedInMs) + random * leftMs * spread;
 }
+
+/** Callers return within this part of the time that they have left. */
+const maxShare = 1 / 3;
+
+export interface RetryAfterWaitOptions extends RetryAfterOptions {
+    /** The expected wait for room, in ms; Infinity if none can be expected. */
+    readonly waitMs: number;
+    /** The time that it takes to serve the refused requests that compete for the room. */
+    readonly spreadMs: number;
+}
+
+/**
+ * Returns the delay in ms where the wait for room is known: until there is room, spread over the time that it takes to serve those that
+ * compete for it, and at most a third of the time left. It is never shorter than the time for which every upstream has pushed back.
+ */
+export function retryAfterWaitMs({ leftMs, acceptedInMs, waitMs, spreadMs, random }: RetryAfterWaitOptions): number {
+    const maxMs = leftMs * maxShare;
+    const untilRoomMs = Math.min(maxMs, waitMs);
+    return Math.max(acceptedInMs, untilRoomMs + random * Math.min(maxMs - untilRoomMs, spreadMs));
+}
