Streams under overload control pass through the admission

Until a predictor of the room at groups is there, the room is unknown and every request takes the path of before.

--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -21,7 +21,10 @@
      * `submit` returns if there is room.
      */
     submit(submission: Submission, onDecision: (decision: AdmissionDecision) => void): { cancel(): void };
-    /** Has to be called when there may be more room: a stream has brought its first event, or a new view of loads has arrived. */
+    /**
+     * Has to be called when there may be more room: an attempt has ended, a stream has brought its first event, or a new view of loads has
+     * arrived. Waiting requests are sent after the caller has returned.
+     */
     roomChanged(): void;
     /** Refuses all waiting requests as not run, and from now on those that find no room at once. */
     close(): void;
@@ -29,9 +32,11 @@
     readonly waitingByOrganisation: ReadonlyMap<string, number>;
 }
 
-export interface AdmissionOptions extends ModelQueueDependencies {
+export interface AdmissionOptions extends Omit<ModelQueueDependencies, "wake"> {
     /** Whether overload control acts for a service; asked once for each site and service. */
     isActive(service: string, site: Site): boolean;
+    /** Calls back once the present callback has returned. */
+    defer?(callback: () => void): void;
     /** Calls back once after a delay; returns a function that cancels this. */
     setTimer?(callback: () => void, delayMs: number): () => void;
 }
@@ -43,18 +48,19 @@
 
 /** Creates an admission without waiting requests. */
 export function createAdmission(options: AdmissionOptions): Admission {
-    const { nowMs, setTimer = startTimer } = options;
+    const { nowMs, defer = queueMicrotask, setTimer = startTimer } = options;
     /** The queues by service and model. */
     const queues = new Map<string, ModelQueue>();
     const activeBySite = new WeakMap<Site, Map<string, boolean>>();
     let isClosed = false;
+    let isWoken = false;
     let timer: { readonly dueMs: number; cancel(): void } | undefined;
 
     function queueOf({ service, model }: Submission): ModelQueue {
         const key = `${service} ${model}`;
         let queue = queues.get(key);
         if (queue === undefined) {
-            queue = createModelQueue(service, model, options);
+            queue = createModelQueue(service, model, { ...options, wake });
             queues.set(key, queue);
             if (isClosed) {
                 queue.close();
@@ -77,6 +83,17 @@
         }
     }
 
+    /** Pumps once for all that happens within the present callback. */
+    function wake() {
+        if (!isWoken) {
+            isWoken = true;
+            defer(() => {
+                isWoken = false;
+                pumpAll();
+            });
+        }
+    }
+
     function onTimer() {
         timer = undefined;
         pumpAll();
@@ -129,7 +146,7 @@
             schedule();
             return ticket;
         },
-        roomChanged: pumpAll,
+        roomChanged: wake,
         close() {
             isClosed = true;
             queues.forEach(queue => queue.close());
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,17 +8,20 @@
 import { createFeedWatcher } from "../feed/index.js";
 import { createPushbacks } from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
-import type { SiteDialect } from "../site/index.js";
+import { callsForOverloadControl, type OverloadMode, type SiteDialect } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import { createAdmission } from "./admission.js";
 import { createBalancer } from "./balancer.js";
 import { createConnections } from "./connections.js";
 import { createCrashLog, fingerprintOf } from "./crashes.js";
 import { createEntryCount, shareOfSlack } from "./entryCount.js";
+import type { GroupRoom } from "./groupRoom.js";
 import type { HeaderNames } from "./headers.js";
 import { createLoopTicks } from "./loopTicks.js";
 import { createLimits } from "./limits.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSiteView } from "./siteView.js";
+import { pushbackLeftMs } from "./withoutCandidate.js";
 import { queueLimitsFor } from "./work.js";
 import { createWorkload } from "./workload.js";
 
@@ -31,6 +34,8 @@
     readonly headerNames: HeaderNames;
     /** The retry budget of all entries together: this ratio of the requests, plus this many retries in each window. */
     readonly retries: { readonly ratio: number; readonly slack: number };
+    /** Whether overload control acts; `auto` by default. */
+    readonly overloadMode?: OverloadMode;
     readonly logger: Logger;
     readonly metrics: SiteMetrics;
 }
@@ -80,6 +85,13 @@
         pushbackLeftMs: pushbacks.leftMs,
     });
     const connections = createConnections();
+    // Nothing predicts the room at groups yet, so all requests pass by the fixed bounds.
+    const room: GroupRoom = { at: () => undefined };
+    const admission = createAdmission({
+        view, room, nowMs, random: Math.random, record: metrics.recordAdmission,
+        pushbackLeftMs: candidates => pushbackLeftMs(candidates, pushbacks),
+        isActive: (service, site) => callsForOverloadControl(service, site, options.overloadMode),
+    });
     const crashes = createCrashLog(nowMs);
     const workload = createWorkload();
     const vm = splitAddress(options.callerAddress).host;
@@ -145,7 +157,7 @@
 
     const server: GatewayServer = await listenForCallers(options.callerAddress, {
         names: options.headerNames, view, balancer, connections, pushbacks, logger, dataCentre: options.dataCentre,
-        nowMs, random: Math.random, queueLimits: queueLimitsFor,
+        admission, nowMs, random: Math.random, queueLimits: queueLimitsFor,
         mayRetry: service => budgetOf(service).tryRetry(nowMs()) === undefined,
         recordLimit: limits.limitSeen,
         recordCrash: (request, upstream) => crashes.record(request, upstream),
@@ -174,6 +186,9 @@
     metrics.registerGauge("zinnialanding_upstreams_pushing_back", () => pushbacks.relayed().length);
     metrics.registerGauge("zinnialanding_control_daemons_heard", () => watcher.heard.length);
 
+    metrics.registerModelGauge("zinnialanding_model_requests_waiting", () => admission.waitingByModel);
+    metrics.registerOrganisationGauge("zinnialanding_organisation_requests_waiting", () => admission.waitingByOrganisation);
+
     const loopTicks = createLoopTicks(nowMs);
     const timers = [
         setInterval(() => {
@@ -208,6 +223,7 @@
             logger.info("stopping", { ...activityLogFields(), lateMs: Math.round(nowMs() - earliestSignalMs) });
             await pause(Math.max(0, listenerClosesAtMs - nowMs()));
             const closed = await server.closeListener();
+            admission.close();
             logger.info("listener closed", { closed, ...activityLogFields() });
             await waitForRunning(cutOffAtMs);
             const unfinished = server.running;
--- a/src/gateway/modelQueue.ts
+++ b/src/gateway/modelQueue.ts
@@ -24,6 +24,8 @@
     /** The time until the first of the candidates accepts requests; 0 if one does now. */
     pushbackLeftMs(candidates: readonly Candidate[]): number;
     record(decision: AdmissionRecord): void;
+    /** Has this queue pumped soon, but not before the caller returns: what is known of an upstream may change until then. */
+    wake(): void;
 }
 
 export interface ModelQueue {
@@ -143,7 +145,7 @@
                 isReleased = true;
                 const heldMs = nowMs() - sentAtMs;
                 reserve = reserveReducer(reserve, { kind: "released", nowMs: nowMs(), priority, isLate, work, heldMs });
-                pump();
+                dependencies.wake();
             }
         };
         entry.onDecision({ kind: "send", candidate, isLate, waitedMs: record(entry, isLate ? "sent-late" : "sent"), released });
--- a/src/gateway/modelRoom.ts
+++ b/src/gateway/modelRoom.ts
@@ -53,7 +53,9 @@
  * Returns a request as the queue takes it. `answerMs` is the usual time from sending a request to its end; undefined if it is not known.
  * The service has to have engines, and at least one room has to be predicted.
  */
-export function createWaitingRequest(id: string, { request, service, model }: Submission, rooms: Rooms, answerMs: number | undefined): WaitingRequest {
+export function createWaitingRequest(
+    id: string, { request, service, model }: Submission, rooms: Rooms, answerMs: number | undefined,
+): WaitingRequest {
     const { arrivedAtMs, giveUpAtMs, route } = request;
     const engine = request.table.service(service)!.engine!;
     const promptTokens = request.promptTokens || engine.usualPromptTokens;
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -13,23 +13,28 @@
 
 import type { Upstream } from "../fleet/index.js";
 import type { Logger } from "../telemetry/index.js";
+import type { Admission } from "./admission.js";
+import type { AdmissionDecision } from "./admissionTypes.js";
 import type { CallerAnswer } from "./answer.js";
 import type { ParsedRequest } from "./parsedRequest.js";
 import { answerHeaders, type AttemptDependencies, type AttemptFailure, type RunningAttempt, startAttempt } from "./attempt.js";
+import { chooseService } from "./chooseService.js";
 import { createEventSplitter } from "./events.js";
+import { type BoundsDependencies, isOnTimeQueueFull, mayQueueLate, queueLogFields } from "./lateQueue.js";
 import { outgoingHeaders } from "./outgoingHeaders.js";
 import { retryAfterMs } from "./retryAfter.js";
 import type { Candidate } from "./siteView.js";
-import type { QueueLimits } from "./work.js";
+import { stallTimeoutMs } from "./stallTimeout.js";
+import { pushbackLeftMs, reasonWithoutCandidate } from "./withoutCandidate.js";
 
-export interface RequestDependencies extends AttemptDependencies {
+export interface RequestDependencies extends AttemptDependencies, BoundsDependencies {
+    /** Admits streams where overload control acts; undefined if it never does. */
+    readonly admission?: Admission;
     readonly logger: Logger;
     readonly dataCentre: string;
     random(): number;
     /** Takes one retry from the budget of `service`. False: the budget is exhausted. */
     mayRetry(service: string): boolean;
-    /** The numbers of requests at an upstream beyond which further ones are refused. */
-    queueLimits(candidate: Candidate, request: ParsedRequest): QueueLimits;
     recordOutcome(outcome: Outcome, request: ParsedRequest, tookMs: number, firstMs: number | undefined): void;
     countFailedAttempt(failure: AttemptFailure["kind"]): void;
     /** Records that the connection to an upstream broke while it ran the request. */
@@ -44,7 +49,7 @@
     /** Handles a caller that has disconnected. */
     callerLeft(): void;
     resume(): void;
-    /** Ends the request now, with an answer that does not say whether it has run. */
+    /** Ends the request now, with an answer that does not say whether it has run, unless it has only waited for room. */
     endNow(reason: string): void;
     /** The upstream of the current attempt. */
     readonly upstreamId: string | undefined;
@@ -54,22 +59,14 @@
 const minAttemptMs = 40;
 /** Extra attempts in place of those that did not run: during a repair two stale heads may be tried before the new one. */
 const maxExtraAttempts = 2;
-/**
- * How long a stream may bring no event before another upstream is tried, as a part of the time after which callers abandon it. A queued
- * stream that is on time gets its first event well before.
- */
-const streamStallShare = 0.5;
-/** A request that has waited in the late queue for this part of its callers' patience shows that another one would wait in vain. */
-const lateQueueStallShare = 0.25;
-/** The stall timeout of repeatable requests to plain services, as a multiple of the route's latency target; 1 % take longer than this. */
-const plainStallFactor = 2;
+
 /** Starts serving a request. */
 export function startRequest(request: ParsedRequest, answer: CallerAnswer, dependencies: RequestDependencies): RunningRequest {
     const { names, balancer, logger } = dependencies;
     const { route } = request;
     const isStream = route.kind === "stream";
     const isRepeatable = route.kind === "idempotent" || (isStream && route.isResumable);
-    const service = chooseService();
+    const service = chooseService(route, dependencies.random());
     const engine = request.table.service(service)?.engine;
     const coldRequestsPerSecond = request.table.service(service)?.coldRequestsPerSecond ?? 0;
     const model = engine !== undefined && engine.models.length > 0 ? request.model : undefined;
@@ -86,16 +83,17 @@
     let isCertainlyNotRun = true;
     /** Time from arrival to the first event. */
     let firstMs: number | undefined;
+    const admission = isStream && model !== undefined && dependencies.admission?.appliesTo(request, service)
+        ? dependencies.admission
+        : undefined;
+    /** The first attempt waits for room at an upstream. */
+    let isWaiting = false;
+    let ticket: { cancel(): void } | undefined;
+    /** How long the first attempt has waited for room; undefined if it was not subject to admission. */
+    let waitedMs: number | undefined;
 
     const deadline = setTimeout(onTimeout, Math.max(0, request.giveUpAtMs - dependencies.nowMs()));
 
-    function chooseService(): string {
-        const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
-        let remaining = dependencies.random() * total;
-        return (route.targets.find(target => (remaining -= target.weight) < 0) ??
-            route.targets.findLast(target => target.weight > 0)!).service;
-    }
-
     function finish(outcome: Outcome, fields: object = {}) {
         if (isOver) {
             return;
@@ -106,14 +104,14 @@
         dependencies.recordOutcome(outcome, request, tookMs, firstMs);
         logger.info("request ended", {
             request: request.attemptId, route: route.name, model, outcome, attempts, version: request.table.site.version,
-            tookMs, firstMs, ...fields,
+            tookMs, firstMs, waitedMs: isWaiting ? tookMs : waitedMs, ...fields,
         });
     }
 
-    function refuse(reason: string, fields: object = {}) {
+    function refuse(reason: string, fields: object = {}, delayMs?: number) {
         const leftMs = Math.max(0, request.deadlineAtMs - dependencies.nowMs());
-        const acceptedInMs = pushbackLeftMs(listCandidates());
-        answer.sendOwn(503, reason, retryAfterMs({ leftMs, acceptedInMs, random: dependencies.random() }));
+        const acceptedInMs = pushbackLeftMs(listCandidates(), dependencies.pushbacks);
+        answer.sendOwn(503, reason, delayMs ?? retryAfterMs({ leftMs, acceptedInMs, random: dependencies.random() }));
         finish("refused", { reason, ...acceptedInMs === 0 ? {} : { acceptedInMs: Math.round(acceptedInMs) }, ...fields });
     }
 
@@ -129,6 +127,7 @@
 
     function onTimeout() {
         const upstream = currentAttempt?.upstream.id;
+        ticket?.cancel();
         currentAttempt?.abort();
         if (isCertainlyNotRun && attempts === 0) {
             refuse("no upstream could take it in time");
@@ -141,16 +140,43 @@
         return dependencies.view.candidates(service, model);
     }
 
-    /** The time until the first of the candidates accepts requests; 0 if one has not pushed back or there is none. */
-    function pushbackLeftMs(candidates: readonly Candidate[]): number {
-        return candidates.length === 0 ? 0 : Math.min(...candidates.map(({ upstream }) => dependencies.pushbacks.leftMs(upstream.id)));
+    function choose(candidates: readonly Candidate[]): Candidate | undefined {
+        return balancer.choose(candidates, {
+            without: tried,
+            coldRequestsPerSecond,
+            dataCentre: dependencies.dataCentre,
+            hasIdle: upstream => isRepeatable && dependencies.connections.hasIdle(upstream.address),
+        });
+    }
+
+    function startFirstAttempt() {
+        if (admission === undefined) {
+            startNextAttempt();
+            return;
+        }
+        isWaiting = true;
+        ticket = admission.submit({ request, service, model: model!, choose }, onAdmission);
     }
 
-    function reasonWithoutCandidate(all: readonly Candidate[]): string {
-        if (all.length === 0) {
-            return "no upstream serves this now";
+    function onAdmission(decision: AdmissionDecision) {
+        isWaiting = false;
+        switch (decision.kind) {
+            case "unpredicted":
+                startNextAttempt();
+                break;
+            case "refuse":
+                refuse(decision.reason, decision.inputs, decision.retryAfterMs);
+                break;
+            case "send":
+                ({ waitedMs } = decision);
+                if (dependencies.isBarred(request)) {
+                    decision.released();
+                    giveUp("upstreams have crashed under this request");
+                }
+                else {
+                    startAttemptAt(decision.candidate.upstream, decision.isLate, decision.released);
+                }
         }
-        return pushbackLeftMs(all) > 0 ? "every upstream has pushed back" : "no other upstream may take it now";
     }
 
     function startNextAttempt() {
@@ -159,47 +185,19 @@
             return;
         }
         const all = listCandidates();
-        const candidate = balancer.choose(all, {
-            without: tried,
-            coldRequestsPerSecond,
-            dataCentre: dependencies.dataCentre,
-            hasIdle: upstream => isRepeatable && dependencies.connections.hasIdle(upstream.address),
-        });
+        const candidate = choose(all);
         if (candidate === undefined) {
-            giveUp(reasonWithoutCandidate(all));
+            giveUp(reasonWithoutCandidate(all, dependencies.pushbacks));
             return;
         }
-        const isLate = attempts === 0 && isOnTimeQueueFull(candidate);
-        if (isLate && !mayQueueLate(candidate)) {
-            refuse("every upstream has as much as it can finish in time", queueLogFields(candidate, all.length));
+        const isLate = attempts === 0 && isOnTimeQueueFull(candidate, request, dependencies);
+        if (isLate && !mayQueueLate(candidate, request, dependencies)) {
+            refuse("every upstream has as much as it can finish in time", queueLogFields(candidate, all.length, request, dependencies));
             return;
         }
         startAttemptAt(candidate.upstream, isLate);
     }
 
-    /** Whether a further request at this upstream would no longer be on time. */
-    function isOnTimeQueueFull(candidate: Candidate): boolean {
-        return balancer.onTimeEstimate(candidate.upstream) >= dependencies.queueLimits(candidate, request).onTime;
-    }
-
-    /** Log fields of a refusal due to full queues: the best upstream, its estimated queues and limits, and the number of candidates. */
-    function queueLogFields(candidate: Candidate, candidates: number) {
-        const { upstream } = candidate;
-        const queueLimits = dependencies.queueLimits(candidate, request);
-        return {
-            upstream: upstream.id, candidates,
-            onTime: Math.round(balancer.onTimeEstimate(upstream)), onTimeRoom: Math.round(queueLimits.onTime),
-            late: Math.round(balancer.lateEstimate(upstream)), lateRoom: Math.round(queueLimits.late),
-        };
-    }
-
-    /** Whether the late queue of an upstream accepts one more request. */
-    function mayQueueLate(candidate: Candidate): boolean {
-        const { upstream } = candidate;
-        return balancer.lateEstimate(upstream) < dependencies.queueLimits(candidate, request).late &&
-            !balancer.isLateQueueStalled(upstream, route.patienceMs * lateQueueStallShare);
-    }
-
     /** Sends the final answer without a further attempt. It promises "not run" only if that is certain. */
     function giveUp(reason: string) {
         if (isCertainlyNotRun) {
@@ -250,7 +248,7 @@
             finish("upstream-failed", { status: failure.answer.status });
             return;
         }
-        giveUp(hasUntried ? reason : reasonWithoutCandidate(listCandidates()));
+        giveUp(hasUntried ? reason : reasonWithoutCandidate(listCandidates(), dependencies.pushbacks));
     }
 
     function headersTo(upstream: Upstream, isLate: boolean): string[] {
@@ -270,18 +268,11 @@
         return hasReservedRetry;
     }
 
-    /**
-     * How long this request may make no progress even if others at the upstream do: an upstream that hangs on some requests still answers
-     * the rest.
-     */
-    function stallTimeoutMs(): number {
-        return isStream ? route.patienceMs * streamStallShare : plainStallFactor * (route.latenessMs ?? route.timeoutMs);
-    }
-
-    function startAttemptAt(upstream: Upstream, isLate: boolean) {
+    /** `released` is set if the admission has given the request its room. */
+    function startAttemptAt(upstream: Upstream, isLate: boolean, released?: () => void) {
         attempts++;
-        const lateSentAtMs = isLate ? balancer.lateQueued(upstream) : undefined;
-        let isInLateQueue = isLate;
+        let isInLateQueue = isLate && released === undefined;
+        const lateSentAtMs = isInLateQueue ? balancer.lateQueued(upstream) : undefined;
         const leaveLateQueue = (hasStarted: boolean) => {
             if (isInLateQueue) {
                 isInLateQueue = false;
@@ -290,18 +281,25 @@
         };
         currentAttempt = startAttempt({
             request, upstream, answer, splitter, isRepeatable, headers: headersTo(upstream, isLate), mayFailOver,
-            stallTimeoutMs: isLate ? Infinity : stallTimeoutMs(),
-            onEnded: () => leaveLateQueue(false),
+            stallTimeoutMs: isLate ? Infinity : stallTimeoutMs(route),
+            onEnded() {
+                leaveLateQueue(false);
+                released?.();
+                admission?.roomChanged();
+            },
             onDelivered: fields => finish("delivered", { upstream: upstream.id, ...fields }),
             onEvents() {
                 leaveLateQueue(true);
+                if (firstMs === undefined) {
+                    admission?.roomChanged();
+                }
                 firstMs ??= Math.round(dependencies.nowMs() - request.arrivedAtMs);
             },
             onFailed: failure => onAttemptFailed(failure, upstream),
         }, dependencies);
     }
 
-    startNextAttempt();
+    startFirstAttempt();
     return {
         callerLeft() {
             if (isOver) {
@@ -314,6 +312,7 @@
             else {
                 setTimeout(() => currentAttempt?.abort(), Math.max(0, request.giveUpAtMs - dependencies.nowMs()));
             }
+            ticket?.cancel();
             answer.abort();
             finish("caller-left", { upstream: currentAttempt?.upstream.id });
         },
@@ -324,6 +323,11 @@
             if (isOver) {
                 return;
             }
+            if (isWaiting) {
+                ticket?.cancel();
+                refuse(reason);
+                return;
+            }
             const upstream = currentAttempt?.upstream.id;
             currentAttempt?.abort();
             fail(502, reason, upstream);
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -15,15 +15,30 @@
     recordRefusal(status: number): void;
     /** Counts a request that arrived or was cut off while the entry was stopping. */
     recordStoppingRequest(labels: { readonly listener: string; readonly connection: string; readonly outcome: string }): void;
+    /**
+     * Records a decision on a stream that asked for room at a group, by route and outcome: `sent`, `sent-late`, `refused` or `left`. A
+     * refusal is also counted by its cause and the priority of the request.
+     */
+    recordAdmission(decision: AdmissionSample): void;
     recordOrder(kind: string, outcome: string): void;
     /** Registers a gauge whose value is read on each scrape. */
     registerGauge(name: GaugeName, read: () => number): void;
     /** Registers a gauge with a value for each model; models that `read` no longer returns are dropped. */
     registerModelGauge(name: ModelGaugeName, read: () => ReadonlyMap<string, number>): void;
+    /** Registers a gauge with a value for each organisation; organisations that `read` no longer returns are dropped. */
+    registerOrganisationGauge(name: OrganisationGaugeName, read: () => ReadonlyMap<string, number>): void;
     text(): Promise<string>;
     readonly contentType: string;
 }
 
+export interface AdmissionSample {
+    readonly route: string;
+    readonly outcome: string;
+    readonly cause?: string;
+    readonly priority: number;
+    readonly waitedMs: number;
+}
+
 const gaugeHelp = {
     zinnialanding_requests_running: "Requests of callers that have no final answer yet.",
     zinnialanding_caller_connections: "Open connections of callers.",
@@ -50,9 +65,18 @@
     zinnialanding_model_groups_open: "Groups that serve a model, by the control leader's plan.",
     zinnialanding_model_vms: "VMs in groups of a model that serve or form.",
     zinnialanding_model_demand_vms: "VMs that the work of callers keeps busy, by model.",
+    zinnialanding_model_requests_waiting: "Streams that wait here for room at a group of the model.",
 } as const;
 export type ModelGaugeName = keyof typeof modelGaugeHelp;
 
+const organisationGaugeHelp = {
+    zinnialanding_organisation_requests_waiting: "Streams of an organisation that wait here for room at a group.",
+} as const;
+export type OrganisationGaugeName = keyof typeof organisationGaugeHelp;
+
+/** Organisations may set priorities without a bound; values above this one share a label. */
+const maxPriorityLabel = 9;
+
 /** Histogram bounds in seconds: latency targets are between 0.15 and 0.5, deadlines between 1 and 8. */
 const bucketBoundsS = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8];
 
@@ -67,6 +91,20 @@
     const refusalCounter = new Counter({ name: "zinnialanding_refused_early_total", help: "Requests refused before an upstream was chosen.", labelNames: ["status"], registers });
     const stoppingCounter = new Counter({ name: "zinnialanding_stopping_requests_total", help: "Requests that came or were cut off while the entry stops.", labelNames: ["listener", "connection", "outcome"], registers });
     const orderCounter = new Counter({ name: "zinnialanding_orders_total", help: "Orders to engines.", labelNames: ["kind", "outcome"], registers });
+    const admissionSeconds = new Histogram({ name: "zinnialanding_admission_wait_seconds", help: "From arrival to the decision on a stream that asked for room.", labelNames: ["route", "outcome"], buckets: bucketBoundsS, registers });
+    const admissionRefusals = new Counter({ name: "zinnialanding_admission_refused_total", help: "Streams refused for want of room.", labelNames: ["cause", "priority"], registers });
+
+    /** Registers a gauge with a value for each value of one label. */
+    function registerLabelled(name: string, help: string, label: string, read: () => ReadonlyMap<string, number>) {
+        new Gauge({
+            name, help, labelNames: [label], registers,
+            collect() {
+                this.reset();
+                read().forEach((value, key) => this.set({ [label]: key }, value));
+            },
+        });
+    }
+
     return {
         recordRequest(route, outcome, tookMs, firstMs) {
             requestCounter.inc({ route, outcome });
@@ -78,6 +116,12 @@
         recordAttemptWithoutAnswer: ending => attemptCounter.inc({ ending }),
         recordRefusal: status => refusalCounter.inc({ status: String(status) }),
         recordStoppingRequest: labels => stoppingCounter.inc({ ...labels }),
+        recordAdmission({ route, outcome, cause, priority, waitedMs }) {
+            admissionSeconds.observe({ route, outcome }, waitedMs / 1_000);
+            if (cause !== undefined) {
+                admissionRefusals.inc({ cause, priority: String(Math.min(maxPriorityLabel, priority)) });
+            }
+        },
         recordOrder: (kind, outcome) => orderCounter.inc({ kind, outcome }),
         registerGauge(name, read) {
             new Gauge({
@@ -87,15 +131,8 @@
                 },
             });
         },
-        registerModelGauge(name, read) {
-            new Gauge({
-                name, help: modelGaugeHelp[name], labelNames: ["model"], registers,
-                collect() {
-                    this.reset();
-                    read().forEach((value, model) => this.set({ model }, value));
-                },
-            });
-        },
+        registerModelGauge: (name, read) => registerLabelled(name, modelGaugeHelp[name], "model", read),
+        registerOrganisationGauge: (name, read) => registerLabelled(name, organisationGaugeHelp[name], "organisation", read),
         text: () => registry.metrics(),
         contentType: registry.contentType,
     };
