--- a/src/admission/fairQueue.ts
+++ b/src/admission/fairQueue.ts
@@ -81,21 +81,25 @@
 }
 
 /**
- * Returns the work that would be dispatched before a new request: the earlier-due requests of its own organisation and, for each other
- * organisation, as much work as fair queueing dispatches in the meantime. Requests due before `fromMs` are late and are not counted.
+ * Returns the work that is taken before a request, which is queued already: the earlier requests of its own organisation, and what other
+ * organisations may start before it. An organisation that has had less than its share waits for little of the others' backlogs.
  */
-export function workAhead<Request extends FairRequest>(queue: FairQueue<Request>, request: FairRequest, fromMs: number): number {
-    let ownWork = 0;
-    for (const other of queue.organisations.get(request.organisation)?.waiting ?? []) {
-        ownWork += other.id !== request.id && other.dueMs >= fromMs && other.dueMs <= request.dueMs ? other.work : 0;
+export function workAhead<Request extends FairRequest>(queue: FairQueue<Request>, request: FairRequest): number {
+    const own = queue.organisations.get(request.organisation);
+    let total = 0;
+    for (const other of own?.waiting ?? []) {
+        total += other.id !== request.id && other.dueMs <= request.dueMs ? other.work : 0;
     }
-    let total = ownWork;
-    for (const [name, { waiting }] of queue.organisations) {
+    const startTag = Math.max(queue.virtualTime, own?.startTag ?? 0) + total;
+    for (const [name, { waiting, startTag: otherTag }] of queue.organisations) {
         if (name === request.organisation) {
             continue;
         }
-        const otherWork = waiting.reduce((sum, other) => sum + (other.dueMs >= fromMs ? other.work : 0), 0);
-        total += Math.min(otherWork, ownWork + request.work);
+        let otherWork = 0;
+        for (let index = 0; index < waiting.length && otherTag + otherWork < startTag; index++) {
+            otherWork += waiting[index]!.work;
+        }
+        total += otherWork;
     }
     return total;
 }
--- a/src/admission/queue.ts
+++ b/src/admission/queue.ts
@@ -15,8 +15,8 @@
  */
 
 import { type Step, step, unchanged } from "../runtime/index.js";
-import { insertRequest, nextOrganisation, removeRequestAt, takeRequestAt, withOrganisation, workAhead } from "./fairQueue.js";
-import { expectedWaitMs, nextRequestIndex } from "./queueOrder.js";
+import { insertRequest, nextOrganisation, removeRequestAt, takeRequestAt, withOrganisation } from "./fairQueue.js";
+import { expectedWaitMs, nextRequestIndex, workAhead } from "./queueOrder.js";
 import type { QueuedRequest, QueuePolicy, QueueState, RunningRequest } from "./queueState.js";
 import { jitteredRetryAfterMs } from "./retryAfter.js";
 
--- a/src/admission/queueOrder.ts
+++ b/src/admission/queueOrder.ts
@@ -1,5 +1,5 @@
 /**
- * Ordering within an organisation and wait estimates: which of its requests is dispatched next, and how long some work would wait.
+ * Ordering within a queue and wait estimates: which request of an organisation is dispatched next, and how long a new one would wait.
  *
  * @module
  */
@@ -12,6 +12,26 @@
     return Math.max(0, onTime);
 }
 
+/**
+ * Returns the work that would be dispatched before a new request: the earlier-due requests of its own organisation and, for each other
+ * organisation, as much work as fair queueing dispatches in the meantime. Requests due before `fromMs` are late and are not counted.
+ */
+export function workAhead(state: QueueState, request: QueuedRequest, fromMs: number): number {
+    let ownWork = 0;
+    for (const other of state.organisations.get(request.organisation)?.waiting ?? []) {
+        ownWork += other.dueMs >= fromMs && other.dueMs <= request.dueMs ? other.work : 0;
+    }
+    let total = ownWork;
+    for (const [name, queue] of state.organisations) {
+        if (name === request.organisation) {
+            continue;
+        }
+        const otherWork = queue.waiting.reduce((sum, other) => sum + (other.dueMs >= fromMs ? other.work : 0), 0);
+        total += Math.min(otherWork, ownWork + request.work);
+    }
+    return total;
+}
+
 /**
  * Estimates how long it takes to dispatch this much work; 0 while a slot is free or no request has finished yet. If `work` is
  * infinite, the work of the running requests is used instead.
--- a/src/admission/reserve.ts
+++ b/src/admission/reserve.ts
@@ -33,7 +33,7 @@
     /** Decayed work of the requests that have ended, as of `releasedAtMs`. */
     readonly releasedWork: number;
     readonly releasedAtMs: number;
-    /** The average time from sending a request to its end; undefined until one has ended. */
+    /** The average time from sending a request to its end. */
     readonly heldMs: number | undefined;
 }
 
@@ -48,10 +48,9 @@
 
 const idle: Need = { arrivals: 0, arrivedWork: 0, atMs: 0, running: 0 };
 
-export function initialReserve(): ReserveState {
-    return {
-        needs: Array.from({ length: lowestPriority + 2 }, () => idle), runningWork: 0, releasedWork: 0, releasedAtMs: 0, heldMs: undefined,
-    };
+/** `heldMs`: the estimated time for which a request occupies its room, as long as none has ended; undefined if there is no estimate. */
+export function initialReserve(heldMs: number | undefined): ReserveState {
+    return { needs: Array.from({ length: lowestPriority + 2 }, () => idle), runningWork: 0, releasedWork: 0, releasedAtMs: 0, heldMs };
 }
 
 /** Returns the class of a priority; values out of range count as the nearest one in range. */
@@ -83,8 +82,8 @@
 /** Work that becomes free and work that arrives, in work per ms. */
 export interface RoomRates {
     /**
-     * The rate at which room becomes free; undefined until a request has ended and while none runs. A rate of an idle time would refuse
-     * every request and would never be corrected.
+     * The rate at which room becomes free; undefined while no request runs, since a rate of an idle time would refuse every request and
+     * would never be corrected.
      */
     readonly freed: number | undefined;
     /** The rate of arrivals by priority class. */
--- a/src/gateway/modelQueue.ts
+++ b/src/gateway/modelQueue.ts
@@ -11,7 +11,7 @@
 } from "../admission/index.js";
 import { type AdmissionDecision, type AdmissionRecord, type RefusalCause, refusalReasons, type Submission } from "./admissionTypes.js";
 import type { GroupRoom } from "./groupRoom.js";
-import { createWaitingRequest, isUnpredicted, listRooms, onTimeUntilMs, roomLogFields, type Rooms } from "./modelRoom.js";
+import { createWaitingRequest, isUnpredicted, listRooms, onTimeUntilMs, roomLogFields, type Rooms, usualAnswerMs } from "./modelRoom.js";
 import type { ParsedRequest } from "./parsedRequest.js";
 import { retryAfterMs, retryAfterWaitMs } from "./retryAfter.js";
 import type { Candidate, SiteView } from "./siteView.js";
@@ -52,6 +52,8 @@
 /** Waiting requests for each slot of the model's groups: several times what can be served within the lateness targets. */
 const queuedPerSlot = 4;
 const minQueued = 64;
+/** The weight of a new sample in the average of predicted first events. */
+const firstEventSmoothing = 0.1;
 const maxQueuedBytes = 8 * 1_024 * 1_024;
 /** Refusals of about the last second compete for the room that a refused caller is told to come back for. */
 const refusalDecayMs = 1_000;
@@ -60,7 +62,7 @@
 export function createModelQueue(service: string, model: string, dependencies: ModelQueueDependencies): ModelQueue {
     const { view, nowMs } = dependencies;
     let state = initialPriorityQueue();
-    let reserve = initialReserve();
+    let reserve = initialReserve(undefined);
     const entries = new Map<string, Entry>();
     /** Requests that have to be refused unless they get room now or can expect it in time. */
     const unsettled = new Set<string>();
@@ -68,6 +70,8 @@
     let isPumping = false;
     let mustPumpAgain = false;
     let isClosed = false;
+    /** The average of the first events as predicted for the requests that were sent; undefined until one was. */
+    let firstEventMs: number | undefined;
     let refused = { work: 0, atMs: 0 };
 
     function roomsFor(request: ParsedRequest): Rooms {
@@ -104,11 +108,14 @@
     function retryTimeMs(request: ParsedRequest, waitMs: number, all: readonly Candidate[]): number {
         const leftMs = Math.max(0, request.deadlineAtMs - nowMs());
         const acceptedInMs = dependencies.pushbackLeftMs(all);
-        const { freed } = roomRates(reserve, nowMs());
+        const { freed, arriving } = roomRates(reserve, nowMs());
         const random = dependencies.random();
-        return freed === undefined
-            ? retryAfterMs({ leftMs, acceptedInMs, random })
-            : retryAfterWaitMs({ leftMs, acceptedInMs, waitMs, spreadMs: refused.work / freed, random });
+        if (freed === undefined) {
+            return retryAfterMs({ leftMs, acceptedInMs, random });
+        }
+        // Those who come back share the room with as many new requests as arrive now.
+        const competing = Math.max(1, arriving.reduce((sum, rate) => sum + rate, 0) / freed);
+        return retryAfterWaitMs({ leftMs, acceptedInMs, waitMs, spreadMs: refused.work / freed * competing, random });
     }
 
     function refuse(id: string, cause: RefusalCause, waitMs: number) {
@@ -172,6 +179,8 @@
         const usable = isLate ? withRoom : withRoom.filter(({ room }) => nowMs() + room.firstEventMs <= onTimeUntilMs(request));
         const chosen = submission.choose(usable.map(({ candidate }) => candidate));
         if (chosen !== undefined) {
+            const predictedMs = usable.find(({ candidate }) => candidate === chosen)!.room.firstEventMs;
+            firstEventMs = (firstEventMs ?? predictedMs) * (1 - firstEventSmoothing) + predictedMs * firstEventSmoothing;
             send(entry, chosen, isLate);
             return true;
         }
@@ -252,7 +261,8 @@
                 onDecision({ kind: "unpredicted" });
                 return { cancel: () => undefined };
             }
-            const waiting = createWaitingRequest(String(++lastId), submission, rooms, reserve.heldMs);
+            reserve = reserve.heldMs === undefined ? initialReserve(usualAnswerMs(submission)) : reserve;
+            const waiting = createWaitingRequest(String(++lastId), submission, rooms, { firstEventMs, answerMs: reserve.heldMs });
             reserve = reserveReducer(reserve, { kind: "arrived", nowMs: nowMs(), priority: waiting.priority, work: waiting.work });
             entries.set(waiting.id, { submission, waiting, onDecision });
             unsettled.add(waiting.id);
--- a/src/gateway/modelRoom.ts
+++ b/src/gateway/modelRoom.ts
@@ -49,21 +49,25 @@
     return arrivedAtMs + (route.latenessMs ?? route.timeoutMs);
 }
 
-/**
- * Returns a request as the queue takes it. `answerMs` is the usual time from sending a request to its end; undefined if it is not known.
- * The service has to have engines, and at least one room has to be predicted.
- */
+/** What has been seen of recent requests to a model, in ms; undefined until one has been sent or has ended. */
+export interface UsualTimes {
+    /** The first event as it was predicted when a request was sent. */
+    readonly firstEventMs: number | undefined;
+    /** From sending a request to its end. */
+    readonly answerMs: number | undefined;
+}
+
+/** Returns a request as the queue takes it. The service has to have engines, and at least one room has to be predicted. */
 export function createWaitingRequest(
-    id: string, { request, service, model }: Submission, rooms: Rooms, answerMs: number | undefined,
+    id: string, { request, service, model }: Submission, rooms: Rooms, usual: UsualTimes,
 ): WaitingRequest {
     const { arrivedAtMs, giveUpAtMs, route } = request;
     const engine = request.table.service(service)!.engine!;
     const promptTokens = request.promptTokens || engine.usualPromptTokens;
     const { groupMs } = estimateWork(engine, model, promptTokens, expectedAnswerTokens(engine, request));
-    // A group beyond its limit has to drain to it before the request is sent, so what is predicted for its present load is too long.
-    const firstEventMs = Math.min(...rooms.predicted.map(({ room }) =>
-        room.firstEventMs * Math.min(1, room.limit / Math.max(1, room.running))));
-    const lastEndMs = giveUpAtMs - (answerMs ?? firstEventMs);
+    // A full group has to drain before the request is sent, so what is predicted for its present load is too long.
+    const firstEventMs = Math.min(usual.firstEventMs ?? Infinity, ...rooms.predicted.map(({ room }) => room.firstEventMs));
+    const lastEndMs = giveUpAtMs - (usual.answerMs ?? firstEventMs);
     const dueMs = Math.min(onTimeUntilMs(request) - firstEventMs, lastEndMs);
     return {
         id, organisation: request.organisation ?? noOrganisation, priority: request.priority, arrivedMs: arrivedAtMs, dueMs,
@@ -72,6 +76,12 @@
     };
 }
 
+/** Estimates from the stated costs how long a full group takes for a request, from sending it to its end, in ms. */
+export function usualAnswerMs({ request, service, model }: Submission): number {
+    const engine = request.table.service(service)!.engine!;
+    return estimateWork(engine, model, engine.usualPromptTokens, engine.usualAnswerTokens).groupMs * engine.slots;
+}
+
 /** Sums over the groups, and the age of the oldest view, for the log. */
 export function roomLogFields({ predicted, total }: Rooms) {
     const ages = predicted.map(({ room }) => room.ageMs).filter(Number.isFinite);
