--- a/src/admission/priorityQueue.ts
+++ b/src/admission/priorityQueue.ts
@@ -103,7 +103,8 @@
     if (freed === undefined) {
         return 0;
     }
-    let work = request.work + workAhead(lanes[laneIndex]!, request);
+    // Room for the first in the queue becomes free after half of the usual interval.
+    let work = request.work / 2 + workAhead(lanes[laneIndex]!, request);
     let free = freed;
     for (let index = 0; index < laneIndex; index++) {
         work += lanes[index]!.queued === 0 ? 0 : totalWork(lanes[index]!);
--- a/src/admission/reserve.ts
+++ b/src/admission/reserve.ts
@@ -66,7 +66,10 @@
     return isLate ? lowestPriority + 1 : priorityClass(priority);
 }
 
-/** Returns the room that requests more urgent than `priority` need and don't occupy, in requests. For late ones, `priority` is Infinity. */
+/**
+ * Returns the room that requests more urgent than `priority` need and don't occupy, in whole requests: a remainder that decays for seconds
+ * would hold back the last room meanwhile. For late requests, `priority` is Infinity.
+ */
 export function reservedFor({ needs, heldMs = 0 }: ReserveState, priority: number, nowMs: number): number {
     const end = priority === Infinity ? lowestPriority + 1 : priorityClass(priority);
     let reserved = 0;
@@ -76,7 +79,7 @@
             reserved += Math.max(0, arrivals * decay(nowMs - atMs) / decayMs * heldMs - running);
         }
     }
-    return reserved;
+    return Math.round(reserved);
 }
 
 /** Work that becomes free and work that arrives, in work per ms. */
