Waiting requests use no group that fails while another is sound

A group that fails at once always has room, so it would have got most of the waiting requests. Also: requests that are late on arrival reserve no room, and an aged request uses the room of its new priority.

--- a/src/admission/priorityQueue.ts
+++ b/src/admission/priorityQueue.ts
@@ -85,14 +85,20 @@
     return { lanes, queued: 0, bytes: 0, nextChangeMs: Infinity };
 }
 
-/** Returns the request that is to be offered room next, and whether it is late. */
-export function nextWaiting({ lanes }: PriorityQueueState): { readonly request: WaitingRequest; readonly isLate: boolean } | undefined {
+export interface NextWaiting {
+    readonly request: WaitingRequest;
+    /** The priority that it counts with now; Infinity if it is late. */
+    readonly level: number;
+}
+
+/** Returns the request that is to be offered room next. */
+export function nextWaiting({ lanes }: PriorityQueueState): NextWaiting | undefined {
     const index = lanes.findIndex(lane => lane.queued > 0);
     const lane = lanes[index];
     const organisation = lane === undefined ? undefined : nextOrganisation(lane);
     return organisation === undefined
         ? undefined
-        : { request: lane!.organisations.get(organisation)!.waiting[0]!, isLate: index === lateLane };
+        : { request: lane!.organisations.get(organisation)!.waiting[0]!, level: index === lateLane ? Infinity : index };
 }
 
 /**
--- a/src/gateway/balancer.ts
+++ b/src/gateway/balancer.ts
@@ -34,6 +34,8 @@
      * rate and of the limit that the upstream states. Every attempt, first or repeated, asks this.
      */
     mayReceive(upstream: Upstream, coldRequestsPerSecond: number): boolean;
+    /** Whether a candidate is used only if there is no other: it has failed recently, its streams are stalled, or it is reported silent. */
+    isAvoided(candidate: Candidate): boolean;
     /**
      * Estimates the requests at an upstream, running and queued, without its late queue. The share of the late queue is assumed to be the
      * same for all entries.
@@ -139,8 +141,14 @@
             isWithinLimit(upstream, state);
     }
 
+    function isAvoided({ upstream, isReportedSilent }: Candidate): boolean {
+        const state = stateOf(upstream);
+        return state.backoffUntilMs > nowMs() || isStalled(state, nowMs()) || isReportedSilent;
+    }
+
     return {
         mayReceive,
+        isAvoided,
         choose(candidates, request) {
             let best: Candidate | undefined;
             let bestScore = Infinity;
@@ -150,11 +158,10 @@
                     continue;
                 }
                 const state = stateOf(upstream);
-                const isAvoided = state.backoffUntilMs > nowMs() || isStalled(state, nowMs()) || candidate.isReportedSilent;
                 const remotePenalty = upstream.dataCentre === request.dataCentre ? 0 : remoteWeight;
                 const connectPenalty = request.hasIdle(upstream) ? 0 : connectWeight;
                 const load = estimateLoad(state, nowMs()) + decayedFailures(state, nowMs()) * failureWeight;
-                const score = load + remotePenalty + connectPenalty + random() + (isAvoided ? 1_000 : 0);
+                const score = load + remotePenalty + connectPenalty + random() + (isAvoided(candidate) ? 1_000 : 0);
                 if (score < bestScore) {
                     best = candidate;
                     bestScore = score;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -88,7 +88,7 @@
     // Nothing predicts the room at groups yet, so all requests pass by the fixed bounds.
     const room: GroupRoom = { at: () => undefined };
     const admission = createAdmission({
-        view, room, nowMs, random: Math.random, record: metrics.recordAdmission,
+        view, room, nowMs, random: Math.random, isAvoided: balancer.isAvoided, record: metrics.recordAdmission,
         pushbackLeftMs: candidates => pushbackLeftMs(candidates, pushbacks),
         isActive: (service, site) => callsForOverloadControl(service, site, options.overloadMode),
     });
--- a/src/gateway/modelQueue.ts
+++ b/src/gateway/modelQueue.ts
@@ -13,7 +13,7 @@
 import type { GroupRoom } from "./groupRoom.js";
 import { createWaitingRequest, isUnpredicted, listRooms, onTimeUntilMs, roomLogFields, type Rooms, usualAnswerMs } from "./modelRoom.js";
 import type { ParsedRequest } from "./parsedRequest.js";
-import { retryAfterMs, retryAfterWaitMs } from "./retryAfter.js";
+import { createRefusalPacer } from "./refusalPacer.js";
 import type { Candidate, SiteView } from "./siteView.js";
 
 export interface ModelQueueDependencies {
@@ -21,6 +21,8 @@
     readonly room: GroupRoom;
     nowMs(): number;
     random(): number;
+    /** Whether a candidate is used only if there is no other. */
+    isAvoided(candidate: Candidate): boolean;
     /** The time until the first of the candidates accepts requests; 0 if one does now. */
     pushbackLeftMs(candidates: readonly Candidate[]): number;
     record(decision: AdmissionRecord): void;
@@ -55,8 +57,6 @@
 /** The weight of a new sample in the average of predicted first events. */
 const firstEventSmoothing = 0.1;
 const maxQueuedBytes = 8 * 1_024 * 1_024;
-/** Refusals of about the last second compete for the room that a refused caller is told to come back for. */
-const refusalDecayMs = 1_000;
 
 /** Creates the empty queue of a model. */
 export function createModelQueue(service: string, model: string, dependencies: ModelQueueDependencies): ModelQueue {
@@ -72,10 +72,17 @@
     let isClosed = false;
     /** The average of the first events as predicted for the requests that were sent; undefined until one was. */
     let firstEventMs: number | undefined;
-    let refused = { work: 0, atMs: 0 };
+    const pacer = createRefusalPacer(nowMs, dependencies.random);
+
+    /** A group that fails at once always has room, and would get most of the waiting requests if it were chosen while others are full. */
+    function usableCandidates(): readonly Candidate[] {
+        const all = view.candidates(service, model);
+        const usable = all.filter(candidate => !dependencies.isAvoided(candidate));
+        return usable.length > 0 ? usable : all;
+    }
 
     function roomsFor(request: ParsedRequest): Rooms {
-        return listRooms(view.candidates(service, model), request, dependencies.room);
+        return listRooms(usableCandidates(), request, dependencies.room);
     }
 
     function apply(event: PriorityQueueEvent) {
@@ -105,19 +112,6 @@
         return Math.round(waitedMs);
     }
 
-    function retryTimeMs(request: ParsedRequest, waitMs: number, all: readonly Candidate[]): number {
-        const leftMs = Math.max(0, request.deadlineAtMs - nowMs());
-        const acceptedInMs = dependencies.pushbackLeftMs(all);
-        const { freed, arriving } = roomRates(reserve, nowMs());
-        const random = dependencies.random();
-        if (freed === undefined) {
-            return retryAfterMs({ leftMs, acceptedInMs, random });
-        }
-        // Those who come back share the room with as many new requests as arrive now.
-        const competing = Math.max(1, arriving.reduce((sum, rate) => sum + rate, 0) / freed);
-        return retryAfterWaitMs({ leftMs, acceptedInMs, waitMs, spreadMs: refused.work / freed * competing, random });
-    }
-
     function refuse(id: string, cause: RefusalCause, waitMs: number) {
         const entry = forget(id);
         if (entry === undefined) {
@@ -125,12 +119,14 @@
         }
         const { request } = entry.submission;
         const rooms = roomsFor(request);
-        const kept = Math.exp((refused.atMs - nowMs()) / refusalDecayMs);
-        refused = { work: refused.work * kept + entry.waiting.work, atMs: nowMs() };
+        const retryMs = pacer.delayMs({
+            request, work: entry.waiting.work, waitMs, rates: roomRates(reserve, nowMs()),
+            acceptedInMs: dependencies.pushbackLeftMs(rooms.all),
+        });
         entry.onDecision({
             kind: "refuse", reason: refusalReasons[cause],
             // Other entries serve what this one no longer does, so the caller may retry at once.
-            retryAfterMs: cause === "stopping" ? 0 : retryTimeMs(request, waitMs, rooms.all),
+            retryAfterMs: cause === "stopping" ? 0 : retryMs,
             inputs: {
                 waitedMs: record(entry, "refused", cause), waiting: state.queued,
                 expectedWaitMs: Number.isFinite(waitMs) ? Math.round(waitMs) : undefined,
@@ -158,8 +154,12 @@
         entry.onDecision({ kind: "send", candidate, isLate, waitedMs: record(entry, isLate ? "sent-late" : "sent"), released });
     }
 
-    /** Offers room to a request. False: there is none for it, and so none for a less urgent one. */
-    function offer(entry: Entry, isLate: boolean): boolean {
+    /**
+     * Offers room to a request that counts with priority `level`; Infinity if it is late. False: there is none for it, and so none for a
+     * less urgent one.
+     */
+    function offer(entry: Entry, level: number): boolean {
+        const isLate = level === Infinity;
         const { submission, waiting } = entry;
         const { request } = submission;
         const rooms = roomsFor(request);
@@ -172,7 +172,7 @@
             entry.onDecision({ kind: "unpredicted" });
             return true;
         }
-        if (rooms.total - 1 < reservedFor(reserve, isLate ? Infinity : waiting.priority, nowMs())) {
+        if (rooms.total - 1 < reservedFor(reserve, level, nowMs())) {
             return false;
         }
         const withRoom = rooms.predicted.filter(({ room }) => room.allowance >= 1);
@@ -204,16 +204,16 @@
     }
 
     function settleAll() {
-        const all = view.candidates(service, model);
+        const groups = view.candidates(service, model);
         const slots = view.table?.service(service)?.engine?.slots ?? 0;
-        const bounds = { maxQueued: Math.max(minQueued, queuedPerSlot * slots * all.length), maxBytes: maxQueuedBytes };
+        const bounds = { maxQueued: Math.max(minQueued, queuedPerSlot * slots * groups.length), maxBytes: maxQueuedBytes };
         for (const id of [...unsettled]) {
             unsettled.delete(id);
             const entry = entries.get(id);
             if (entry !== undefined) {
                 const rates = roomRates(reserve, nowMs());
                 apply({
-                    kind: "settle", nowMs: nowMs(), request: entry.waiting, rates, bounds, minWaitMs: dependencies.pushbackLeftMs(all),
+                    kind: "settle", nowMs: nowMs(), request: entry.waiting, rates, bounds, minWaitMs: dependencies.pushbackLeftMs(groups),
                 });
             }
         }
@@ -226,7 +226,7 @@
         }
         apply({ kind: "advance", nowMs: nowMs(), rates: roomRates(reserve, nowMs()) });
         for (let next = nextWaiting(state); next !== undefined; next = nextWaiting(state)) {
-            if (!offer(entries.get(next.request.id)!, next.isLate)) {
+            if (!offer(entries.get(next.request.id)!, next.level)) {
                 break;
             }
         }
@@ -263,7 +263,10 @@
             }
             reserve = reserve.heldMs === undefined ? initialReserve(usualAnswerMs(submission)) : reserve;
             const waiting = createWaitingRequest(String(++lastId), submission, rooms, { firstEventMs, answerMs: reserve.heldMs });
-            reserve = reserveReducer(reserve, { kind: "arrived", nowMs: nowMs(), priority: waiting.priority, work: waiting.work });
+            // Requests that are late already need no room that is kept from others. They would keep it from themselves.
+            if (waiting.dueMs >= nowMs()) {
+                reserve = reserveReducer(reserve, { kind: "arrived", nowMs: nowMs(), priority: waiting.priority, work: waiting.work });
+            }
             entries.set(waiting.id, { submission, waiting, onDecision });
             unsettled.add(waiting.id);
             apply({ kind: "arrive", nowMs: nowMs(), request: waiting });
--- a/test/admission/priorityQueue.test.ts
+++ b/test/admission/priorityQueue.test.ts
@@ -58,6 +58,11 @@
         expect(takeAll(state).map(({ id }) => id)).to.deep.equal(["urgent-soon", "urgent", "middle", "tolerant", "late"]);
     });
 
+    it("counts a request as late from the start if it arrives past its due time", () => {
+        const { state } = run([arrive(waiting("late", { dueMs: 50 }), 60)]);
+        expect(nextWaiting(state)!.level).to.equal(Infinity);
+    });
+
     // Without ageing, requests of a lower priority would never be served beside a steady load of urgent ones.
     it("counts a request as one priority higher after half of its time to wait, and not as two", () => {
         const requests = [waiting("aged", { priority: 1, dueMs: 500 }), waiting("tolerant", { priority: 2, dueMs: 500 })];
--- a/test/gateway/admission.test.ts
+++ b/test/gateway/admission.test.ts
@@ -22,6 +22,7 @@
         table: table as SiteTable | undefined,
         /** The ids of groups without a prediction. */
         unpredicted: new Set<string>(),
+        avoided: new Set<string>(),
         firstEventMs: 100,
         pushbackLeftMs: 0,
         timers: 0,
@@ -49,7 +50,7 @@
             candidates: () => [...candidates.values()],
         } as unknown as SiteView,
         room: { at: wanted => entry.unpredicted.has(wanted.upstream.id) ? undefined : roomOf(wanted) },
-        nowMs: time.nowMs, random: () => 0.5, defer: time.defer,
+        nowMs: time.nowMs, random: () => 0.5, isAvoided: ({ upstream: { id } }) => entry.avoided.has(id), defer: time.defer,
         setTimer(callback, delayMs) {
             entry.timers++;
             const cancel = time.setTimer(() => {
@@ -112,6 +113,42 @@
         expect(entry.decisions.slice(20)).to.deep.equal(["urgent g1", "tolerant g1"]);
     });
 
+    // Otherwise a steady load of urgent requests would keep all others from every upstream.
+    it("gives a request that has waited for half of its time the room of the next priority", () => {
+        const sentAtMs = (priority: number) => {
+            const entry = createEntry({ g1: 0 });
+            for (let nowMs = 0; nowMs < 4_000; nowMs += 50) {
+                entry.time.runUntil(nowMs);
+                entry.released.forEach(released => released());
+                if (nowMs === 1_000) {
+                    entry.submit("tolerant", { priority, latenessMs: 3_000 });
+                }
+                entry.rooms.g1 = 1;
+                entry.admission.roomChanged();
+                entry.time.runUntil(nowMs + 1);
+                if (entry.decisions.includes("tolerant g1")) {
+                    return nowMs;
+                }
+                entry.submit(`urgent-${nowMs}`);
+            }
+            return Infinity;
+        };
+        // Its latest start is 2.9 s after its arrival.
+        expect([sentAtMs(1), sentAtMs(2)]).to.deep.equal([2_450, Infinity]);
+    });
+
+    // Groups that are slowed can be late with every request. If these counted as needed on time, they would keep the room from themselves.
+    it("sends every request while all upstreams are too slow to be on time and have room", () => {
+        const entry = createEntry({ g1: 0 });
+        entry.firstEventMs = 1_000;
+        for (let index = 0; index < 40; index++) {
+            entry.time.runUntil(index * 50);
+            entry.rooms.g1 = 1;
+            entry.submit(`late-${index}`);
+        }
+        expect(entry.records.map(({ outcome }) => outcome)).to.deep.equal(Array.from({ length: 40 }, () => "sent-late"));
+    });
+
     // A request that turns late is sent only into room that nobody needs, and behind all others at the engine.
     it("sends late requests only when no other waits, and marks them", () => {
         const entry = createEntry({ g1: 0 });
@@ -184,6 +221,18 @@
         expect(entry.decisions).to.deep.equal(["a g2"]);
     });
 
+    // A group that fails each request at once is never full.
+    it("waits for a sound upstream rather than use the room of one that fails, unless all fail", () => {
+        const entry = createEntry({ g1: 10, g2: 0 });
+        entry.avoided.add("g1");
+        entry.submit("a");
+        expect(entry.decisions).to.deep.equal([]);
+        entry.avoided.add("g2");
+        entry.admission.roomChanged();
+        entry.time.runUntil(1);
+        expect(entry.decisions).to.deep.equal(["a g1"]);
+    });
+
     it("refuses waiting requests of a model that a new site no longer has", () => {
         const entry = createEntry({ g1: 0 });
         entry.submit("a");
--- a/test/gateway/waitingRequests.test.ts
+++ b/test/gateway/waitingRequests.test.ts
@@ -1,6 +1,8 @@
 import { expect } from "chai";
 import { createAdmission, type Admission } from "../../src/gateway/admission.js";
-import { createGroupHead, encodeRequest, type GatewaySite, openCaller, parseStatus, startGateway, createSite } from "../support/gatewaySite.js";
+import {
+    createGroupHead, createSite, encodeRequest, type GatewaySite, openCaller, parseStatus, startGateway,
+} from "../support/gatewaySite.js";
 import { waitUntil } from "../support/platformSite.js";
 import { type RawUpstream, startRawUpstream } from "../support/rawUpstream.js";
 
@@ -21,7 +23,7 @@
         });
         site = await startGateway([createGroupHead(upstream.address, "u1", 1)], createSite(), Infinity, undefined, {}, view => {
             admission = createAdmission({
-                view, nowMs: () => performance.now(), random: () => 0.5, pushbackLeftMs: () => 0, record: () => undefined,
+                view, nowMs: () => performance.now(), random: () => 0.5, isAvoided: () => false, pushbackLeftMs: () => 0, record: () => undefined,
                 isActive: () => true, room: { at: () => ({ running: 4, limit: 4, allowance, firstEventMs: 20, ageMs: 0 }) },
             });
             return admission;
@@ -35,7 +37,7 @@
     });
 
     const stream = (id: string) => encodeRequest("POST", "/caption/1", { id, body: "x", headers: { "Zinnialanding-Model": "lm" } });
-    const waiting = (count: number) => waitUntil(`${count} requests wait`, () => admission.waitingByModel.get("lm") === count, 2_000);
+    const waiting = (count: number) => waitUntil(`${count} requests wait`, () => admission.waitingByModel.get("lm") === count, 500);
 
     it("are sent once there is room, and not if their caller has left", async () => {
         const [left, stays] = [await openCaller(site.port), await openCaller(site.port)];
--- a/test/support/admissionModel.ts
+++ b/test/support/admissionModel.ts
@@ -95,7 +95,7 @@
     const loadOf = (group: Group) => group.running + group.waiting.length;
     const admission: Admission = createAdmission({
         view: { table, candidates: () => groups.map(group => group.candidate) } as unknown as SiteView,
-        nowMs: time.nowMs, random, setTimer: time.setTimer, defer: time.defer,
+        nowMs: time.nowMs, random, isAvoided: () => false, setTimer: time.setTimer, defer: time.defer,
         pushbackLeftMs: () => 0, record: decision => records.push(decision), isActive: () => true,
         room: {
             at(wanted) {
