Bounds what a request with an absurd size hint counts for in the admission

A hint a million times too large made the room seem to become free as much faster. Also a test that late requests take no room that others need.

--- a/src/gateway/modelQueue.ts
+++ b/src/gateway/modelQueue.ts
@@ -11,8 +11,9 @@
 } from "../admission/index.js";
 import { type AdmissionDecision, type AdmissionRecord, type RefusalCause, refusalReasons, type Submission } from "./admissionTypes.js";
 import type { GroupRoom } from "./groupRoom.js";
-import { createWaitingRequest, isUnpredicted, listRooms, onTimeUntilMs, roomLogFields, type Rooms, usualAnswerMs } from "./modelRoom.js";
-import type { ParsedRequest } from "./parsedRequest.js";
+import {
+    createWaitingRequest, isUnpredicted, listRooms, onTimeUntilMs, queueBounds, roomLogFields, type Rooms, usualAnswerMs,
+} from "./modelRoom.js";
 import { createRefusalPacer } from "./refusalPacer.js";
 import type { Candidate, SiteView } from "./siteView.js";
 
@@ -51,12 +52,8 @@
     readonly onDecision: (decision: AdmissionDecision) => void;
 }
 
-/** Waiting requests for each slot of the model's groups: several times what can be served within the lateness targets. */
-const queuedPerSlot = 4;
-const minQueued = 64;
 /** The weight of a new sample in the average of predicted first events. */
 const firstEventSmoothing = 0.1;
-const maxQueuedBytes = 8 * 1_024 * 1_024;
 
 /** Creates the empty queue of a model. */
 export function createModelQueue(service: string, model: string, dependencies: ModelQueueDependencies): ModelQueue {
@@ -81,7 +78,7 @@
         return usable.length > 0 ? usable : all;
     }
 
-    function roomsFor(request: ParsedRequest): Rooms {
+    function roomsFor(request: Submission["request"]): Rooms {
         return listRooms(usableCandidates(), request, dependencies.room);
     }
 
@@ -94,9 +91,10 @@
     function perform(effect: PriorityQueueEffect) {
         if (effect.kind === "turned-late") {
             unsettled.add(effect.request.id);
-            return;
         }
-        refuse(effect.request.id, effect.reason, effect.waitMs);
+        else {
+            refuse(effect.request.id, effect.reason, effect.waitMs);
+        }
     }
 
     function forget(id: string): Entry | undefined {
@@ -136,8 +134,7 @@
     }
 
     function send(entry: Entry, candidate: Candidate, isLate: boolean) {
-        const { waiting } = entry;
-        const { work, priority } = waiting;
+        const { waiting, waiting: { work, priority } } = entry;
         forget(waiting.id);
         apply({ kind: "take", request: waiting });
         reserve = reserveReducer(reserve, { kind: "sent", priority, isLate, work });
@@ -197,24 +194,21 @@
     }
 
     function refuseAll(cause: RefusalCause) {
-        for (const { waiting } of [...entries.values()]) {
+        [...entries.values()].forEach(({ waiting }) => {
             apply({ kind: "cancel", request: waiting });
             refuse(waiting.id, cause, 0);
-        }
+        });
     }
 
     function settleAll() {
         const groups = view.candidates(service, model);
-        const slots = view.table?.service(service)?.engine?.slots ?? 0;
-        const bounds = { maxQueued: Math.max(minQueued, queuedPerSlot * slots * groups.length), maxBytes: maxQueuedBytes };
+        const bounds = queueBounds(groups.length * (view.table?.service(service)?.engine?.slots ?? 0));
         for (const id of [...unsettled]) {
             unsettled.delete(id);
             const entry = entries.get(id);
             if (entry !== undefined) {
-                const rates = roomRates(reserve, nowMs());
-                apply({
-                    kind: "settle", nowMs: nowMs(), request: entry.waiting, rates, bounds, minWaitMs: dependencies.pushbackLeftMs(groups),
-                });
+                const minWaitMs = dependencies.pushbackLeftMs(groups);
+                apply({ kind: "settle", nowMs: nowMs(), request: entry.waiting, rates: roomRates(reserve, nowMs()), bounds, minWaitMs });
             }
         }
     }
@@ -298,9 +292,7 @@
         },
         get organisations() {
             const counts = new Map<string, number>();
-            for (const { waiting: { organisation } } of entries.values()) {
-                counts.set(organisation, (counts.get(organisation) ?? 0) + 1);
-            }
+            entries.forEach(({ waiting: { organisation } }) => counts.set(organisation, (counts.get(organisation) ?? 0) + 1));
             return counts;
         },
     };
--- a/src/gateway/modelRoom.ts
+++ b/src/gateway/modelRoom.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import type { WaitingRequest } from "../admission/index.js";
+import type { QueueBounds, WaitingRequest } from "../admission/index.js";
+import type { EngineSpec } from "../site/index.js";
 import type { Submission } from "./admissionTypes.js";
 import type { GroupRoom, RoomAtGroup } from "./groupRoom.js";
 import type { ParsedRequest } from "./parsedRequest.js";
@@ -18,9 +19,23 @@
     readonly total: number;
 }
 
+/** Waiting requests for each slot of the model's groups: several times what can be served within the lateness targets. */
+const queuedPerSlot = 4;
+const minQueued = 64;
+const maxQueuedBytes = 8 * 1_024 * 1_024;
+/**
+ * The most work that a request counts for, as a multiple of that of a usual one. Sizes are hints of callers; one absurd hint would distort
+ * the rate of room, and so the decisions on everyone's requests.
+ */
+const maxWorkFactor = 16;
 /** Requests without an organisation count as those of one. */
 const noOrganisation = "none";
 
+/** Returns the bounds of the queue before groups with so many slots together. */
+export function queueBounds(slots: number): QueueBounds {
+    return { maxQueued: Math.max(minQueued, queuedPerSlot * slots), maxBytes: maxQueuedBytes };
+}
+
 /** Asks for the room at each candidate. */
 export function listRooms(all: readonly Candidate[], request: ParsedRequest, groupRoom: GroupRoom): Rooms {
     const predicted: { candidate: Candidate; room: RoomAtGroup }[] = [];
@@ -49,6 +64,11 @@
     return arrivedAtMs + (route.latenessMs ?? route.timeoutMs);
 }
 
+/** Returns the work of a usual request in ms of a group's time. */
+function usualWorkMs(engine: EngineSpec, model: string): number {
+    return estimateWork(engine, model, engine.usualPromptTokens, engine.usualAnswerTokens).groupMs;
+}
+
 /** What has been seen of recent requests to a model, in ms; undefined until one has been sent or has ended. */
 export interface UsualTimes {
     /** The first event as it was predicted when a request was sent. */
@@ -65,6 +85,7 @@
     const engine = request.table.service(service)!.engine!;
     const promptTokens = request.promptTokens || engine.usualPromptTokens;
     const { groupMs } = estimateWork(engine, model, promptTokens, expectedAnswerTokens(engine, request));
+    const usualMs = usualWorkMs(engine, model);
     // A full group has to drain before the request is sent, so what is predicted for its present load is too long.
     const firstEventMs = Math.min(usual.firstEventMs ?? Infinity, ...rooms.predicted.map(({ room }) => room.firstEventMs));
     const lastEndMs = giveUpAtMs - (usual.answerMs ?? firstEventMs);
@@ -72,14 +93,14 @@
     return {
         id, organisation: request.organisation ?? noOrganisation, priority: request.priority, arrivedMs: arrivedAtMs, dueMs,
         lastStartMs: Math.max(dueMs, Math.min(arrivedAtMs + route.patienceMs - firstEventMs, lastEndMs)),
-        work: Math.max(1, groupMs), bytes: request.body?.length ?? 0,
+        work: Math.max(1, usualMs > 0 ? Math.min(groupMs, usualMs * maxWorkFactor) : groupMs), bytes: request.body?.length ?? 0,
     };
 }
 
 /** Estimates from the stated costs how long a full group takes for a request, from sending it to its end, in ms. */
 export function usualAnswerMs({ request, service, model }: Submission): number {
     const engine = request.table.service(service)!.engine!;
-    return estimateWork(engine, model, engine.usualPromptTokens, engine.usualAnswerTokens).groupMs * engine.slots;
+    return usualWorkMs(engine, model) * engine.slots;
 }
 
 /** Sums over the groups, and the age of the oldest view, for the log. */
--- a/test/gateway/admission.test.ts
+++ b/test/gateway/admission.test.ts
@@ -27,8 +27,10 @@
         pushbackLeftMs: 0,
         timers: 0,
         released: new Map<string, () => void>(),
-        submit(id: string, fields: Partial<typeof caller> & { bodyBytes?: number } = {}) {
-            const request = parsedRequest({ ...caller, ...fields }, time.nowMs(), fields.bodyBytes);
+        submit(id: string, fields: Partial<typeof caller> & { bodyBytes?: number; promptTokens?: number; patienceMs?: number } = {}) {
+            const parsed = parsedRequest({ ...caller, ...fields }, time.nowMs(), fields.bodyBytes);
+            const { promptTokens = parsed.promptTokens, patienceMs = parsed.route.patienceMs } = fields;
+            const request = { ...parsed, promptTokens, route: { ...parsed.route, patienceMs } };
             const choose = (all: readonly Candidate[]) => entry.pushbackLeftMs > 0 ? undefined : all[0];
             return admission.submit({ request, service: "pool", model: "lm", choose }, decision => {
                 details.push(decision);
@@ -113,6 +115,22 @@
         expect(entry.decisions.slice(20)).to.deep.equal(["urgent g1", "tolerant g1"]);
     });
 
+    // The room that a late request takes is missing to the next one that can be on time.
+    it("sends late requests into no room that others have needed on time lately", () => {
+        const entry = createEntry({ g1: 0 });
+        for (let nowMs = 0; nowMs < 2_000; nowMs += 50) {
+            entry.time.runUntil(nowMs);
+            entry.released.forEach(released => released());
+            entry.rooms.g1 = 1;
+            if (nowMs >= 1_000) {
+                entry.submit(`late-${nowMs}`, { latenessMs: 50 });
+            }
+            entry.submit(`regular-${nowMs}`);
+        }
+        expect(entry.decisions.filter(decision => decision.startsWith("late") && decision.endsWith("g1"))).to.deep.equal([]);
+        expect(entry.decisions.filter(decision => decision.startsWith("regular") && decision.endsWith("g1"))).to.have.length(40);
+    });
+
     // Otherwise a steady load of urgent requests would keep all others from every upstream.
     it("gives a request that has waited for half of its time the room of the next priority", () => {
         const sentAtMs = (priority: number) => {
@@ -233,6 +251,18 @@
         expect(entry.decisions).to.deep.equal(["a g1"]);
     });
 
+    // Counted in full, such a request would make the room seem to become free a million times faster, and all would wait in vain.
+    it("bounds what a request with an absurd hint of its size counts for", () => {
+        const expectedWaitMs = (promptTokens: number) => {
+            const entry = createEntry({ g1: 1 });
+            entry.submit("first", { promptTokens });
+            entry.submit("second", { latenessMs: 10, patienceMs: 10 });
+            return (entry.details[1] as { inputs: { expectedWaitMs: number } }).inputs.expectedWaitMs;
+        };
+        expect(expectedWaitMs(100)).to.be.closeTo(160, 1);
+        expect(expectedWaitMs(1e11)).to.be.at.least(10);
+    });
+
     it("refuses waiting requests of a model that a new site no longer has", () => {
         const entry = createEntry({ g1: 0 });
         entry.submit("a");
--- a/test/gateway/waitingRequests.test.ts
+++ b/test/gateway/waitingRequests.test.ts
@@ -23,8 +23,9 @@
         });
         site = await startGateway([createGroupHead(upstream.address, "u1", 1)], createSite(), Infinity, undefined, {}, view => {
             admission = createAdmission({
-                view, nowMs: () => performance.now(), random: () => 0.5, isAvoided: () => false, pushbackLeftMs: () => 0, record: () => undefined,
-                isActive: () => true, room: { at: () => ({ running: 4, limit: 4, allowance, firstEventMs: 20, ageMs: 0 }) },
+                view, nowMs: () => performance.now(), random: () => 0.5, isAvoided: () => false,
+                pushbackLeftMs: () => 0, record: () => undefined, isActive: () => true,
+                room: { at: () => ({ running: 4, limit: 4, allowance, firstEventMs: 20, ageMs: 0 }) },
             });
             return admission;
         });
