Merge admission by priority

Streams of services under overload control wait at the entry for room at a group, ordered by whether they can still be on time, priority, organisation and due time; those that can't be served are refused at once. The room is that of the predicted first events and the exchanged loads; an entry's own check of the switch is one function now.

--- a/src/gateway/balancer.ts
+++ b/src/gateway/balancer.ts
@@ -35,6 +35,8 @@
      * rate and of the limit that the upstream states. Every attempt, first or repeated, asks this.
      */
     mayReceive(upstream: Upstream, coldRequestsPerSecond: number): boolean;
+    /** Whether a candidate is used only if there is no other: it has failed recently, its streams are stalled, or it is reported silent. */
+    isAvoided(candidate: Candidate): boolean;
     /**
      * Estimates the requests at an upstream, running and queued, without its late queue. The share of the late queue is assumed to be the
      * same for all entries.
@@ -174,6 +176,7 @@
 
     return {
         mayReceive,
+        isAvoided: candidate => isAvoided(stateOf(candidate.upstream), candidate, nowMs()),
         choose(candidates, request) {
             if (request.scoring !== undefined) {
                 return chooseScored(candidates, request, request.scoring);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,8 +8,9 @@
 import { createFeedWatcher } from "../feed/index.js";
 import { createPushbacks } from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
-import type { OverloadMode, SiteDialect } from "../site/index.js";
+import { createOverloadCheck, type OverloadMode, type SiteDialect } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import { createAdmission } from "./admission.js";
 import { createAllowances } from "./allowances.js";
 import { createBalancer } from "./balancer.js";
 import { createConnections } from "./connections.js";
@@ -23,6 +24,7 @@
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSharedLoads } from "./sharedLoads.js";
 import { createSiteView } from "./siteView.js";
+import { pushbackLeftMs } from "./withoutCandidate.js";
 import { queueLimitsFor } from "./work.js";
 import { createWorkload } from "./workload.js";
 
@@ -88,14 +90,21 @@
         pushbackLeftMs: pushbacks.leftMs,
     });
     const sharedLoads = createSharedLoads({ nowMs, entries: () => entryCount.upperBound, logger });
-    const loadReports = createLoadReports({ view, balancer, sharedLoads, mode: options.overloadMode ?? "auto" });
+    const isActive = createOverloadCheck(options.overloadMode);
+    const loadReports = createLoadReports({ view, balancer, sharedLoads, isActive });
     const loopTicks = createLoopTicks(nowMs, blockedAfterMs);
     const { groupRoom, latency } = createGroupPrediction({
-        ...options, nowMs, balancer, hasBlockedSince: loopTicks.hasBlockedSince, sharedLoads, allowanceOf: createAllowances(sharedLoads),
+        ...options, nowMs, isActive, balancer, hasBlockedSince: loopTicks.hasBlockedSince, sharedLoads,
+        allowanceOf: createAllowances(sharedLoads),
         ownAtModel: (service, model) =>
             view.candidates(service, model).reduce((sum, { upstream }) => sum + balancer.ownRequests(upstream), 0),
     });
     const connections = createConnections();
+    const admission = createAdmission({
+        view, room: groupRoom, nowMs, random: Math.random, isAvoided: balancer.isAvoided, record: metrics.recordAdmission,
+        pushbackLeftMs: candidates => pushbackLeftMs(candidates, pushbacks),
+        isActive,
+    });
     const crashes = createCrashLog(nowMs);
     const workload = createWorkload();
     const vm = splitAddress(options.callerAddress).host;
@@ -122,7 +131,10 @@
             workByModel: workload.drain(), requests, suspectIds: [...suspectIds], movingIds: [...movingIds], crashes: [...crashes.recent],
             limits: limits.observedLimits(), draining: [...view.observedDraining],
             vm, pushbacks: pushbacks.relayed(),
-        }, loads, sharedLoads.apply);
+        }, loads, answer => {
+            sharedLoads.apply(answer);
+            admission.roomChanged();
+        });
         requests = 0;
     }
 
@@ -145,6 +157,9 @@
         dataCentre: options.dataCentre,
         onFrame(frame, address) {
             view.apply(frame, address);
+            if (frame.kind === "upstreams") {
+                admission.roomChanged();
+            }
             if (frame.kind === "limits") {
                 limits.applyDivision(frame);
             }
@@ -166,7 +181,7 @@
 
     const server: GatewayServer = await listenForCallers(options.callerAddress, {
         names: options.headerNames, view, balancer, connections, pushbacks, logger, dataCentre: options.dataCentre,
-        nowMs, random: Math.random, queueLimits: queueLimitsFor, groupRoom, latency,
+        nowMs, random: Math.random, queueLimits: queueLimitsFor, admission, groupRoom, latency,
         mayRetry: service => budgetOf(service).tryRetry(nowMs()) === undefined,
         recordLimit: limits.limitSeen,
         recordCrash: (request, upstream) => crashes.record(request, upstream),
@@ -197,6 +212,9 @@
     metrics.registerGauge("zinnialanding_shared_loads_age_seconds", () => Number.isFinite(sharedLoads.ageMs) ? sharedLoads.ageMs / 1_000 : NaN);
     metrics.registerGauge("zinnialanding_control_daemons_heard", () => watcher.heard.length);
 
+    metrics.registerModelGauge("zinnialanding_model_requests_waiting", () => admission.waitingByModel);
+    metrics.registerOrganisationGauge("zinnialanding_organisation_requests_waiting", () => admission.waitingByOrganisation);
+
     const timers = [
         setInterval(() => {
             loopTicks.tick();
@@ -231,6 +249,7 @@
             logger.info("stopping", { ...activityLogFields(), lateMs: Math.round(nowMs() - earliestSignalMs) });
             await pause(Math.max(0, listenerClosesAtMs - nowMs()));
             const closed = await server.closeListener();
+            admission.close();
             logger.info("listener closed", { closed, ...activityLogFields() });
             await waitForRunning(cutOffAtMs);
             const unfinished = server.running;
--- a/src/gateway/groupPrediction.ts
+++ b/src/gateway/groupPrediction.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { callsForOverloadControl, type OverloadMode, type Site } from "../site/index.js";
+import type { Site } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import type { Balancer } from "./balancer.js";
 import { type AllowanceInput, createGroupRoom, type PredictingGroupRoom } from "./groupRoom.js";
@@ -14,11 +14,12 @@
 
 export interface GroupPredictionOptions {
     readonly dataCentre: string;
-    readonly overloadMode?: OverloadMode;
     readonly logger: Logger;
     readonly metrics: SiteMetrics;
     readonly balancer: Balancer;
     nowMs(): number;
+    /** Whether overload control acts for a service. */
+    isActive(service: string, site: Site): boolean;
     hasBlockedSince(sinceMs: number): boolean;
     readonly sharedLoads: SharedLoads;
     allowanceOf(input: AllowanceInput): number;
@@ -26,25 +27,12 @@
     ownAtModel(service: string, model: string): number;
 }
 
-/** Returns whether overload control is active for a service. The answer is computed once for each site and service. */
-export function createActivityCheck(mode: OverloadMode): (service: string, request: ParsedRequest) => boolean {
-    const bySite = new WeakMap<Site, Map<string, boolean>>();
-    return (service, { table: { site } }) => {
-        let byService = bySite.get(site);
-        if (byService === undefined) {
-            byService = new Map(site.services.map(({ name }) => [name, callsForOverloadControl(name, site, mode)]));
-            bySite.set(site, byService);
-        }
-        return byService.get(service) ?? false;
-    };
-}
-
 /** Creates the group room and the observer of streams, and registers their gauges. */
 export function createGroupPrediction(
     options: GroupPredictionOptions,
 ): { readonly groupRoom: PredictingGroupRoom; readonly latency: LatencyObserver } {
     const { balancer, metrics, sharedLoads } = options;
-    const isActive = createActivityCheck(options.overloadMode ?? "auto");
+    const isActive = (service: string, { table: { site } }: ParsedRequest) => options.isActive(service, site);
     const latency = createLatencyTracker({
         dataCentre: options.dataCentre, logger: options.logger, nowMs: options.nowMs, hasBlockedSince: options.hasBlockedSince, isActive,
         knownLoad: upstream => balancer.knownLoad(upstream, sharedLoads.othersAt(upstream.id)),
--- a/src/gateway/loadReports.ts
+++ b/src/gateway/loadReports.ts
@@ -6,7 +6,7 @@
 
 import type { EntryLoads } from "../feed/index.js";
 import type { Upstream } from "../fleet/index.js";
-import { callsForOverloadControl, type OverloadMode } from "../site/index.js";
+import type { Site, SiteService } from "../site/index.js";
 import type { Balancer } from "./balancer.js";
 import type { ParsedRequest } from "./parsedRequest.js";
 import type { SharedLoadsView } from "./sharedLoads.js";
@@ -29,7 +29,8 @@
     readonly view: Pick<SiteView, "table" | "candidates">;
     readonly balancer: Pick<Balancer, "ownRequests">;
     readonly sharedLoads: Pick<SharedLoadsView, "othersAt" | "nextReportMs">;
-    readonly mode: OverloadMode;
+    /** Whether overload control acts for a service. */
+    isActive(service: string, site: Site): boolean;
 }
 
 interface Head {
@@ -39,28 +40,17 @@
 }
 
 /** Creates reports without any arrivals. */
-export function createLoadReports({ view, balancer, sharedLoads, mode }: LoadReportsOptions): LoadReports {
+export function createLoadReports({ view, balancer, sharedLoads, isActive }: LoadReportsOptions): LoadReports {
     let arrivals: Record<string, number> = {};
-    let participants: { readonly site: object; readonly names: ReadonlySet<string> } | undefined;
 
-    /** The services with overload control, cached for each published site. */
-    function participatingServices(): ReadonlySet<string> {
+    function participatingServices(): readonly SiteService[] {
         const site = view.table?.site;
-        if (site === undefined) {
-            return new Set();
-        }
-        if (participants?.site !== site) {
-            const names = site.services.map(({ name }) => name).filter(name => callsForOverloadControl(name, site, mode));
-            participants = { site, names: new Set(names) };
-        }
-        return participants.names;
+        return site === undefined ? [] : site.services.filter(({ name }) => isActive(name, site));
     }
 
     function heads(): Head[] {
-        return [...participatingServices()].flatMap(service => {
-            const { models, slots } = view.table!.service(service)!.engine!;
-            return models.flatMap(({ name }) => view.candidates(service, name).map(({ upstream }) => ({ upstream, slots })));
-        });
+        return participatingServices().flatMap(({ name: service, engine }) => engine!.models.flatMap(model =>
+            view.candidates(service, model.name).map(({ upstream }) => ({ upstream, slots: engine!.slots }))));
     }
 
     function isAnyBusy(): boolean {
@@ -69,15 +59,15 @@
     }
 
     return {
-        requestArrived({ model, route }) {
-            if (model !== undefined && route.targets.some(({ service }) => participatingServices().has(service))) {
+        requestArrived({ model, route, table }) {
+            if (model !== undefined && route.targets.some(({ service }) => isActive(service, table.site))) {
                 arrivals[model] = (arrivals[model] ?? 0) + 1;
             }
         },
         drain() {
             const drained = arrivals;
             arrivals = {};
-            if (participatingServices().size === 0) {
+            if (participatingServices().length === 0) {
                 return undefined;
             }
             const running = heads()
@@ -86,7 +76,7 @@
             return { running: Object.fromEntries(running), arrivals: drained };
         },
         intervalMs(usualMs) {
-            if (participatingServices().size === 0) {
+            if (participatingServices().length === 0) {
                 return usualMs;
             }
             return Math.max(sharedLoads.nextReportMs, isAnyBusy() ? busyIntervalMs : usualMs);
--- a/src/site/overload.ts
+++ b/src/site/overload.ts
@@ -29,3 +29,16 @@
     }
     return mode === "on" || hasDifferentPriorities(serviceName, site) || hasDistantDataCentres(engine);
 }
+
+/** Returns a function that tells whether overload control acts for a service; the answer is computed once for each site and service. */
+export function createOverloadCheck(mode?: OverloadMode): (serviceName: string, site: Site) => boolean {
+    const bySite = new WeakMap<Site, ReadonlyMap<string, boolean>>();
+    return (serviceName, site) => {
+        let byService = bySite.get(site);
+        if (byService === undefined) {
+            byService = new Map(site.services.map(({ name }) => [name, callsForOverloadControl(name, site, mode)]));
+            bySite.set(site, byService);
+        }
+        return byService.get(serviceName) ?? false;
+    };
+}
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -15,6 +15,11 @@
     recordRefusal(status: number): void;
     /** Counts a request that arrived or was cut off while the entry was stopping. */
     recordStoppingRequest(labels: { readonly listener: string; readonly connection: string; readonly outcome: string }): void;
+    /**
+     * Records a decision on a stream that asked for room at a group, by route and outcome: `sent`, `sent-late`, `refused` or `left`. A
+     * refusal is also counted by its cause and the priority of the request.
+     */
+    recordAdmission(decision: AdmissionSample): void;
     recordOrder(kind: string, outcome: string): void;
     /** Counts a report of this entry that carried its loads. */
     recordLoadReport(): void;
@@ -22,10 +27,20 @@
     registerGauge(name: GaugeName, read: () => number): void;
     /** Registers a gauge with a value for each model; models that `read` no longer returns are dropped. */
     registerModelGauge(name: ModelGaugeName, read: () => ReadonlyMap<string, number>): void;
+    /** Registers a gauge with a value for each organisation; organisations that `read` no longer returns are dropped. */
+    registerOrganisationGauge(name: OrganisationGaugeName, read: () => ReadonlyMap<string, number>): void;
     text(): Promise<string>;
     readonly contentType: string;
 }
 
+export interface AdmissionSample {
+    readonly route: string;
+    readonly outcome: string;
+    readonly cause?: string;
+    readonly priority: number;
+    readonly waitedMs: number;
+}
+
 const gaugeHelp = {
     zinnialanding_requests_running: "Requests of callers that have no final answer yet.",
     zinnialanding_caller_connections: "Open connections of callers.",
@@ -57,9 +72,18 @@
     zinnialanding_model_first_event_difference_p50_ms: "Median of observed minus predicted times to the first event.",
     zinnialanding_model_first_event_difference_p75_ms: "Upper quartile of observed minus predicted times to the first event.",
     zinnialanding_model_highest_speed_factor: "Highest speed factor of a group; 2 is twice as slow as predicted.",
+    zinnialanding_model_requests_waiting: "Streams that wait here for room at a group of the model.",
 } as const;
 export type ModelGaugeName = keyof typeof modelGaugeHelp;
 
+const organisationGaugeHelp = {
+    zinnialanding_organisation_requests_waiting: "Streams of an organisation that wait here for room at a group.",
+} as const;
+export type OrganisationGaugeName = keyof typeof organisationGaugeHelp;
+
+/** Organisations may set priorities without a bound; values above this one share a label. */
+const maxPriorityLabel = 9;
+
 /** Histogram bounds in seconds: latency targets are between 0.15 and 0.5, deadlines between 1 and 8. */
 const bucketBoundsS = [0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8];
 
@@ -75,6 +99,20 @@
     const stoppingCounter = new Counter({ name: "zinnialanding_stopping_requests_total", help: "Requests that came or were cut off while the entry stops.", labelNames: ["listener", "connection", "outcome"], registers });
     const orderCounter = new Counter({ name: "zinnialanding_orders_total", help: "Orders to engines.", labelNames: ["kind", "outcome"], registers });
     const loadReportCounter = new Counter({ name: "zinnialanding_load_reports_total", help: "Reports that carried this entry's loads.", registers });
+    const admissionSeconds = new Histogram({ name: "zinnialanding_admission_wait_seconds", help: "From arrival to the decision on a stream that asked for room.", labelNames: ["route", "outcome"], buckets: bucketBoundsS, registers });
+    const admissionRefusals = new Counter({ name: "zinnialanding_admission_refused_total", help: "Streams refused for want of room.", labelNames: ["cause", "priority"], registers });
+
+    /** Registers a gauge with a value for each value of one label. */
+    function registerLabelled(name: string, help: string, label: string, read: () => ReadonlyMap<string, number>) {
+        new Gauge({
+            name, help, labelNames: [label], registers,
+            collect() {
+                this.reset();
+                read().forEach((value, key) => this.set({ [label]: key }, value));
+            },
+        });
+    }
+
     return {
         recordRequest(route, outcome, tookMs, firstMs) {
             requestCounter.inc({ route, outcome });
@@ -86,6 +124,12 @@
         recordAttemptWithoutAnswer: ending => attemptCounter.inc({ ending }),
         recordRefusal: status => refusalCounter.inc({ status: String(status) }),
         recordStoppingRequest: labels => stoppingCounter.inc({ ...labels }),
+        recordAdmission({ route, outcome, cause, priority, waitedMs }) {
+            admissionSeconds.observe({ route, outcome }, waitedMs / 1_000);
+            if (cause !== undefined) {
+                admissionRefusals.inc({ cause, priority: String(Math.min(maxPriorityLabel, priority)) });
+            }
+        },
         recordOrder: (kind, outcome) => orderCounter.inc({ kind, outcome }),
         recordLoadReport: () => loadReportCounter.inc(),
         registerGauge(name, read) {
@@ -96,15 +140,8 @@
                 },
             });
         },
-        registerModelGauge(name, read) {
-            new Gauge({
-                name, help: modelGaugeHelp[name], labelNames: ["model"], registers,
-                collect() {
-                    this.reset();
-                    read().forEach((value, model) => this.set({ model }, value));
-                },
-            });
-        },
+        registerModelGauge: (name, read) => registerLabelled(name, modelGaugeHelp[name], "model", read),
+        registerOrganisationGauge: (name, read) => registerLabelled(name, organisationGaugeHelp[name], "organisation", read),
         text: () => registry.metrics(),
         contentType: registry.contentType,
     };
--- a/test/gateway/groupRoom.test.ts
+++ b/test/gateway/groupRoom.test.ts
@@ -1,8 +1,8 @@
 import { expect } from "chai";
 import type { ChooseOptions } from "../../src/gateway/balancer.js";
-import { createActivityCheck } from "../../src/gateway/groupPrediction.js";
 import { chooseByFirstEvent, type ScoredCandidate } from "../../src/gateway/scoredChoice.js";
 import { queueLimitsFor } from "../../src/gateway/work.js";
+import { createOverloadCheck } from "../../src/site/index.js";
 import { learnedDifferences, measuredEngine } from "../latency/measured.js";
 import { chooseOptions, createEntry, groupHead, type ModelEntry, runGroups, streamRequest } from "./groupModel.js";
 
@@ -92,9 +92,9 @@
     it("is predicted only for services for which overload control is active", () => {
         const distant = streamRequest();
         const near = streamRequest({ ...measuredEngine, delays: [] });
-        const active = (mode: "auto" | "on" | "off") => [distant, near].map(request => createActivityCheck(mode)("pool", request));
+        const active = (mode: "auto" | "on" | "off") => [distant, near].map(request => createOverloadCheck(mode)("pool", request.table.site));
         expect([active("auto"), active("on"), active("off")]).to.deep.equal([[true, false], [true, true], [false, false]]);
-        expect(createActivityCheck("on")("orders", near)).to.equal(false);
+        expect(createOverloadCheck("on")("orders", near.table.site)).to.equal(false);
     });
 });
 
--- a/test/gateway/sharedLoads.test.ts
+++ b/test/gateway/sharedLoads.test.ts
@@ -4,7 +4,7 @@
 import { createLoadReports } from "../../src/gateway/loadReports.js";
 import { createSharedLoads } from "../../src/gateway/sharedLoads.js";
 import type { ParsedRequest } from "../../src/gateway/parsedRequest.js";
-import { createSiteTable } from "../../src/site/index.js";
+import { createOverloadCheck, createSiteTable } from "../../src/site/index.js";
 import type { Logger } from "../../src/telemetry/index.js";
 import { startControlledEntry } from "../support/controlledEntry.js";
 import { createSite } from "../support/gatewaySite.js";
@@ -97,10 +97,10 @@
             view: { table, candidates: (service, model) => service === "pool" && model === "lm" ? [head] : [] },
             balancer: { ownRequests: () => running },
             sharedLoads: { othersAt: () => 1, nextReportMs },
-            mode,
+            isActive: createOverloadCheck(mode),
         });
         const request = (routeName: string, model: string) =>
-            reports.requestArrived({ model, route: table.site.routes.find(({ name }) => name === routeName)! } as ParsedRequest);
+            reports.requestArrived({ model, table, route: table.site.routes.find(({ name }) => name === routeName)! } as ParsedRequest);
         request("caption", "lm");
         request("caption", "lm");
         request("read", "lm");
