Plan groups for a shortage of capacity, with a forecast of demand

Cause: with overload a returned domain left up to 15 VMs idle beside short models, since spares were kept, loads went to second models of serving VMs first, and the plan followed the average of the last seconds. Change: rules for spares, weights and standby joins in shortage.ts and weights.ts, a forecaster beside the average, both only for services with overload control. Ran: test/groups and test/siteControl (46 passing, planning switch off).

--- a/src/groups/form.ts
+++ b/src/groups/form.ts
@@ -14,6 +14,7 @@
     countAssignedVms, coverage, demandOf, freeByDomain, freeInDomain, includesFormerMember, modelsByCoverage, type PlanningStep,
     type Readiness, readinessOf, readinessRanks, sparesToKeep,
 } from "./planningStep.js";
+import { describeSparesGivenUp, isLeftToWorseCovered, sparesBeside } from "./shortage.js";
 
 interface Placement {
     readonly domain: string;
@@ -45,6 +46,9 @@
  * Whether the group would use VMs that a model with lower coverage could need: VMs with that model's weights on the accelerator, or none.
  */
 function takesFromWorseCovered(placement: Placement, model: EngineModel, step: PlanningStep): boolean {
+    if (step.view.plansForShortage && !includesFormerMember(placement.members, model, step)) {
+        return isLeftToWorseCovered(placement.members, placement.domain, model, step);
+    }
     const [worst] = modelsByCoverage(step);
     return worst !== undefined && coverage(worst, step) < coverage(model, step) && placement.readiness !== "hot";
 }
@@ -59,7 +63,9 @@
     if (view.hasTraffic && takesFromWorseCovered(placement, model, step)) {
         return false;
     }
-    if (!includesFormerMember(placement.members, model, step) && placement.remainingVms < sparesToKeep(placement.domain, step)) {
+    const idleVms = placement.remainingVms + model.size;
+    const isRepair = includesFormerMember(placement.members, model, step);
+    if (!isRepair && placement.remainingVms < sparesBeside(model, placement.domain, idleVms, step)) {
         return false;
     }
     return !view.hasTraffic || placement.readiness !== "empty";
@@ -67,6 +73,7 @@
 
 function formGroup(placement: Placement, model: EngineModel, step: PlanningStep): void {
     const { view } = step;
+    const reason = describeSparesGivenUp(model, placement.domain, placement.remainingVms, step) ?? `a group of ${placement.readiness} VMs`;
     step.lastEpoch++;
     const epoch = step.lastEpoch;
     const name = groupNameOf(model.name, epoch);
@@ -76,7 +83,7 @@
         bornMs: placement.members.map(member => member.bornMs), phase: "forming", sinceMs: view.nowMs, isGraceful: false,
     });
     for (const upstreamId of memberIds) {
-        step.orders.push({ upstreamId, order: { kind: "join", group: name, epoch, model: model.name, memberIds }, reason: `a group of ${placement.readiness} VMs` });
+        step.orders.push({ upstreamId, order: { kind: "join", group: name, epoch, model: model.name, memberIds }, reason });
     }
 }
 
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -14,6 +14,7 @@
 import { formGroups } from "./form.js";
 import { advanceGroup, endGroup, type GroupUpdate } from "./lifecycle.js";
 import { collectUsable, type PlanningStep } from "./planningStep.js";
+import { demandAt, joinHorizonMs, loadHorizonMs, updateArrivals } from "./shortage.js";
 import { regroup } from "./regroup.js";
 import { createGroupTable } from "./table.js";
 import { joinStandbyGroups, stageEmptyVms, stageSecondModel } from "./spares.js";
@@ -118,9 +119,12 @@
 /** Plans one step. */
 export function planGroups(state: GroupsState, view: GroupsView): GroupsPlan {
     const groupTransitions: GroupTransition[] = [];
+    const usable = collectUsable(view);
     const step: PlanningStep = {
         view,
-        ...collectUsable(view),
+        demand: view.demand,
+        ...usable,
+        arrivals: updateArrivals(state.arrivals, usable.usableByDomain, view.nowMs),
         groupTable: createGroupTable(state.groups),
         orders: [],
         lastModels: updateLastModels(state, view),
@@ -136,21 +140,24 @@
         for (const group of [...step.groupTable.groups.values()]) {
             applyUpdate(group, advanceGroup(group, view), step, groupTransitions);
         }
+        step.demand = demandAt(joinHorizonMs(view), view);
         formGroups(step);
         const move = regroup(step);
         for (const group of move?.groupsToBreak ?? []) {
             applyUpdate(group, endGroup(group, view, `its VMs are needed for ${move!.model.name}`, view.hasTraffic), step, groupTransitions);
         }
+        step.demand = demandAt(loadHorizonMs(view), view);
         stageEmptyVms(step);
         joinStandbyGroups(step);
         stageSecondModel(step);
+        step.demand = view.demand;
     }
     const { due, lastOrders } = filterDueOrders(step.orders, state, view);
     return {
         state: {
             groups: step.groupTable.groups, lastEpoch: step.lastEpoch, lastOrders, lastModels: step.lastModels,
             pendingLoads: step.pendingLoads, standbyJoins: step.standbyJoins, shortSince: step.shortSince,
-            reservations: step.reservations, endedGroupNames: [...step.endedGroupNames].slice(-maxEndedGroupNames),
+            reservations: step.reservations, arrivals: step.arrivals, endedGroupNames: [...step.endedGroupNames].slice(-maxEndedGroupNames),
         },
         orders: due,
         transitions: groupTransitions,
--- a/src/groups/planningStep.ts
+++ b/src/groups/planningStep.ts
@@ -19,6 +19,8 @@
 /** The working state of one planning step. It exists only during one call of `planGroups`. */
 export interface PlanningStep {
     readonly view: GroupsView;
+    /** VMs that requests keep busy, by model, at the time at which the orders that are being chosen take effect. */
+    demand: ReadonlyMap<string, number>;
     /** VMs that may be put into a group, by id and by domain. */
     readonly usable: ReadonlyMap<string, Upstream>;
     readonly usableByDomain: ReadonlyMap<string, readonly Upstream[]>;
@@ -32,6 +34,7 @@
     lastEpoch: number;
     shortSince: GroupsState["shortSince"];
     readonly reservations: Map<string, Reservation>;
+    readonly arrivals: GroupsState["arrivals"];
 }
 
 /**
@@ -115,8 +118,8 @@
  * Returns how many VMs a model's requests keep busy. While that is unknown, it returns the configured share of the model, whose unit
  * cancels out.
  */
-export function demandOf(model: EngineModel, { view }: PlanningStep): number {
-    return view.demand.get(model.name) ?? model.share;
+export function demandOf(model: EngineModel, { demand }: PlanningStep): number {
+    return demand.get(model.name) ?? model.share;
 }
 
 /** Returns a model's VMs divided by the VMs that its requests keep busy. The model with the lowest coverage gets VMs first. */
--- a/src/groups/regroup.ts
+++ b/src/groups/regroup.ts
@@ -14,7 +14,8 @@
 
 import type { Upstream } from "../fleet/index.js";
 import type { EngineModel } from "../site/index.js";
-import { coverageWithVms, demandOf, type PlanningStep, fittingModels, freeInDomain, includesFormerMember, readinessOf, sparesToKeep, countAssignedVms } from "./planningStep.js";
+import { coverageWithVms, demandOf, type PlanningStep, fittingModels, freeInDomain, includesFormerMember, readinessOf, countAssignedVms } from "./planningStep.js";
+import { sparesBeside } from "./shortage.js";
 import type { PlannedGroup } from "./types.js";
 
 /**
@@ -54,10 +55,13 @@
     return upstreams.filter(upstream => !step.view.hasTraffic || readinessOf(upstream, model, step) !== "empty");
 }
 
-/** Whether `upstreams` of a domain suffice for one more group. Unless the group is a repair, spares have to remain as well. */
-function hasRoom(domain: string, model: EngineModel, upstreams: readonly Upstream[], step: PlanningStep): boolean {
+/**
+ * Whether `upstreams` of a domain suffice for one more group; `idleVms` of them serve nobody now. Unless the group is a repair, spares have
+ * to remain as well.
+ */
+function hasRoom(domain: string, model: EngineModel, upstreams: readonly Upstream[], idleVms: number, step: PlanningStep): boolean {
     const candidates = joinable(upstreams, model, step);
-    const spares = includesFormerMember(candidates, model, step) ? 0 : sparesToKeep(domain, step);
+    const spares = includesFormerMember(candidates, model, step) ? 0 : sparesBeside(model, domain, idleVms, step);
     return candidates.length >= model.size && upstreams.length >= model.size + spares;
 }
 
@@ -99,7 +103,8 @@
     const available = freeOrEnding(domain, step);
     for (let count = 0; count <= sorted.length; count++) {
         const groupsToBreak = sorted.slice(0, count);
-        if (hasRoom(domain, model, [...available, ...groupsToBreak.flatMap(group => usableMembers(group, step))], step)) {
+        const upstreams = [...available, ...groupsToBreak.flatMap(group => usableMembers(group, step))];
+        if (hasRoom(domain, model, upstreams, available.length, step)) {
             return count === 0 ? undefined : { model, domain, groupsToBreak, gain: gainOf(model, groupsToBreak, step) };
         }
     }
--- a/src/groups/spares.ts
+++ b/src/groups/spares.ts
@@ -15,6 +15,8 @@
     coverage, coverageWithVms, fittingModels, freeByDomain, freeInDomain, includesFormerMember, modelOnAccelerator,
     type PlanningStep, readinessOf,
 } from "./planningStep.js";
+import { isAboutToForm } from "./shortage.js";
+import { secondModelFor, servingLoadsLeft, shortModelForEmptyVm } from "./weights.js";
 
 /** Window over which the rate of the weight store is limited, and the share of the rate to use: loads of another leader may overlap. */
 const loadWindowMs = 5_000;
@@ -71,7 +73,7 @@
     for (const [domain, upstreams] of freeByDomain(step)) {
         for (const upstream of upstreams) {
             const isEmpty = upstream.stagedModels.length === 0 && modelOnAccelerator(upstream, step) === undefined;
-            const model = isEmpty ? mostNeededModel(domain, step) : undefined;
+            const model = isEmpty ? shortModelForEmptyVm(domain, step) ?? mostNeededModel(domain, step) : undefined;
             if (model !== undefined && !step.pendingLoads.has(upstream.id) && mayLoad(step, 0)) {
                 orderLoad(upstream, model.name, `an empty VM of domain ${domain}`, step);
             }
@@ -91,11 +93,22 @@
 
 /** Loads the weights of a second model onto the hosts of VMs that have one on the accelerator. */
 export function stageSecondModel(step: PlanningStep): void {
+    const plansForShortage = step.view.plansForShortage && step.view.hasTraffic;
+    /** Computed after the loads onto free VMs, which come first. */
+    let loadsLeft: number | undefined;
     for (const upstream of vmsWithRoomOnHost(step)) {
+        const isServing = step.groupTable.isInGroup(upstream.id);
+        if (plansForShortage && isServing) {
+            loadsLeft ??= servingLoadsLeft(step);
+            if (loadsLeft <= 0) {
+                return;
+            }
+        }
         const others = fittingModels(upstream.domain!, step).filter(model => model.name !== modelOnAccelerator(upstream, step));
-        const model = leastCovered(others, step);
+        const model = plansForShortage ? secondModelFor(upstream, step) : leastCovered(others, step);
         if (model !== undefined && !step.pendingLoads.has(upstream.id) && mayLoad(step, loadsReservedForEmpty)) {
             orderLoad(upstream, model.name, "weights of a second model", step);
+            loadsLeft = isServing && loadsLeft !== undefined ? loadsLeft - 1 : loadsLeft;
         }
     }
 }
@@ -117,7 +130,7 @@
     for (const upstream of [...freeByDomain(step).values()].flat()) {
         const model = view.engine.models.find(candidate => upstream.stagedModels.includes(candidate.name));
         if (model === undefined || model.size === 1 || step.pendingLoads.has(upstream.id) ||
-            modelOnAccelerator(upstream, step) !== undefined) {
+            modelOnAccelerator(upstream, step) !== undefined || isAboutToForm(upstream.domain!, step)) {
             continue;
         }
         const last = step.standbyJoins.get(upstream.id);
--- a/src/groups/types.ts
+++ b/src/groups/types.ts
@@ -80,6 +80,8 @@
     readonly shortSince: { readonly model: string; readonly atMs: number } | undefined;
     /** Reservations by domain, made when groups there are broken up for a model. */
     readonly reservations: ReadonlyMap<string, Reservation>;
+    /** By domain: its usable VMs in the last step, and when their number last grew. */
+    readonly arrivals: ReadonlyMap<string, { readonly usableVms: number; readonly grownAtMs: number }>;
     /** The last groups that this leader has seen end. Members that still report one of them are free. */
     readonly endedGroupNames: readonly string[];
 }
@@ -107,6 +109,13 @@
     readonly evacuatedDataCentres: readonly string[];
     /** Number of VMs that callers' requests keep busy, by model. */
     readonly demand: ReadonlyMap<string, number>;
+    /**
+     * Whether the rules for a shortage of capacity apply: spares are given up, weights are chosen and moves are valued for a short model by
+     * forecast demand. Without it, `forecastDemand` is not used.
+     */
+    readonly plansForShortage: boolean;
+    /** Returns what `demand` will be after `horizonMs`, by model. */
+    readonly forecastDemand: (horizonMs: number) => ReadonlyMap<string, number>;
     /** Whether requests of callers have been seen. Before that, loads are fast and delay nobody. */
     readonly hasTraffic: boolean;
 }
@@ -120,5 +129,5 @@
 
 export const emptyGroupsState: GroupsState = {
     groups: new Map(), lastEpoch: 0, lastOrders: new Map(), lastModels: new Map(), pendingLoads: new Map(), standbyJoins: new Map(),
-    shortSince: undefined, reservations: new Map(), endedGroupNames: [],
+    shortSince: undefined, reservations: new Map(), arrivals: new Map(), endedGroupNames: [],
 };
--- a/src/siteControl/demand.ts
+++ b/src/siteControl/demand.ts
@@ -5,6 +5,7 @@
  */
 
 import type { EngineModel } from "../site/index.js";
+import { addWork, advance, emptyForecastState, type Forecast, forecast, type ForecastState } from "./forecast.js";
 
 /** Long compared with one request, short compared with the time that a group takes to form from empty VMs. */
 const timeConstantMs = 6_000;
@@ -23,6 +24,38 @@
     estimateVms(nowMs: number, models: readonly EngineModel[], vms: number): ReadonlyMap<string, number>;
 }
 
+export interface DemandForecaster {
+    /** Adds requested work by model, in milliseconds of one VM. */
+    addWork(workByModel: Readonly<Record<string, number>>, nowMs: number): void;
+    /** Returns the forecast of the VMs that the work of each observed model will keep busy at `nowMs + horizonMs`. */
+    forecastVms(nowMs: number, horizonMs: number): ReadonlyMap<string, Forecast>;
+}
+
+/** Work of one report above this multiple of all VMs' time in `maxReportedMs` is an error of the reporting process. */
+const maxWorkFactor = 100;
+/** Entries report several times a second; a report after a short break holds the work of at most about a second. */
+const maxReportedMs = 1_000;
+
+/** Whether the work in a report, in milliseconds of one VM, can have been requested from a site of `vms` VMs. */
+export function isPlausibleWork(workMs: number, vms: number): boolean {
+    return workMs >= 0 && workMs <= maxWorkFactor * Math.max(vms, 1) * maxReportedMs;
+}
+
+/** Creates a forecaster without any observed work. */
+export function createDemandForecaster(): DemandForecaster {
+    const states = new Map<string, ForecastState>();
+    return {
+        addWork(workByModel, nowMs) {
+            Object.entries(workByModel).forEach(([model, workMs]) =>
+                states.set(model, addWork(states.get(model) ?? emptyForecastState, workMs, nowMs)));
+        },
+        forecastVms(nowMs, horizonMs) {
+            states.forEach((state, model) => states.set(model, advance(state, nowMs)));
+            return new Map([...states].map(([model, state]) => [model, forecast(state, nowMs, horizonMs)]));
+        },
+    };
+}
+
 /** Creates an estimator without any observed work. */
 export function createDemandEstimator(): DemandEstimator {
     const sums = new Map<string, number>();
--- a/src/siteControl/groupLeader.ts
+++ b/src/siteControl/groupLeader.ts
@@ -12,9 +12,10 @@
     type Coverage, type EngineOrder, firstEpochOf, type GroupPhase, type GroupsPlan, type GroupsState, type GroupsView, type ModelCoverage,
     emptyGroupsState, type AddressedOrder, planGroups,
 } from "../groups/index.js";
-import type { EngineSpec, SiteTable } from "../site/index.js";
+import { callsForOverloadControl, type EngineSpec, type OverloadMode, type SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
-import { createDemandEstimator } from "./demand.js";
+import type { Forecast } from "./forecast.js";
+import { createPlannedDemand } from "./plannedDemand.js";
 import { createProber, type ProbeResult } from "./prober.js";
 import { createProgress } from "./progress.js";
 
@@ -40,6 +41,8 @@
     readonly isFirstStart: boolean;
     /** The interval at which upstreams announce themselves. */
     readonly heartbeatMs: number;
+    /** For which services plans are made for a shortage of capacity; `auto` if absent. */
+    readonly overloadMode?: OverloadMode;
     nowMs(): number;
     directory(): DirectoryState;
     /** The pushbacks that this VM has received. */
@@ -60,6 +63,8 @@
     groupCount(phase: GroupPhase): number;
     /** The latest coverage of the models of all services; empty while another daemon leads. */
     readonly coverage: readonly ModelCoverage[];
+    /** The latest forecasts of demand by model; empty while no plans are made for a shortage. */
+    readonly forecasts: ReadonlyMap<string, Forecast>;
 }
 
 /** How often coverage is computed for the log and the metrics. It is logged only if the allocation of VMs has changed. */
@@ -68,7 +73,7 @@
 /** Creates a group leader, which acts only while this daemon holds the leader's lease. */
 export function createGroupLeader(options: GroupLeaderOptions): GroupLeader {
     const { log, logger, engines, metrics, nowMs } = options;
-    const demandEstimator = createDemandEstimator();
+    const plannedDemand = createPlannedDemand(nowMs, logger);
     const progress = createProgress(nowMs);
     const stateByService = new Map<string, GroupsState>();
     const coverageByService = new Map<string, { readonly atMs: number; readonly coverage: Coverage }>();
@@ -140,8 +145,9 @@
         });
     }
 
-    function viewOf(engine: EngineSpec, upstreams: ReadonlyMap<string, Upstream>): GroupsView {
+    function viewOf(engine: EngineSpec, upstreams: ReadonlyMap<string, Upstream>, plansForShortage: boolean): GroupsView {
         const directory = options.directory();
+        const demand = plannedDemand.averageVms(engine.models, upstreams.size);
         return {
             nowMs: nowMs(),
             leadsSinceMs,
@@ -154,7 +160,9 @@
             hasIncarnationEnded: id => hasIncarnationEnded(directory, id),
             isMakingProgress: (headId, lostId) => progress.isMakingProgress(headId, prober.lostSinceMs(lostId) ?? nowMs()),
             evacuatedDataCentres: log.state.published.evacuated,
-            demand: demandEstimator.estimateVms(nowMs(), engine.models, upstreams.size),
+            demand,
+            plansForShortage,
+            forecastDemand: horizonMs => plannedDemand.forecastVms(horizonMs, demand),
             hasTraffic,
         };
     }
@@ -174,9 +182,10 @@
         }
     }
 
-    function planService(service: string, engine: EngineSpec, upstreams: ReadonlyMap<string, Upstream>) {
+    function planService(service: string, table: SiteTable, engine: EngineSpec, upstreams: ReadonlyMap<string, Upstream>) {
         const state = stateByService.get(service) ?? { ...emptyGroupsState, lastEpoch: firstEpochOf(lastLedTerm) };
-        const plan = planGroups(state, viewOf(engine, upstreams));
+        const plansForShortage = callsForOverloadControl(service, table.site, options.overloadMode);
+        const plan = planGroups(state, viewOf(engine, upstreams, plansForShortage));
         stateByService.set(service, plan.state);
         updateCoverage(service, plan);
         plan.transitions.forEach(transition => logger.info("group changed", { ...transition }));
@@ -195,12 +204,12 @@
             for (const { name, engine } of table.site.services) {
                 if (engine !== undefined && engine.models.length > 0) {
                     const upstreams = reachable.filter(upstream => upstream.service === name);
-                    planService(name, engine, new Map(upstreams.map(upstream => [upstream.id, upstream])));
+                    planService(name, table, engine, new Map(upstreams.map(upstream => [upstream.id, upstream])));
                 }
             }
         },
         recordReport(report) {
-            demandEstimator.addWork(report.workByModel, nowMs());
+            plannedDemand.addWork(report.workByModel, options.directory().size);
             if (report.requests > 0 && !hasTraffic) {
                 hasTraffic = true;
                 logger.info("first requests were reported");
@@ -220,6 +229,9 @@
         get coverage() {
             return [...coverageByService.values()].flatMap(({ coverage }) => coverage.models);
         },
+        get forecasts() {
+            return plannedDemand.latest;
+        },
         groupCount: phase =>
             [...stateByService.values()].flatMap(state => [...state.groups.values()]).filter(group => group.phase === phase).length,
     };
--- a/src/siteControl/metrics.ts
+++ b/src/siteControl/metrics.ts
@@ -8,6 +8,7 @@
 import type { DirectoryState } from "../fleet/index.js";
 import type { ModelCoverage } from "../groups/index.js";
 import type { SiteMetrics } from "../telemetry/index.js";
+import type { Forecast } from "./forecast.js";
 import type { GroupLeader } from "./groupLeader.js";
 
 export interface ControlMetricsSources {
@@ -33,4 +34,8 @@
     metrics.registerModelGauge("zinnialanding_model_groups_open", () => byModel(({ groups }) => groups.open));
     metrics.registerModelGauge("zinnialanding_model_vms", () => byModel(({ vms }) => vms));
     metrics.registerModelGauge("zinnialanding_model_demand_vms", () => byModel(({ demandVms }) => demandVms));
+    const byForecast = (valueOf: (forecast: Forecast) => number) =>
+        new Map([...groupLeader.forecasts].map(([model, forecast]) => [model, valueOf(forecast)]));
+    metrics.registerModelGauge("zinnialanding_model_forecast_vms", () => byForecast(({ forecastVms }) => forecastVms));
+    metrics.registerModelGauge("zinnialanding_model_forecast_error_vms", () => byForecast(({ forecastErrorVms }) => forecastErrorVms));
 }
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -6,11 +6,9 @@
 
 import type { ConsensusNode } from "../consensus/index.js";
 import { aliveIntervalMs, createFeedServer, createFeedWatcher, type FeedServer, type FeedWatcher, type Frame, type FrameKind, type Report } from "../feed/index.js";
-import {
-    type Announcement, createDirectory, createPushbacks, toRelayed, type Upstream, type UpstreamSignals,
-} from "../fleet/index.js";
+import { type Announcement, createDirectory, createPushbacks, toRelayed, type Upstream, type UpstreamSignals } from "../fleet/index.js";
 import { type PeerConnections, splitAddress } from "../rpc/index.js";
-import { createSiteTable, type DecodedSite, type SiteDialect, type SiteFinding, type SiteTable } from "../site/index.js";
+import { createSiteTable, type DecodedSite, type SiteDialect, type OverloadMode, type SiteFinding, type SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createGroupLeader, type EngineClient } from "./groupLeader.js";
 import { createLimitDistributor } from "./limitDistributor.js";
@@ -34,6 +32,8 @@
     readonly isFirstStart: boolean;
     /** The interval at which upstreams announce themselves. */
     readonly heartbeatMs: number;
+    /** For which services overload control acts; `auto` if absent. */
+    readonly overloadMode?: OverloadMode;
 }
 
 export type PublishOutcome =
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -109,6 +109,7 @@
             daemonId: daemon.id, dataCentre: daemon.dataCentre, address: listen.rpc!, log, dialect: platform.dialect,
             engines: platform.createEngineClient(), connections, logger, metrics,
             isFirstStart: controlSettings.firstStart, heartbeatMs: controlSettings.heartbeatMs,
+            overloadMode: settings.overload.mode,
         });
         const rpc: RpcServer = await createRpcServer(listen.rpc!, router => {
             log.routes(router);
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -50,6 +50,8 @@
     zinnialanding_model_groups_open: "Groups that serve a model, by the control leader's plan.",
     zinnialanding_model_vms: "VMs in groups of a model that serve or form.",
     zinnialanding_model_demand_vms: "VMs that the work of callers keeps busy, by model.",
+    zinnialanding_model_forecast_vms: "VMs that callers are forecast to keep busy, by model.",
+    zinnialanding_model_forecast_error_vms: "Root mean square error of the forecast over the last seconds, in VMs, by model.",
 } as const;
 export type ModelGaugeName = keyof typeof modelGaugeHelp;
 
--- a/test/groups/builders.ts
+++ b/test/groups/builders.ts
@@ -43,6 +43,12 @@
     hasTraffic: boolean;
     /** Number of VMs kept busy, by model. */
     demand: ReadonlyMap<string, number>;
+    /** Whether the rules for a shortage apply, and the demand that they expect; without a forecast it is the demand of now. */
+    plansForShortage: boolean;
+    forecastDemand?: (horizonMs: number) => ReadonlyMap<string, number>;
+    /** Whether loads ordered with traffic take the model's time, and the loads in progress by upstream id; otherwise they end at once. */
+    loadsTakeTime: boolean;
+    readonly loads: Map<string, { readonly model: string; readonly bornMs: number; readonly doneAtMs: number }>;
     /** When each joining engine is ready. */
     readonly readyAtMs: Map<string, number>;
     /** The model of each engine's last group. */
@@ -67,6 +73,7 @@
     }
     return {
         engine: spec, nowMs: startMs, leadsSinceMs: startMs, heartbeatMs: 1_200, state: emptyGroupsState, upstreams, hasTraffic: false,
+        plansForShortage: false, loadsTakeTime: false, loads: new Map(),
         demand: new Map([["big", 0.3 * upstreams.size], ["small", 0.3 * upstreams.size]]),
         lost: new Set(), refusing: new Set(), unknown: new Set(), notReporting: new Set(), ignoringOrders: new Set(),
         pushingBack: new Set(), makingProgress: new Set(), readyAtMs: new Map(), lastModels: new Map(), executedOrders: [],
@@ -83,6 +90,8 @@
         nowMs: fleet.nowMs, leadsSinceMs: fleet.leadsSinceMs, heartbeatMs: fleet.heartbeatMs,
         engine: fleet.engine, upstreams, evacuatedDataCentres: [],
         demand: fleet.demand, hasTraffic: fleet.hasTraffic,
+        plansForShortage: fleet.plansForShortage,
+        forecastDemand: horizonMs => fleet.forecastDemand?.(horizonMs) ?? fleet.demand,
         isLost: id => !isReached(fleet, id), isRefusing: id => fleet.refusing.has(id), hasPushedBack: id => fleet.pushingBack.has(id),
         hasIncarnationEnded: () => false,
         isMakingProgress: id => fleet.makingProgress.has(id),
@@ -105,6 +114,11 @@
     const set = (change: Partial<Upstream>) => fleet.upstreams.set(upstream.id, { ...upstream, ...change });
     switch (order.kind) {
         case "stage":
+            if (fleet.loadsTakeTime && fleet.hasTraffic) {
+                const { loadMs } = fleet.engine.models.find(({ name }) => name === order.model)!;
+                fleet.loads.set(upstream.id, { model: order.model, bornMs: upstream.bornMs, doneAtMs: fleet.nowMs + loadMs });
+                break;
+            }
             set({ stagedModels: [order.model] });
             break;
         case "join":
@@ -130,6 +144,18 @@
     }
 }
 
+function finishLoads(fleet: Fleet) {
+    for (const [id, { model, bornMs, doneAtMs }] of fleet.loads) {
+        const upstream = fleet.upstreams.get(id);
+        if (upstream?.bornMs !== bornMs || doneAtMs <= fleet.nowMs) {
+            fleet.loads.delete(id);
+            if (upstream?.bornMs === bornMs) {
+                fleet.upstreams.set(id, { ...upstream, stagedModels: [model] });
+            }
+        }
+    }
+}
+
 /** Returns the plan of the next step without applying it. */
 export function planNow(fleet: Fleet): GroupsPlan {
     return planGroups(fleet.state, viewOf(fleet));
@@ -147,6 +173,7 @@
                 fleet.upstreams.set(id, { ...upstream, group, heardAtMs: fleet.nowMs });
             }
         }
+        finishLoads(fleet);
         const plan = planNow(fleet);
         fleet.state = plan.state;
         const isReceived = ({ upstreamId }: AddressedOrder) => isReached(fleet, upstreamId) && !fleet.ignoringOrders.has(upstreamId);
