--- a/src/groups/form.ts
+++ b/src/groups/form.ts
@@ -73,7 +73,7 @@
 
 function formGroup(placement: Placement, model: EngineModel, step: PlanningStep): void {
     const { view } = step;
-    const reason = describeSparesGivenUp(model, placement.domain, placement.remainingVms, step) ?? `a group of ${placement.readiness} VMs`;
+    const reason = describeSparesGivenUp(placement.domain, placement.remainingVms, step) ?? `a group of ${placement.readiness} VMs`;
     step.lastEpoch++;
     const epoch = step.lastEpoch;
     const name = groupNameOf(model.name, epoch);
--- a/src/groups/shortage.ts
+++ b/src/groups/shortage.ts
@@ -7,7 +7,9 @@
 
 import type { Upstream } from "../fleet/index.js";
 import type { EngineModel } from "../site/index.js";
-import { coverage, fittingModels, freeInDomain, modelsByCoverage, type PlanningStep, readinessOf, sparesToKeep } from "./planningStep.js";
+import {
+    countAssignedVms, coverage, coverageWithVms, fittingModels, freeInDomain, modelsByCoverage, type PlanningStep, readinessOf, sparesToKeep,
+} from "./planningStep.js";
 import type { GroupsState, GroupsView } from "./types.js";
 
 /** The coverage below which callers are late: at this one, about six sevenths of a model's work are on time. */
@@ -49,12 +51,21 @@
 }
 
 /**
- * Returns how many VMs of a domain have to remain free if a group of `model` is formed there; `idleVms` are in no group before that. A
- * short model may use spares if it also uses VMs that would stand idle beyond the spares.
+ * Whether one more group of `model` helps against a shortage: the model is short, or another one is and `model` has no whole group to
+ * spare yet. With one, a move can break up a group of `model` whose hosts hold the short model, which takes a third of the time of a load.
+ */
+function isGroupNeeded(model: EngineModel, step: PlanningStep): boolean {
+    const isAnyShort = step.view.engine.models.some(candidate => isShort(candidate, step));
+    return isAnyShort && coverageWithVms(countAssignedVms(model, step) - model.size, model, step) < onTimeCoverage;
+}
+
+/**
+ * Returns how many VMs of a domain have to remain free if a group of `model` is formed there; `idleVms` are in no group before that.
+ * A group needed against a shortage may use spares if it also uses VMs that would stand idle beyond the spares.
  */
 export function sparesBeside(model: EngineModel, domain: string, idleVms: number, step: PlanningStep): number {
     const spares = sparesToKeep(domain, step);
-    const isGivenUp = isShort(model, step) && idleVms - spares >= model.size * minIdleShare;
+    const isGivenUp = isGroupNeeded(model, step) && idleVms - spares >= model.size * minIdleShare;
     return isGivenUp ? Math.min(spares, minSpares) : spares;
 }
 
@@ -63,15 +74,15 @@
 }
 
 /**
- * Whether `members` are left to a model with lower coverage. A short model leaves it only VMs of which it could form a group now; a model
- * that is not short leaves a short one all VMs of a domain into which it fits, since they are soon loaded with its weights.
+ * Whether `members` are left to a model with lower coverage. A group needed against a shortage leaves it only VMs of which it could form a
+ * group now; any other group leaves a short model all VMs of a domain into which it fits, since they are soon loaded with its weights.
  */
 export function isLeftToWorseCovered(members: readonly Upstream[], domain: string, model: EngineModel, step: PlanningStep): boolean {
     const [worst] = modelsByCoverage(step);
     if (worst === undefined || coverage(worst, step) >= coverage(model, step)) {
         return false;
     }
-    if (!isShort(model, step)) {
+    if (!isGroupNeeded(model, step)) {
         return shortestModel(domain, step) !== undefined;
     }
     const free = freeInDomain(domain, step);
@@ -100,15 +111,17 @@
         return false;
     }
     const free = freeInDomain(domain, step);
-    return fittingModels(domain, step).some(model => isShort(model, step) && countJoinable(free, model, step) >= model.size / 2);
+    // All models count: the VMs heard so far may be too few for a group that the domain will have room for.
+    return step.view.engine.models.some(model => isGroupNeeded(model, step) && countJoinable(free, model, step) >= model.size / 2);
 }
 
 /** Returns why a group may be formed with fewer spares than the rule, for the log; undefined if it needs none of them. */
-export function describeSparesGivenUp(model: EngineModel, domain: string, remainingVms: number, step: PlanningStep): string | undefined {
+export function describeSparesGivenUp(domain: string, remainingVms: number, step: PlanningStep): string | undefined {
     const givenUp = sparesToKeep(domain, step) - remainingVms;
-    if (givenUp <= 0 || !isShort(model, step)) {
+    const shortest = shortestModel(domain, step);
+    if (givenUp <= 0 || shortest === undefined) {
         return undefined;
     }
-    const covered = Math.round(coverage(model, step) * 10) / 10;
-    return `${givenUp} spare(s) of domain ${domain} are given up: model ${model.name} covers ${covered} of its demand`;
+    const covered = Math.round(coverage(shortest, step) * 10) / 10;
+    return `${givenUp} spare(s) of domain ${domain} are given up: model ${shortest.name} covers ${covered} of its demand`;
 }
