--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -14,7 +14,7 @@
 import { formGroups } from "./form.js";
 import { advanceGroup, endGroup, type GroupUpdate } from "./lifecycle.js";
 import { collectUsable, type PlanningStep } from "./planningStep.js";
-import { demandAt, joinHorizonMs, loadHorizonMs, updateArrivals } from "./shortage.js";
+import { demandAt, joinHorizonMs, loadHorizonMs, moveHorizonMs, roundedCoverage, updateArrivals } from "./shortage.js";
 import { regroup } from "./regroup.js";
 import { createGroupTable } from "./table.js";
 import { joinStandbyGroups, stageEmptyVms, stageSecondModel } from "./spares.js";
@@ -142,9 +142,11 @@
         }
         step.demand = demandAt(joinHorizonMs(view), view);
         formGroups(step);
+        step.demand = demandAt(moveHorizonMs(view), view);
         const move = regroup(step);
+        const shortage = move === undefined || !view.plansForShortage ? "" : `, which covers ${roundedCoverage(move.model, step)} of its demand`;
         for (const group of move?.groupsToBreak ?? []) {
-            applyUpdate(group, endGroup(group, view, `its VMs are needed for ${move!.model.name}`, view.hasTraffic), step, groupTransitions);
+            applyUpdate(group, endGroup(group, view, `its VMs are needed for ${move!.model.name}${shortage}`, view.hasTraffic), step, groupTransitions);
         }
         step.demand = demandAt(loadHorizonMs(view), view);
         stageEmptyVms(step);
--- a/src/groups/shortage.ts
+++ b/src/groups/shortage.ts
@@ -8,7 +8,8 @@
 import type { Upstream } from "../fleet/index.js";
 import type { EngineModel } from "../site/index.js";
 import {
-    countAssignedVms, coverage, coverageWithVms, fittingModels, freeInDomain, modelsByCoverage, type PlanningStep, readinessOf, sparesToKeep,
+    countAssignedVms, coverage, coverageWithVms, fittingModels, freeInDomain, includesFormerMember, modelsByCoverage, type PlanningStep,
+    readinessOf, sparesToKeep,
 } from "./planningStep.js";
 import type { GroupsState, GroupsView } from "./types.js";
 
@@ -21,6 +22,8 @@
 const minIdleShare = 0.5;
 /** Spares that a domain keeps in any case: one repairs the loss of a VM within 2 s, and its replacement is loaded meanwhile. */
 const minSpares = 1;
+/** The head of a busy group closes in two seconds. */
+const closeMs = 2_000;
 /** A domain whose number of usable VMs has grown within this time is still filling: VMs of a restarted domain report within 0.3 s. */
 const fillingMs = 300;
 
@@ -29,6 +32,11 @@
     return Math.max(0, ...engine.models.map(({ warmMs }) => warmMs));
 }
 
+/** How far ahead the demand for a move matters: until the groups that it breaks up have closed and their VMs have joined anew. */
+export function moveHorizonMs(view: GroupsView): number {
+    return closeMs + joinHorizonMs(view);
+}
+
 /** How far ahead the demand for a load that is ordered now matters. */
 export function loadHorizonMs({ engine }: GroupsView): number {
     return Math.max(0, ...engine.models.map(({ loadMs }) => loadMs));
@@ -59,13 +67,18 @@
     return isAnyShort && coverageWithVms(countAssignedVms(model, step) - model.size, model, step) < onTimeCoverage;
 }
 
+/** Whether enough of the `idleVms` of a domain stand idle beyond its spares that a group of `model` is formed mostly of them. */
+export function hasIdleBeyondSpares(model: EngineModel, domain: string, idleVms: number, step: PlanningStep): boolean {
+    return idleVms - sparesToKeep(domain, step) >= model.size * minIdleShare;
+}
+
 /**
  * Returns how many VMs of a domain have to remain free if a group of `model` is formed there; `idleVms` are in no group before that.
  * A group needed against a shortage may use spares if it also uses VMs that would stand idle beyond the spares.
  */
 export function sparesBeside(model: EngineModel, domain: string, idleVms: number, step: PlanningStep): number {
     const spares = sparesToKeep(domain, step);
-    const isGivenUp = isGroupNeeded(model, step) && idleVms - spares >= model.size * minIdleShare;
+    const isGivenUp = isGroupNeeded(model, step) && hasIdleBeyondSpares(model, domain, idleVms, step);
     return isGivenUp ? Math.min(spares, minSpares) : spares;
 }
 
@@ -82,6 +95,10 @@
     if (worst === undefined || coverage(worst, step) >= coverage(model, step)) {
         return false;
     }
+    // Members of a group that lost one VM wait for a single load; a group of another model would take them for good.
+    if (includesFormerMember(members, worst, step)) {
+        return true;
+    }
     if (!isGroupNeeded(model, step)) {
         return shortestModel(domain, step) !== undefined;
     }
@@ -115,6 +132,11 @@
     return step.view.engine.models.some(model => isGroupNeeded(model, step) && countJoinable(free, model, step) >= model.size / 2);
 }
 
+/** Returns the coverage of a model to a tenth, for the log. */
+export function roundedCoverage(model: EngineModel, step: PlanningStep): number {
+    return Math.round(coverage(model, step) * 10) / 10;
+}
+
 /** Returns why a group may be formed with fewer spares than the rule, for the log; undefined if it needs none of them. */
 export function describeSparesGivenUp(domain: string, remainingVms: number, step: PlanningStep): string | undefined {
     const givenUp = sparesToKeep(domain, step) - remainingVms;
@@ -122,6 +144,5 @@
     if (givenUp <= 0 || shortest === undefined) {
         return undefined;
     }
-    const covered = Math.round(coverage(shortest, step) * 10) / 10;
-    return `${givenUp} spare(s) of domain ${domain} are given up: model ${shortest.name} covers ${covered} of its demand`;
+    return `${givenUp} spare(s) of domain ${domain} are given up: model ${shortest.name} covers ${roundedCoverage(shortest, step)} of its demand`;
 }
--- a/src/groups/spares.ts
+++ b/src/groups/spares.ts
@@ -15,7 +15,7 @@
     coverage, coverageWithVms, fittingModels, freeByDomain, freeInDomain, includesFormerMember, modelOnAccelerator,
     type PlanningStep, readinessOf,
 } from "./planningStep.js";
-import { isAboutToForm } from "./shortage.js";
+import { isAboutToForm, isShort, roundedCoverage } from "./shortage.js";
 import { secondModelFor, servingLoadsLeft, shortModelForEmptyVm } from "./weights.js";
 
 /** Window over which the rate of the weight store is limited, and the share of the rate to use: loads of another leader may overlap. */
@@ -73,9 +73,11 @@
     for (const [domain, upstreams] of freeByDomain(step)) {
         for (const upstream of upstreams) {
             const isEmpty = upstream.stagedModels.length === 0 && modelOnAccelerator(upstream, step) === undefined;
-            const model = isEmpty ? shortModelForEmptyVm(domain, step) ?? mostNeededModel(domain, step) : undefined;
+            const shortModel = isEmpty ? shortModelForEmptyVm(domain, step) : undefined;
+            const model = isEmpty ? shortModel ?? mostNeededModel(domain, step) : undefined;
             if (model !== undefined && !step.pendingLoads.has(upstream.id) && mayLoad(step, 0)) {
-                orderLoad(upstream, model.name, `an empty VM of domain ${domain}`, step);
+                const shortage = shortModel === undefined ? "" : `; model ${model.name} is short`;
+                orderLoad(upstream, model.name, `an empty VM of domain ${domain}${shortage}`, step);
             }
         }
     }
@@ -100,14 +102,15 @@
         const isServing = step.groupTable.isInGroup(upstream.id);
         if (plansForShortage && isServing) {
             loadsLeft ??= servingLoadsLeft(step);
-            if (loadsLeft <= 0) {
-                return;
-            }
+        }
+        if (plansForShortage && (loadsLeft === 0 || !mayLoad(step, loadsReservedForEmpty))) {
+            return;
         }
         const others = fittingModels(upstream.domain!, step).filter(model => model.name !== modelOnAccelerator(upstream, step));
         const model = plansForShortage ? secondModelFor(upstream, step) : leastCovered(others, step);
         if (model !== undefined && !step.pendingLoads.has(upstream.id) && mayLoad(step, loadsReservedForEmpty)) {
-            orderLoad(upstream, model.name, "weights of a second model", step);
+            const shortage = isShort(model, step) ? `; model ${model.name} covers ${roundedCoverage(model, step)} of its demand` : "";
+            orderLoad(upstream, model.name, `weights of a second model${shortage}`, step);
             loadsLeft = isServing && loadsLeft !== undefined ? loadsLeft - 1 : loadsLeft;
         }
     }
--- a/src/groups/weights.ts
+++ b/src/groups/weights.ts
@@ -14,7 +14,7 @@
     demandOf, fittingModels, freeByDomain, freeInDomain, includesFormerMember, modelOnAccelerator, type PlanningStep, readinessOf,
     sparesToKeep,
 } from "./planningStep.js";
-import { isShort, shortestModel } from "./shortage.js";
+import { hasIdleBeyondSpares, isShort, shortestModel } from "./shortage.js";
 
 /** The share of concurrent loads that second models of serving VMs may take while a model is short. */
 const servingLoadShare = 0.5;
@@ -43,11 +43,16 @@
     return readinessOf(upstream, model, step) !== "empty" || hostModelOf(upstream, step) === model.name;
 }
 
-/** Returns the short model to load onto an empty VM of a domain; undefined if the domain's repairs need the VM. */
+/**
+ * Returns the short model to load onto an empty VM of a domain; undefined if the domain's repairs need the VM. Single VMs are for repairs:
+ * on a site with domains of 19 that loses a VM every 3 s, loads for a short model cost one VM in a hundred of the on-time capacity.
+ */
 export function shortModelForEmptyVm(domain: string, step: PlanningStep): EngineModel | undefined {
     const free = freeInDomain(domain, step);
     const isRepairDue = fittingModels(domain, step).some(model => includesFormerMember(free, model, step));
-    return isRepairDue || free.length <= sparesToKeep(domain, step) ? undefined : shortestModel(domain, step);
+    const shortest = shortestModel(domain, step);
+    const isEnough = shortest !== undefined && hasIdleBeyondSpares(shortest, domain, free.length, step);
+    return isEnough && !isRepairDue ? shortest : undefined;
 }
 
 /**
--- a/src/siteControl/forecast.ts
+++ b/src/siteControl/forecast.ts
@@ -28,6 +28,11 @@
 const errorHorizonsMs = [500, 1_500, 4_000, 16_000] as const;
 /** Forecasts of a horizon that must have been checked before one is used. */
 const minChecks = 10;
+/**
+ * A forecast is used if its squared error is below this share of that of the average. Where demand has no pattern, noise alone makes the
+ * errors of both differ by a tenth.
+ */
+const maxErrorShare = 0.8;
 /** How often a wave is looked for, in bins. */
 const waveIntervalBins = 2;
 /** A forecast never exceeds the largest average of the history by more than this factor. */
@@ -178,7 +183,7 @@
 export function forecast(state: ForecastState, nowMs: number, horizonMs: number): Forecast {
     const advanced = advance(state, nowMs);
     const { checks, forecast: forecastError, average } = advanced.errors[horizonIndexOf(horizonMs)]!;
-    const isUsed = checks >= minChecks && forecastError < average;
+    const isUsed = checks >= minChecks && forecastError < maxErrorShare * average;
     const forecastVms = expectVms(advanced, horizonMs);
     return {
         vms: isUsed ? forecastVms : advanced.averageVms, forecastVms, averageVms: advanced.averageVms,
--- a/src/siteControl/groupLeader.ts
+++ b/src/siteControl/groupLeader.ts
@@ -42,7 +42,7 @@
     /** The interval at which upstreams announce themselves. */
     readonly heartbeatMs: number;
     /** For which services plans are made for a shortage of capacity; `auto` if absent. */
-    readonly overloadMode?: OverloadMode;
+    readonly overloadMode?: OverloadMode | undefined;
     nowMs(): number;
     directory(): DirectoryState;
     /** The pushbacks that this VM has received. */
--- a/src/siteControl/plannedDemand.ts
+++ b/src/siteControl/plannedDemand.ts
@@ -33,6 +33,8 @@
     const estimator = createDemandEstimator();
     const forecaster = createDemandForecaster();
     const loggedAtMs = new Map<string, number>();
+    /** Forecasts cost some time, so work is recorded for them only once they are asked for. */
+    let isForecasting = false;
     let latest: ReadonlyMap<string, Forecast> = new Map();
 
     /** Whether a line of this kind is due. */
@@ -70,10 +72,13 @@
                 ? workByModel
                 : Object.fromEntries(Object.entries(workByModel).filter(([, workMs]) => isPlausibleWork(workMs, vms)));
             estimator.addWork(plausible, nowMs());
-            forecaster.addWork(plausible, nowMs());
+            if (isForecasting) {
+                forecaster.addWork(plausible, nowMs());
+            }
         },
         averageVms: (models, vms) => estimator.estimateVms(nowMs(), models, vms),
         forecastVms(horizonMs, averages) {
+            isForecasting = true;
             latest = forecaster.forecastVms(nowMs(), horizonMs);
             logDifferences(horizonMs, averages);
             return new Map([...averages].map(([model, average]) => {
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -33,7 +33,7 @@
     /** The interval at which upstreams announce themselves. */
     readonly heartbeatMs: number;
     /** For which services overload control acts; `auto` if absent. */
-    readonly overloadMode?: OverloadMode;
+    readonly overloadMode?: OverloadMode | undefined;
 }
 
 export type PublishOutcome =
