Form surplus groups of one model until a move can free VMs for a short one

Cause: a domain that returned with the small model on all hosts formed two groups of it, too few for a move, and left 9 VMs idle beside the short model.

--- a/src/groups/shortage.ts
+++ b/src/groups/shortage.ts
@@ -15,6 +15,8 @@
 
 /** The coverage below which callers are late: at this one, about six sevenths of a model's work are on time. */
 const onTimeCoverage = 1.3;
+/** The coverage above which a model loses little to a move: 0.94 of its work are on time. */
+const movableCoverage = 1.6;
 /**
  * The share of a group that has to stand idle beyond the spares before spares are given up for it. With less, most of what the group
  * gains is lost again by the repairs that wait for a load: domains of ten with groups of four and two lost service that way.
@@ -59,12 +61,13 @@
 }
 
 /**
- * Whether one more group of `model` helps against a shortage: the model is short, or another one is and `model` has no whole group to
- * spare yet. With one, a move can break up a group of `model` whose hosts hold the short model, which takes a third of the time of a load.
+ * Whether one more group of `model` helps against a shortage: the model is short, or another one is and `model` cannot spare the VMs of
+ * one of its groups yet. If it can, a move breaks up groups of `model` whose hosts hold the short model, in a third of the time of a load.
  */
 function isGroupNeeded(model: EngineModel, step: PlanningStep): boolean {
-    const isAnyShort = step.view.engine.models.some(candidate => isShort(candidate, step));
-    return isAnyShort && coverageWithVms(countAssignedVms(model, step) - model.size, model, step) < onTimeCoverage;
+    const shortSizes = step.view.engine.models.filter(candidate => isShort(candidate, step)).map(({ size }) => size);
+    const surplusVms = Math.max(model.size, ...shortSizes);
+    return shortSizes.length > 0 && coverageWithVms(countAssignedVms(model, step) - surplusVms, model, step) < movableCoverage;
 }
 
 /** Whether enough of the `idleVms` of a domain stand idle beyond its spares that a group of `model` is formed mostly of them. */
