--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -73,6 +73,8 @@
     zinnialanding_model_first_event_difference_p75_ms: "Upper quartile of observed minus predicted times to the first event.",
     zinnialanding_model_highest_speed_factor: "Highest speed factor of a group; 2 is twice as slow as predicted.",
     zinnialanding_model_requests_waiting: "Streams that wait here for room at a group of the model.",
+    zinnialanding_model_forecast_vms: "VMs that callers are forecast to keep busy, by model.",
+    zinnialanding_model_forecast_error_vms: "Root mean square error of the forecast over the last seconds, in VMs, by model.",
 } as const;
 export type ModelGaugeName = keyof typeof modelGaugeHelp;
 
