Admission: pool the shares of room, and limit groups by their on-time throughput

An entry may send now as soon as its shares add up to one request; below three quarters of a limit it gets at least an eighth of the room. The limit of a group is the number of requests at which most are completed on time, which needs no quantile: fewer complete less, more are late. Room is held back from less urgent on-time requests only until it is divided anew. A second attempt goes to the earliest predicted first event even at a full group.

--- a/src/admission/allowance.ts
+++ b/src/admission/allowance.ts
@@ -7,12 +7,14 @@
 /** A view older than this is not used: the entry keeps to its share of the limit. */
 const maxViewAgeMs = 500;
 /**
- * Below this part of the limit an entry may use `looseFactor` times its share, and at least one request for each view, since few entries
- * have requests for the same group between two views. If each could use all of the room there, a burst that 16 entries see at once would
- * fill a group to 2.4 times its limit.
+ * Below this part of the limit an entry may use `looseFactor` times its share, at least `minLooseShare` of the room, and at least one
+ * request for each view, since few entries have requests for the same group between two views. If each could use all of the room there, a
+ * burst that 16 entries see at once would fill a group to 2.4 times its limit. With its share alone, an entry that gets a few requests in
+ * a row would refuse them at groups that are nearly idle.
  */
 const loosePart = 0.75;
 const looseFactor = 2;
+const minLooseShare = 0.125;
 
 /** What is carried over from one view to the next, for one group. */
 export interface AllowanceState {
@@ -63,7 +65,7 @@
     }
     const room = limit - others - countedOwn;
     const looseRoom = Math.max(0, room - limit * (1 - loosePart));
-    const granted = looseRoom * Math.min(1, share * looseFactor) + (room - looseRoom) * share;
+    const granted = looseRoom * Math.min(1, Math.max(minLooseShare, share * looseFactor)) + (room - looseRoom) * share;
     const unused = state.granted + state.carried - Math.max(0, own - state.countedOwn);
     const carried = viewNumber === state.viewNumber ? state.carried : Math.min(1, Math.max(0, unused));
     const spent = own > countedOwn ? own - countedOwn : (own - countedOwn) * share;
--- a/src/admission/reserve.ts
+++ b/src/admission/reserve.ts
@@ -2,9 +2,10 @@
  * How much room requests of each priority need, as a reducer: what is held back for more urgent requests, how much work arrives, and how
  * fast room becomes free.
  *
- * The room that a priority needs is its arrivals a second times the time for which one request occupies its room, after which a successor
- * can take it. What its running requests occupy is covered; the rest is held back. Arrivals decay, so unused room is released within
- * seconds.
+ * The room at groups is divided among entries anew several times a second. So what is held back from less urgent requests is the arrivals
+ * until the next division; later ones get room from that. From late requests, which are of little use to their callers, all the room is
+ * held back that the arrivals need while each occupies it, beyond what they occupy already. Arrivals decay, so unused room is released
+ * within seconds.
  *
  * @module
  */
@@ -12,6 +13,8 @@
 /** Priorities above this value, 0 being the most urgent, count as this one. Engines support no others. */
 export const lowestPriority = 9;
 
+/** Entries get a new view of the room at groups at least this often. */
+const divisionMs = 250;
 /** The arrivals of about the last second count: long enough for a few requests of each kind, and short compared with a burst. */
 const decayMs = 1_000;
 /** The weight of a new sample in the average time for which a request occupies its room. */
@@ -67,16 +70,18 @@
 }
 
 /**
- * Returns the room that requests more urgent than `priority` need and don't occupy, in whole requests: a remainder that decays for seconds
- * would hold back the last room meanwhile. For late requests, `priority` is Infinity.
+ * Returns the room that is held back from a request of `priority`, Infinity if it is late, in whole requests: a remainder that decays for
+ * seconds would hold back the last room meanwhile.
  */
-export function reservedFor({ needs, heldMs = 0 }: ReserveState, priority: number, nowMs: number): number {
-    const end = priority === Infinity ? lowestPriority + 1 : priorityClass(priority);
+export function reservedFor({ needs, heldMs = divisionMs }: ReserveState, priority: number, nowMs: number): number {
+    const isLate = priority === Infinity;
+    const end = isLate ? lowestPriority + 1 : priorityClass(priority);
     let reserved = 0;
     for (let index = 0; index < end; index++) {
         const { arrivals, atMs, running } = needs[index]!;
         if (arrivals > 0) {
-            reserved += Math.max(0, arrivals * decay(nowMs - atMs) / decayMs * heldMs - running);
+            const perMs = arrivals * decay(nowMs - atMs) / decayMs;
+            reserved += isLate ? Math.max(0, perMs * heldMs - running) : perMs * Math.min(heldMs, divisionMs);
         }
     }
     return Math.round(reserved);
--- a/src/gateway/groupRoom.ts
+++ b/src/gateway/groupRoom.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { isLearned, onTimeLimit, passMs } from "../latency/index.js";
+import { type Differences, isLearned, onTimeLimit, passMs } from "../latency/index.js";
 import type { Route } from "../site/index.js";
 import type { Balancer } from "./balancer.js";
 import type { LatencyTracker, TrackedModel } from "./latencyTracker.js";
@@ -73,9 +73,9 @@
 /** Speed factors are rounded to a multiple of this for limits, so that limits don't change with each observation. */
 const limitFactorStep = 0.25;
 
-/** The limits of one route for the upper quantile of which they were computed, by speed factor and round trip. */
+/** The limits of one route for the differences of which they were computed, by speed factor and round trip. */
 interface CachedLimits {
-    readonly upperMs: number;
+    readonly differences: Differences;
     readonly byTerms: Map<number, number>;
 }
 
@@ -89,15 +89,15 @@
         return service === undefined || name === undefined || !isActive(serviceName, request) ? undefined : tracker.model(service, name);
     }
 
-    function cachedLimits(model: TrackedModel, route: Route, upperMs: number): Map<number, number> {
+    function cachedLimits(model: TrackedModel, route: Route, differences: Differences): Map<number, number> {
         let byRoute = limitsByModel.get(model);
         if (byRoute === undefined) {
             byRoute = new Map();
             limitsByModel.set(model, byRoute);
         }
         let cached = byRoute.get(route);
-        if (cached?.upperMs !== upperMs) {
-            cached = { upperMs, byTerms: new Map() };
+        if (cached?.differences !== differences) {
+            cached = { differences, byTerms: new Map() };
             byRoute.set(route, cached);
         }
         return cached.byTerms;
@@ -109,14 +109,13 @@
             return queueLimitsFor(candidate, request).onTime;
         }
         const { route } = request;
-        const upperMs = Math.round(differences.upperMs);
         const steps = Math.max(1 / limitFactorStep, Math.round(factor / limitFactorStep));
-        const limits = cachedLimits(model, route, upperMs);
+        const limits = cachedLimits(model, route, differences);
         const key = steps * 100_000 + Math.round(networkMs * 10);
         let limit = limits.get(key);
         if (limit === undefined) {
             limit = onTimeLimit(model.costs, {
-                latenessMs: route.latenessMs ?? route.timeoutMs, pauseMs: route.pauseMs, addedMs: upperMs + networkMs,
+                latenessMs: route.latenessMs ?? route.timeoutMs, pauseMs: route.pauseMs, networkMs, differences,
                 factor: steps * limitFactorStep,
             });
             limits.set(key, limit);
--- a/src/gateway/scoredChoice.ts
+++ b/src/gateway/scoredChoice.ts
@@ -26,17 +26,12 @@
     readonly isAvoided: boolean;
 }
 
-/** The weight of a candidate without allowance relative to one with an allowance of one request. */
+/**
+ * The weight of a candidate without allowance relative to one with an allowance of one request. It is not ruled out: first attempts
+ * are offered only candidates with room, and a second one is served sooner at a full group than at one that is several times as slow.
+ */
 const minWeight = 0.01;
 
-/** Candidates of a lower rank are preferred whatever the prediction: those that may be sent to, those without allowance, avoided ones. */
-function rankOf({ isAvoided, allowance }: ScoredCandidate): number {
-    if (isAvoided) {
-        return 2;
-    }
-    return allowance >= 1 ? 0 : 1;
-}
-
 /**
  * Chooses at random among the candidates whose prediction is within `errorMs` of the best, so that entries with the same view don't all
  * choose the same group. The weight is the allowance, and falls to 0 as the difference reaches `errorMs`; so a group that is farther away
@@ -44,21 +39,19 @@
  */
 export function chooseByFirstEvent(scored: readonly ScoredCandidate[], errorMs: number, random: number): Candidate | undefined {
     let best: ScoredCandidate | undefined;
-    let bestRank = Infinity;
     for (const item of scored) {
-        const rank = rankOf(item);
-        if (best === undefined || rank < bestRank || (rank === bestRank && item.firstEventMs < best.firstEventMs)) {
+        if (best === undefined || (best.isAvoided && !item.isAvoided) ||
+            (best.isAvoided === item.isAvoided && item.firstEventMs < best.firstEventMs)) {
             best = item;
-            bestRank = rank;
         }
     }
     if (best === undefined) {
         return undefined;
     }
-    const bestMs = best.firstEventMs;
+    const { firstEventMs: bestMs, isAvoided } = best;
     const weightOf = (item: ScoredCandidate) => {
         const lagMs = item.firstEventMs - bestMs;
-        if (rankOf(item) !== bestRank || (lagMs > 0 && lagMs >= errorMs)) {
+        if (item.isAvoided !== isAvoided || (lagMs > 0 && lagMs >= errorMs)) {
             return 0;
         }
         const closeness = lagMs === 0 ? 1 : 1 - lagMs / errorMs;
--- a/src/latency/onTimeLimit.ts
+++ b/src/latency/onTimeLimit.ts
@@ -1,10 +1,11 @@
 /**
- * The number of requests at a group up to which a further one is expected to be on time.
+ * The number of requests at a group beyond which a further one costs more than it brings.
  *
  * @module
  */
 
 import { type ModelCosts, passMs, predictFirstEventMs, usualUnreadTokens } from "./firstEvent.js";
+import { type Differences, shareUpTo } from "./quantiles.js";
 
 /** What requests at a group have to meet, and what is added to the prediction. */
 export interface OnTimeTerms {
@@ -12,26 +13,34 @@
     readonly latenessMs: number;
     /** The pause between two events that is still on time; undefined if the route states none. */
     readonly pauseMs: number | undefined;
-    /** The upper quantile of observed minus predicted times, and the network's round trip. */
-    readonly addedMs: number;
+    /** The network's round trip. */
+    readonly networkMs: number;
+    /** Observed minus predicted times of the model. */
+    readonly differences: Differences;
     /** The speed factor of the group. */
     readonly factor: number;
 }
 
 /**
- * Returns the largest number of requests at which a usual request is still on time and no pass takes longer than the pause: at least 1, at
- * most the slots.
+ * Returns the requests per ms that a group completes on time while it runs `requests`, up to a factor that is the same for any number of
+ * them.
  */
-export function onTimeLimit(costs: ModelCosts, { latenessMs, pauseMs = Infinity, addedMs, factor }: OnTimeTerms): number {
-    const isOnTime = (requests: number) => {
-        const firstMs = predictFirstEventMs(costs, requests, costs.usualPromptTokens, usualUnreadTokens(costs, requests));
-        return firstMs * factor + addedMs <= latenessMs && passMs(costs, requests) * factor <= pauseMs;
-    };
-    // Both times grow with the number of requests.
-    let [limit, tooMany] = [1, costs.slots + 1];
-    while (tooMany - limit > 1) {
-        const middle = Math.floor((limit + tooMany) / 2);
-        [limit, tooMany] = isOnTime(middle) ? [middle, tooMany] : [limit, middle];
+export function onTimeThroughput(costs: ModelCosts, requests: number, terms: OnTimeTerms): number {
+    const { latenessMs, networkMs, differences, factor } = terms;
+    const firstMs = predictFirstEventMs(costs, requests, costs.usualPromptTokens, usualUnreadTokens(costs, requests));
+    return requests / passMs(costs, requests) * shareUpTo(differences, latenessMs - networkMs - firstMs * factor);
+}
+
+/**
+ * Returns the number of requests at which most of them are completed on time, at least 1 and at most the slots: with fewer, the group
+ * completes fewer requests; with more, more of them are late. No pass takes longer than the pause. Where none can be on time, it is as
+ * many as the pause allows.
+ */
+export function onTimeLimit(costs: ModelCosts, terms: OnTimeTerms): number {
+    const { pauseMs = Infinity, factor } = terms;
+    const throughputs: number[] = [];
+    for (let requests = 1; requests <= costs.slots && (requests === 1 || passMs(costs, requests) * factor <= pauseMs); requests++) {
+        throughputs.push(onTimeThroughput(costs, requests, terms));
     }
-    return limit;
+    return throughputs.lastIndexOf(Math.max(...throughputs)) + 1;
 }
--- a/src/latency/quantiles.ts
+++ b/src/latency/quantiles.ts
@@ -13,6 +13,8 @@
 /** The latest differences, the oldest first, and their quantiles. */
 export interface Differences {
     readonly latest: readonly Difference[];
+    /** The same in ms, in ascending order. */
+    readonly sortedMs: readonly number[];
     readonly medianMs: number;
     readonly upperMs: number;
 }
@@ -25,7 +27,7 @@
 const maxCount = 128;
 const upperQuantile = 0.75;
 
-export const noDifferences: Differences = { latest: [], medianMs: 0, upperMs: 0 };
+export const noDifferences: Differences = { latest: [], sortedMs: [], medianMs: 0, upperMs: 0 };
 
 /** Whether there are enough differences to rely on their quantiles. */
 export function isLearned({ latest }: Differences): boolean {
@@ -47,6 +49,16 @@
     const all = [...latest, { ms, atMs }];
     const firstRecent = all.findIndex(difference => atMs - difference.atMs <= retentionMs);
     const kept = all.slice(Math.max(all.length - maxCount, Math.min(firstRecent, all.length - minCount), 0));
-    const sorted = kept.map(difference => difference.ms).sort((a, b) => a - b);
-    return { latest: kept, medianMs: quantileOf(sorted, 0.5), upperMs: quantileOf(sorted, upperQuantile) };
+    const sortedMs = kept.map(difference => difference.ms).sort((a, b) => a - b);
+    return { latest: kept, sortedMs, medianMs: quantileOf(sortedMs, 0.5), upperMs: quantileOf(sortedMs, upperQuantile) };
+}
+
+/** Returns the share of the differences that are at most `ms`, from 0 to 1. */
+export function shareUpTo({ sortedMs }: Differences, ms: number): number {
+    let [count, above] = [0, sortedMs.length];
+    while (count < above) {
+        const middle = (count + above) >> 1;
+        [count, above] = sortedMs[middle]! <= ms ? [middle + 1, above] : [count, middle];
+    }
+    return sortedMs.length === 0 ? 0 : count / sortedMs.length;
 }
