Admission: room from the groups' answers while the view of loads is old, and later returns in overload

They also use a part of the room that the groups' answers show now. Run: test/admission, latency and the gateway's admission, group, load, waiting and retry tests: 96 passing.

--- a/src/admission/allowance.ts
+++ b/src/admission/allowance.ts
@@ -37,6 +37,8 @@
     readonly limit: number;
     /** Requests of other entries by the view; undefined if it is too old. */
     readonly others: number | undefined;
+    /** Requests of other entries as estimated from the group's answers to this entry; undefined if it has none. Used without a view. */
+    readonly estimatedOthers?: number | undefined;
     /** This entry's requests at the group, now and as the view counts them. */
     readonly own: number;
     readonly countedOwn: number;
@@ -52,6 +54,19 @@
     readonly allowance: number;
 }
 
+function looseShare(share: number): number {
+    return Math.min(1, Math.max(minLooseShare, share * looseFactor));
+}
+
+/**
+ * Without a view an entry keeps to its share of the limit, or to a part of the room that the group's answers show. With the share alone,
+ * entries with more callers than before would refuse them beside idle groups whenever the control leader is lost.
+ */
+function allowanceWithoutView({ limit, own, share, estimatedOthers }: AllowanceInput): number {
+    const byShare = limit * share - own;
+    return estimatedOthers === undefined ? byShare : Math.max(byShare, (limit - estimatedOthers - own) * looseShare(share));
+}
+
 /**
  * Computes the allowance. By one view all entries stay within the limit together, apart from at most one request each by `carried`: each
  * may have its counted requests plus its share of the room. Of the room of its requests that end, an entry may use its share at once; the
@@ -60,12 +75,12 @@
 export function computeAllowance(state: AllowanceState, input: AllowanceInput): Allowance {
     const { viewNumber, ageMs, limit, others, own, countedOwn, share, ownAtModel } = input;
     if (others === undefined || ageMs >= maxViewAgeMs) {
-        const allowance = limit * share - own;
+        const allowance = allowanceWithoutView(input);
         return { state, allowance: ownAtModel === 0 ? Math.max(1, allowance) : allowance };
     }
     const room = limit - others - countedOwn;
     const looseRoom = Math.max(0, room - limit * (1 - loosePart));
-    const granted = looseRoom * Math.min(1, Math.max(minLooseShare, share * looseFactor)) + (room - looseRoom) * share;
+    const granted = looseRoom * looseShare(share) + (room - looseRoom) * share;
     const unused = state.granted + state.carried - Math.max(0, own - state.countedOwn);
     const carried = viewNumber === state.viewNumber ? state.carried : Math.min(1, Math.max(0, unused));
     const spent = own > countedOwn ? own - countedOwn : (own - countedOwn) * share;
--- a/src/gateway/groupRoom.ts
+++ b/src/gateway/groupRoom.ts
@@ -38,8 +38,8 @@
     readonly headId: string;
     /** The number of requests at the group up to which a further one is on time. */
     readonly limit: number;
-    /** The requests of the other entries, estimated from the head's answers if there is no recent view of them. */
-    readonly others: number;
+    /** The requests of the other entries, by a recent view or else by the head's answers; undefined without either. */
+    readonly estimatedOthers: number | undefined;
     /** The requests of this entry. */
     readonly own: number;
     /** This entry's share of the requests for the model, from 0 to 1. */
@@ -126,13 +126,15 @@
     function roomAt(model: TrackedModel, candidate: Candidate, request: ParsedRequest, extraRequests: number, atMs: number): RoomAtGroup {
         const { upstream } = candidate;
         const own = balancer.ownRequests(upstream);
-        const running = balancer.knownLoad(upstream, sharedLoads.othersAt(upstream.id)) ?? own;
+        const known = balancer.knownLoad(upstream, sharedLoads.othersAt(upstream.id));
+        const running = known ?? own;
         const networkMs = tracker.roundTripMs(model, upstream.dataCentre);
         const factor = tracker.factorOf(upstream, atMs);
         const limit = limitAt(model, candidate, request, factor, networkMs);
         const { ageMs } = sharedLoads;
         const allowance = allowanceOf({
-            headId: upstream.id, limit, others: Math.max(0, running - own), own, share: sharedLoads.shareOf(model.name), ageMs,
+            headId: upstream.id, limit, estimatedOthers: known === undefined ? undefined : Math.max(0, known - own), own,
+            share: sharedLoads.shareOf(model.name), ageMs,
             ownAtModel: () => ownAtModel(upstream.service, model.name),
         });
         const predictedMs = tracker.predictMs(model, upstream, running + extraRequests, request, factor, atMs);
--- a/src/gateway/refusalPacer.ts
+++ b/src/gateway/refusalPacer.ts
@@ -6,7 +6,7 @@
 
 import type { RoomRates } from "../admission/index.js";
 import type { ParsedRequest } from "./parsedRequest.js";
-import { retryAfterMs, retryAfterWaitMs } from "./retryAfter.js";
+import { overloadRetryMs, retryAfterMs, retryAfterWaitMs } from "./retryAfter.js";
 
 /** Refusals of about the last second compete for the room that a refused caller is told to come back for. */
 const decayMs = 1_000;
@@ -38,8 +38,11 @@
                 return retryAfterMs({ leftMs, acceptedInMs, random: random() });
             }
             // Those who come back share the room with as many new requests as arrive now.
-            const competing = Math.max(1, arriving.reduce((sum, rate) => sum + rate, 0) / freed);
-            return retryAfterWaitMs({ leftMs, acceptedInMs, waitMs, spreadMs: refusedWork / freed * competing, random: random() });
+            const competing = arriving.reduce((sum, rate) => sum + rate, 0) / freed;
+            if (competing > 1) {
+                return overloadRetryMs({ leftMs, acceptedInMs, random: random() });
+            }
+            return retryAfterWaitMs({ leftMs, acceptedInMs, waitMs, spreadMs: refusedWork / freed, random: random() });
         },
     };
 }
--- a/src/gateway/retryAfter.ts
+++ b/src/gateway/retryAfter.ts
@@ -45,3 +45,11 @@
     const untilRoomMs = Math.min(maxMs, waitMs);
     return Math.max(acceptedInMs, untilRoomMs + random * Math.min(maxMs - untilRoomMs, spreadMs));
 }
+
+/**
+ * Returns the delay in ms while more requests arrive than are served, which lasts for seconds: in the later half of the time within which
+ * callers return. Sooner, they would be refused again, or take the room of callers who can still be served on time.
+ */
+export function overloadRetryMs({ leftMs, acceptedInMs, random }: RetryAfterOptions): number {
+    return Math.max(acceptedInMs, leftMs * maxShare * (1 + random) / 2);
+}
--- a/test/gateway/groupModel.ts
+++ b/test/gateway/groupModel.ts
@@ -52,7 +52,7 @@
     });
     const room = createGroupRoom({
         nowMs, balancer, tracker, isActive: () => true, sharedLoads: { othersAt, shareOf: () => 1, ageMs: 0 },
-        ownAtModel: () => 0, allowanceOf: ({ limit, others, own }) => limit - others - own,
+        ownAtModel: () => 0, allowanceOf: ({ limit, estimatedOthers = 0, own }) => limit - estimatedOthers - own,
     });
     return { balancer, tracker, room, logged };
 }
