--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -6,7 +6,11 @@
 
 import { create } from "@bufbuild/protobuf";
 import type { ConnectRouter } from "@connectrpc/connect";
-import { type SiteFrame, SiteFrameSchema, SiteReportSummarySchema, SiteService, type WatchSiteRequest, WatchScope } from "../rpc/index.js";
+import {
+    type SiteFrame, SiteFrameSchema, type SiteReport, type SiteReportSummary, SiteReportSummarySchema, SiteService, type WatchSiteRequest,
+    WatchScope,
+} from "../rpc/index.js";
+import { createAsyncQueue } from "../runtime/index.js";
 import { type Frame, type Report, reportSchema } from "./frames.js";
 
 /** How long an entry is still counted after it was last seen. An entry that is cut off keeps serving and using its share of limits. */
@@ -103,6 +107,8 @@
     /** Entries that are watching or have watched, with the time at which they were last seen. */
     const entriesSeenAtMs = new Map<string, number>();
     const watchingEntries = new Map<Watcher, string>();
+    /** Functions that end the open streams of reports. */
+    const reportStreamEnds = new Set<() => void>();
 
     function entryCount(): number {
         watchingEntries.forEach(id => entriesSeenAtMs.set(id, options.nowMs()));
@@ -176,13 +182,39 @@
         }
     }
 
+    function report(request: SiteReport): SiteReportSummary {
+        options.onReport(request.daemonId, reportSchema.parse(JSON.parse(Buffer.from(request.report).toString("utf8"))));
+        return create(SiteReportSummarySchema, {});
+    }
+
+    /** Answers the reports of a stream, which ends with its sender or when the feed is closed: an open stream would delay a shutdown. */
+    async function* reports(requests: AsyncIterable<SiteReport>) {
+        const answers = createAsyncQueue<SiteReportSummary>();
+        let failure: unknown;
+        const answerAll = async () => {
+            for await (const request of requests) {
+                answers.push(report(request));
+            }
+        };
+        const end = () => answers.end();
+        reportStreamEnds.add(end);
+        answerAll().catch((error: unknown) => failure = error).finally(end);
+        try {
+            yield* answers;
+        }
+        finally {
+            reportStreamEnds.delete(end);
+        }
+        if (failure !== undefined) {
+            throw failure;
+        }
+    }
+
     return {
         routes: router => router.service(SiteService, {
             watch: (request, context) => watch(request, context.signal),
-            async report(request) {
-                options.onReport(request.daemonId, reportSchema.parse(JSON.parse(Buffer.from(request.report).toString("utf8"))));
-                return create(SiteReportSummarySchema, {});
-            },
+            report,
+            reports,
         }),
         publish(frame, role) {
             const encoded = encode(frame);
@@ -200,6 +232,7 @@
         },
         close() {
             watchers.forEach(watcher => watcher.end());
+            reportStreamEnds.forEach(end => end());
         },
     };
 }
--- a/src/feed/watcher.ts
+++ b/src/feed/watcher.ts
@@ -12,6 +12,7 @@
 import { createPeerConnection, type PeerConnection, SiteService, WatchScope } from "../rpc/index.js";
 import { chooseDaemonToFollow, type FollowCandidate, type FollowedDaemon, newestSiteVersion } from "./follow.js";
 import { type AliveFrame, type Frame, frameSchema, type Report } from "./frames.js";
+import { createReportSender, type ReportSender } from "./reportStream.js";
 
 /** Interval at which control daemons send `alive` frames. A stream counts as dead after three intervals without a frame. */
 export const aliveIntervalMs = 500;
@@ -50,6 +51,8 @@
 interface WatchedDaemon {
     readonly address: string;
     connection: PeerConnection | undefined;
+    /** Sends reports over the connection; undefined until the first one. */
+    reports: ReportSender | undefined;
     heardSinceMs: number;
     isHeard: boolean;
     isClosed: boolean;
@@ -120,6 +123,8 @@
             });
         }
         finally {
+            daemon.reports?.close();
+            daemon.reports = undefined;
             daemon.connection = undefined;
             connection.close();
         }
@@ -205,8 +210,8 @@
             for (const address of addresses) {
                 if (!daemons.has(address) && !isClosed) {
                     const daemon: WatchedDaemon = {
-                        address, connection: undefined, heardSinceMs: 0, isHeard: false, isClosed: false, alive: undefined,
-                        failedAtMs: Number.NEGATIVE_INFINITY, abort: new AbortController(), reopenDelayMs: minReopenDelayMs,
+                        address, connection: undefined, reports: undefined, heardSinceMs: 0, isHeard: false, isClosed: false,
+                        alive: undefined, failedAtMs: Number.NEGATIVE_INFINITY, abort: new AbortController(), reopenDelayMs: minReopenDelayMs,
                     };
                     daemons.set(address, daemon);
                     void watchRepeatedly(daemon);
@@ -224,9 +229,9 @@
             const bytes = Buffer.from(JSON.stringify(report));
             for (const daemon of daemons.values()) {
                 if (daemon.isHeard && daemon.alive?.leads === true && daemon.connection !== undefined) {
-                    const client = createClient(SiteService, daemon.connection.transport);
+                    daemon.reports ??= createReportSender(daemon.connection);
                     // A lost report is followed by the next one within a second.
-                    client.report({ daemonId, report: bytes }, { timeoutMs: 1_000 }).catch(() => undefined);
+                    daemon.reports.send({ daemonId, report: bytes }).catch(() => undefined);
                 }
             }
         },
