A report costs the leader its own limits, not those of the site

With 3,000 limits known, a report of ten cost 1.1 ms: the known limits were copied for each of the ten and compared one by one. Now only the limits in the report are looked at. Ran test/gateway/limits.test.ts and test/fleet.

--- a/src/fleet/limits.ts
+++ b/src/fleet/limits.ts
@@ -45,8 +45,15 @@
 
 /** Merges limits relayed by another process. */
 export function mergeRelayedLimits(state: LimitState, relayed: readonly RelayedLimit[], nowMs: number): LimitState {
-    return relayed.reduce((next, { upstreamId, bornMs, perSecond, agoMs }) =>
-        updateLimit(next, upstreamId, { bornMs, perSecond, seenAtMs: nowMs - agoMs }), state);
+    let next: Map<string, Limit> | undefined;
+    for (const { upstreamId, bornMs, perSecond, agoMs } of relayed) {
+        const limit = { bornMs, perSecond, seenAtMs: nowMs - agoMs };
+        if (isNewer(limit, (next ?? state).get(upstreamId))) {
+            next ??= new Map(state);
+            next.set(upstreamId, limit);
+        }
+    }
+    return next ?? state;
 }
 
 export function toRelayedLimits(state: LimitState, nowMs: number): RelayedLimit[] {
--- a/src/siteControl/limitDistributor.ts
+++ b/src/siteControl/limitDistributor.ts
@@ -69,7 +69,7 @@
             entries.set(entryId, { heardAtMs: nowMs(), requests, isParticipant: known?.isParticipant ?? false });
             const before = limits;
             limits = mergeRelayedLimits(limits, report.limits, nowMs());
-            if ([...limits].some(([id, { perSecond }]) => before.get(id)?.perSecond !== perSecond)) {
+            if (report.limits.some(({ upstreamId: id }) => before.get(id)?.perSecond !== limits.get(id)?.perSecond)) {
                 onChange?.();
             }
         },
