Entries ask for heard times, changes share frames, and a known state is not sent again

An entry needs them only for upstreams that refused its connections, so it asks for these (RPC Heard); its content stream is kept alive by alive frames instead. A watcher that returns to a control daemon names the version of its directory that it has (incarnation and count of changes) and gets what has changed since. A frame of an unknown kind is skipped with a log line. markCold no longer depends on when the upstream was heard, which entries don't know.

--- a/src/feed/frames.ts
+++ b/src/feed/frames.ts
@@ -70,6 +70,15 @@
     limitsFrameSchema, pushbacksFrameSchema,
 ]);
 export type Frame = z.infer<typeof frameSchema>;
+
+const knownKinds: ReadonlySet<unknown> = new Set(frameSchema.options.map(({ shape }) => shape.kind.value));
+
+/** Decodes a frame. One of a newer control daemon may be of an unknown kind, which is returned instead. Throws if it can't be read. */
+export function decodeFrame(bytes: Uint8Array): { readonly frame: Frame } | { readonly unknownKind: string } {
+    const value = JSON.parse(Buffer.from(bytes).toString("utf8")) as { readonly kind?: unknown };
+    return typeof value.kind === "string" && !knownKinds.has(value.kind) ? { unknownKind: value.kind } : { frame: frameSchema.parse(value) };
+}
+
 export type AliveFrame = z.infer<typeof aliveFrameSchema>;
 
 /** The observations of one entry since its previous report. */
--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -7,8 +7,8 @@
 import { create } from "@bufbuild/protobuf";
 import type { ConnectRouter } from "@connectrpc/connect";
 import {
-    type SiteFrame, SiteFrameSchema, type SiteReport, type SiteReportSummary, SiteReportSummarySchema, SiteService, type WatchSiteRequest,
-    WatchScope,
+    HeardAnswerSchema, type SiteFrame, SiteFrameSchema, type SiteReport, type SiteReportSummary, SiteReportSummarySchema, SiteService,
+    type WatchSiteRequest, WatchScope,
 } from "../rpc/index.js";
 import { createAsyncQueue } from "../runtime/index.js";
 import { type Frame, type Report, reportSchema } from "./frames.js";
@@ -18,6 +18,18 @@
 /** A watcher with more queued frames than this is disconnected. It reconnects and receives the whole state again. */
 const maxQueuedFrames = 2_000;
 
+/** A state of a control daemon's directory: a count of its changes, which starts anew with each incarnation of the daemon. */
+export interface DirectoryPosition {
+    readonly incarnation: string;
+    readonly version: number;
+}
+
+/** A frame, and the position up to which a watcher has the directory's changes with it. */
+export interface PositionedFrame {
+    readonly frame: Frame;
+    readonly position: DirectoryPosition;
+}
+
 /** A frame and its encoded message, which is shared by all watchers because published texts may be large. */
 interface EncodedFrame {
     readonly frame: Frame;
@@ -26,6 +38,7 @@
 
 interface Watcher {
     readonly role: WatcherRole;
+    readonly kinds: readonly FrameKind[];
     push(frame: EncodedFrame): void;
     /** Ends the stream after the queued frames have been sent. */
     end(): void;
@@ -39,8 +52,11 @@
 
 export interface FeedServer {
     readonly routes: (router: ConnectRouter) => void;
-    /** Sends a frame to every watcher that receives its kind; if `role` is given, only to watchers of that role. */
-    publish(frame: Frame, role?: WatcherRole): void;
+    /**
+     * Sends a frame to every watcher that receives its kind; if `role` is given, only to watchers of that role. `position` is what they
+     * have reached with it.
+     */
+    publish(frame: Frame, role?: WatcherRole, position?: DirectoryPosition): void;
     readonly watcherCount: number;
     /** Number of entries that are watching or were recently. */
     readonly entryCount: number;
@@ -51,9 +67,11 @@
 export interface FeedServerOptions {
     /**
      * Returns the frames that bring a new watcher up to date, if it receives `kinds`; others are left out. They are read one by one as the
-     * watcher takes them, so many watchers that come back at once hold little memory.
+     * watcher takes them, so many watchers that come back at once hold little memory. `known` is the position that the watcher has.
      */
-    initialFrames(kinds: readonly FrameKind[]): Iterable<Frame>;
+    initialFrames(kinds: readonly FrameKind[], known?: DirectoryPosition): Iterable<Frame | PositionedFrame>;
+    /** How long ago an upstream was heard; undefined if it is unknown or gone. */
+    heardAgoMs?(id: string): number | undefined;
     onReport(daemonId: string, report: Report): void;
     nowMs(): number;
 }
@@ -65,7 +83,7 @@
 /** The frame kinds of `WatchScope.SIGNS`. */
 const signKinds: readonly FrameKind[] = ["controls", "evacuated", "judged", "alive", "limits", "pushbacks"];
 
-function kindsForRequest({ isEntry, scope }: WatchSiteRequest): readonly FrameKind[] {
+function kindsForScope({ isEntry, scope }: WatchSiteRequest): readonly FrameKind[] {
     if (!isEntry) {
         return kindsForControls;
     }
@@ -79,15 +97,26 @@
     }
 }
 
+/** A watcher that asks for heard times gets `alive` frames instead: its stream counts as dead after 1.5 s without a frame. */
+function kindsForRequest(request: WatchSiteRequest): readonly FrameKind[] {
+    const kinds = kindsForScope(request);
+    return request.asksForHeard ? [...new Set<FrameKind>([...kinds.filter(kind => kind !== "heard"), "alive"])] : kinds;
+}
+
+function knownPosition({ directoryIncarnation, directoryVersion }: WatchSiteRequest): DirectoryPosition | undefined {
+    return directoryIncarnation === "" ? undefined : { incarnation: directoryIncarnation, version: Number(directoryVersion) };
+}
+
 /** Encoded frames by frame: the same frame with a large text may be sent to many watchers. */
 const encodedFrames = new WeakMap<Frame, EncodedFrame>();
 
-function encode(frame: Frame): EncodedFrame {
+function encode(frame: Frame, position?: DirectoryPosition): EncodedFrame {
     const known = encodedFrames.get(frame);
     if (known !== undefined) {
         return known;
     }
-    const encoded = { frame, message: create(SiteFrameSchema, { frame: Buffer.from(JSON.stringify(frame)) }) };
+    const reached = position && { directoryIncarnation: position.incarnation, directoryVersion: BigInt(position.version) };
+    const encoded = { frame, message: create(SiteFrameSchema, { frame: Buffer.from(JSON.stringify(frame)), ...reached }) };
     encodedFrames.set(frame, encoded);
     return encoded;
 }
@@ -119,14 +148,14 @@
     async function* watch(request: WatchSiteRequest, signal: AbortSignal) {
         const { daemonId, isEntry } = request;
         const kinds = kindsForRequest(request);
-        const isRelevant = (frame: Frame) => kinds.includes(frame.kind);
         /** Frames published since the stream began. They follow the initial frames, which already show some of their changes. */
         const queue: EncodedFrame[] = [];
-        const initialFrames = options.initialFrames(kinds)[Symbol.iterator]();
+        const initialFrames = options.initialFrames(kinds, knownPosition(request))[Symbol.iterator]();
         const nextInitialFrame = (): EncodedFrame | undefined => {
             for (let item = initialFrames.next(); item.done !== true; item = initialFrames.next()) {
-                if (isRelevant(item.value)) {
-                    return encode(item.value);
+                const { frame, position } = "frame" in item.value ? item.value : { frame: item.value, position: undefined };
+                if (kinds.includes(frame.kind)) {
+                    return encode(frame, position);
                 }
             }
             return undefined;
@@ -136,10 +165,8 @@
         let isAborted = false;
         const watcher: Watcher = {
             role: isEntry ? "entry" : "control",
+            kinds,
             push(encoded) {
-                if (!isRelevant(encoded.frame)) {
-                    return;
-                }
                 enqueue(queue, encoded);
                 isAborted ||= queue.length > maxQueuedFrames;
                 wake?.();
@@ -215,12 +242,17 @@
             watch: (request, context) => watch(request, context.signal),
             report,
             reports,
+            heard: ({ ids }) => create(HeardAnswerSchema, {
+                heard: ids.flatMap(id => {
+                    const agoMs = options.heardAgoMs?.(id);
+                    return agoMs === undefined ? [] : [{ id, agoMs }];
+                }),
+            }),
         }),
-        publish(frame, role) {
-            const encoded = encode(frame);
+        publish(frame, role, position) {
             for (const watcher of watchers) {
-                if (role === undefined || watcher.role === role) {
-                    watcher.push(encoded);
+                if ((role === undefined || watcher.role === role) && watcher.kinds.includes(frame.kind)) {
+                    watcher.push(encode(frame, position));
                 }
             }
         },
--- a/src/feed/watcher.ts
+++ b/src/feed/watcher.ts
@@ -11,8 +11,9 @@
 import { createClient } from "@connectrpc/connect";
 import { createPeerConnection, type PeerConnection, SiteService, WatchScope } from "../rpc/index.js";
 import { chooseDaemonToFollow, type FollowCandidate, type FollowedDaemon, newestSiteVersion } from "./follow.js";
-import { type AliveFrame, type Frame, frameSchema, type Report } from "./frames.js";
+import { type AliveFrame, decodeFrame, type Frame, type Report } from "./frames.js";
 import { createReportSender, type ReportSender } from "./reportStream.js";
+import type { DirectoryPosition } from "./server.js";
 
 /** Interval at which control daemons send `alive` frames. A stream counts as dead after three intervals without a frame. */
 export const aliveIntervalMs = 500;
@@ -30,6 +31,8 @@
     keepOnly(addresses: readonly string[]): void;
     /** Sends a report to the control daemons that claim to lead. Lost reports are not sent again. */
     report(report: Report): void;
+    /** Asks the followed control daemon when upstreams were last heard. Its answer comes as a `heard` frame; a lost one is not repeated. */
+    askHeard(ids: readonly string[]): void;
     /** Addresses of the control daemons that are currently heard. */
     readonly heard: readonly string[];
     /** Address of the followed control daemon; undefined while there is none. */
@@ -44,6 +47,8 @@
     readonly dataCentre: string;
     onFrame(frame: Frame, address: string): void;
     onHeardChanged(address: string, isHeard: boolean): void;
+    /** Called once for each kind of frame that this watcher does not know. Such frames are skipped. */
+    onUnknownKind?(kind: string, address: string): void;
     onFollowedChanged?(address: string | undefined, previous: string | undefined): void;
 }
 
@@ -74,6 +79,9 @@
 export function createFeedWatcher(options: FeedWatcherOptions): FeedWatcher {
     const { daemonId, isEntry } = options;
     const daemons = new Map<string, WatchedDaemon>();
+    /** What has been received of the directories of control daemons, by address. */
+    const positions = new Map<string, DirectoryPosition>();
+    const unknownKinds = new Set<string>();
     let followed: ContentStream | undefined;
     let isClosed = false;
     const followTimer = isEntry ? setInterval(updateFollowed, followIntervalMs) : undefined;
@@ -87,6 +95,19 @@
         }
     }
 
+    function watchRequest(address: string, scope: WatchScope) {
+        const position = scope === WatchScope.SIGNS ? undefined : positions.get(address);
+        const known = position && { directoryIncarnation: position.incarnation, directoryVersion: BigInt(position.version) };
+        return { daemonId, isEntry, scope, asksForHeard: isEntry, ...known };
+    }
+
+    function reportUnknownKind(kind: string, address: string) {
+        if (!unknownKinds.has(kind)) {
+            unknownKinds.add(kind);
+            options.onUnknownKind?.(kind, address);
+        }
+    }
+
     /** Reads a stream until it ends or has been silent for `silenceTimeoutMs`. */
     async function readStream(connection: PeerConnection, scope: WatchScope, abort: AbortController, onFrame: (frame: Frame) => void) {
         let heardAtMs = performance.now();
@@ -97,9 +118,18 @@
         }, aliveIntervalMs / 2);
         try {
             const client = createClient(SiteService, connection.transport);
-            for await (const message of client.watch({ daemonId, isEntry, scope }, { signal: abort.signal })) {
+            for await (const message of client.watch(watchRequest(connection.address, scope), { signal: abort.signal })) {
                 heardAtMs = performance.now();
-                onFrame(frameSchema.parse(JSON.parse(Buffer.from(message.frame).toString("utf8"))));
+                const decoded = decodeFrame(message.frame);
+                if ("unknownKind" in decoded) {
+                    reportUnknownKind(decoded.unknownKind, connection.address);
+                    continue;
+                }
+                onFrame(decoded.frame);
+                const { directoryIncarnation: incarnation, directoryVersion } = message;
+                if (incarnation !== "") {
+                    positions.set(connection.address, { incarnation, version: Number(directoryVersion) });
+                }
             }
         }
         finally {
@@ -194,7 +224,10 @@
                 next.siteVersion = frame.version;
                 next.behindSinceMs = undefined;
             }
-            options.onFrame(frame, daemon.address);
+            // The stream's own heartbeat. The other stream to this daemon brings the same frames.
+            if (frame.kind !== "alive") {
+                options.onFrame(frame, daemon.address);
+            }
         };
         readStream(daemon.connection, WatchScope.CONTENT, next.abort, onFrame).catch(() => undefined).finally(() => {
             if (followed === next) {
@@ -211,7 +244,8 @@
                 if (!daemons.has(address) && !isClosed) {
                     const daemon: WatchedDaemon = {
                         address, connection: undefined, reports: undefined, heardSinceMs: 0, isHeard: false, isClosed: false,
-                        alive: undefined, failedAtMs: Number.NEGATIVE_INFINITY, abort: new AbortController(), reopenDelayMs: minReopenDelayMs,
+                        alive: undefined, failedAtMs: Number.NEGATIVE_INFINITY, abort: new AbortController(),
+                        reopenDelayMs: minReopenDelayMs,
                     };
                     daemons.set(address, daemon);
                     void watchRepeatedly(daemon);
@@ -235,6 +269,16 @@
                 }
             }
         },
+        askHeard(ids) {
+            const { address, connection } = followed?.daemon ?? {};
+            if (address === undefined || connection === undefined) {
+                return;
+            }
+            createClient(SiteService, connection.transport).heard({ ids: [...ids] }, { timeoutMs: aliveIntervalMs }).then(answer => {
+                options.onFrame({ kind: "heard", heard: answer.heard.map(({ id, agoMs }) => ({ id, agoMs })) }, address);
+                // An older control daemon does not know the question and sends all heard times.
+            }, () => undefined);
+        },
         get heard() {
             return [...daemons.values()].filter(daemon => daemon.isHeard).map(daemon => daemon.address);
         },
--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -26,6 +26,10 @@
 export interface Directory {
     /** The current upstreams; the map changes with the directory. */
     readonly upstreams: DirectoryState;
+    /** Counts the changes that must be published. */
+    readonly version: number;
+    /** Ids of the upstreams whose last such change came after `version`, in the order of these changes. */
+    changedSince(version: number): readonly string[];
     /** Applies an announcement that was made to this process at `nowMs`. */
     announce(announcement: Announcement, nowMs: number): readonly Upstream[];
     /** Merges upstreams relayed by another process. */
@@ -139,6 +143,9 @@
 export function createDirectory(): Directory {
     const upstreams = new Map<string, Upstream>();
     const idsByAddress = new Map<string, Set<string>>();
+    let version = 0;
+    /** The version of the last published change of each upstream, in ascending order. */
+    const versions = new Map<string, number>();
 
     function removeFromIndex({ id, address }: Upstream) {
         const ids = idsByAddress.get(address);
@@ -168,6 +175,8 @@
         addToIndex(upstream);
         if (isSignificantChange(previous, upstream)) {
             changed.add(upstream.id);
+            versions.delete(upstream.id);
+            versions.set(upstream.id, ++version);
         }
     }
 
@@ -200,6 +209,10 @@
 
     return {
         upstreams,
+        get version() {
+            return version;
+        },
+        changedSince: since => [...versions].filter(([, changedAt]) => changedAt > since).map(([id]) => id),
         announce: (announcement, nowMs) => update(announcedUpstream(upstreams.get(announcement.id), announcement, nowMs)),
         merge(relayed, nowMs) {
             const changed = new Set<string>();
@@ -239,6 +252,7 @@
             for (const upstream of [...upstreams.values()]) {
                 if (upstream.isGone && nowMs - upstream.heardAtMs >= goneRetentionMs) {
                     upstreams.delete(upstream.id);
+                    versions.delete(upstream.id);
                     removeFromIndex(upstream);
                 }
             }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -53,6 +53,8 @@
 /** How often group heads are checked for suspects. It is short compared with the 0.5 s within which a lost member is detected. */
 const suspectCheckIntervalMs = 50;
 const sweepIntervalMs = 500;
+/** How often an entry asks whether upstreams that refused its connections have been heard since. */
+const askHeardIntervalMs = 500;
 /** How often a shutdown checks whether requests are still running. */
 const drainPollMs = 50;
 /**
@@ -106,6 +108,13 @@
         requests = 0;
     }
 
+    function askHeard() {
+        const { refusingIds } = view;
+        if (refusingIds.length > 0) {
+            watcher.askHeard(refusingIds);
+        }
+    }
+
     function budgetOf(service: string): RetryBudget {
         const { maxTokens, initialTokens } = shareOfSlack(slack, entryCount.upperBound);
         const currentBudget = budgets.get(service);
@@ -139,6 +148,7 @@
             }
         },
         onHeardChanged: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
+        onUnknownKind: (kind, address) => logger.warn("frame of an unknown kind", { kind, address }),
         onFollowedChanged: (address, previous) => logger.info("followed control daemon changed", { address, previous }),
     });
     watcher.watch(options.controlAddresses);
@@ -181,6 +191,7 @@
             report();
         }, suspectCheckIntervalMs),
         setInterval(() => connections.sweep(view.addresses), sweepIntervalMs),
+        setInterval(askHeard, askHeardIntervalMs),
     ];
 
     function activityLogFields() {
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -36,6 +36,8 @@
     readonly observedDraining: readonly Incarnation[];
     /** Marks an upstream as refusing connections. It gets no requests until a control daemon has heard from it after that. */
     markRefusing(upstream: Upstream): void;
+    /** The upstreams marked as refusing connections whose heartbeats would clear the mark. */
+    readonly refusingIds: readonly string[];
     readonly addresses: ReadonlySet<string>;
     /** Fingerprints of requests under which several upstreams have crashed. */
     readonly barred: ReadonlySet<string>;
@@ -80,7 +82,7 @@
     function clearRefusals() {
         for (const id of [...refusing.keys()]) {
             const known = directory.upstreams.get(id);
-            if (known === undefined || !isRefusing(known)) {
+            if (known === undefined || known.isGone || !isRefusing(known)) {
                 refusing.delete(id);
                 candidateLists = undefined;
             }
@@ -177,7 +179,10 @@
             }
         },
         markCold({ id, bornMs }, forMs) {
-            if (directory.markCold({ id, bornMs }, performance.now() + forMs).length > 0) {
+            const before = directory.upstreams.get(id);
+            directory.markCold({ id, bornMs }, performance.now() + forMs);
+            // Entries don't learn of each heartbeat, so whether the change is significant can't be told from when the upstream was heard.
+            if (directory.upstreams.get(id) !== before) {
                 candidateLists = undefined;
                 logger.info("upstream says that it is cold", { upstream: id, forMs });
             }
@@ -194,6 +199,10 @@
             candidateLists = undefined;
             logger.info("upstream refuses connections", { upstream: id, address });
         },
+        get refusingIds() {
+            clearRefusals();
+            return [...refusing.keys()];
+        },
         get addresses() {
             return new Set([...directory.upstreams.values()].filter(upstream => !upstream.isGone).map(upstream => upstream.address));
         },
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -5,16 +5,18 @@
  */
 
 import type { ConsensusNode } from "../consensus/index.js";
-import { aliveIntervalMs, createFeedServer, createFeedWatcher, type FeedServer, type FeedWatcher, type Frame, type FrameKind, type Report } from "../feed/index.js";
 import {
-    type Announcement, createDirectory, createPushbacks, toRelayed, type Upstream, type UpstreamSignals,
-} from "../fleet/index.js";
+    aliveIntervalMs, createFeedServer, createFeedWatcher, type DirectoryPosition, type FeedServer, type FeedWatcher, type Frame,
+    type FrameKind, type PositionedFrame, type Report,
+} from "../feed/index.js";
+import { type Announcement, createDirectory, createPushbacks, type Upstream, type UpstreamSignals } from "../fleet/index.js";
 import { type PeerConnections, splitAddress } from "../rpc/index.js";
 import { createSiteTable, type DecodedSite, type SiteDialect, type SiteFinding, type SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createGroupLeader, type EngineClient } from "./groupLeader.js";
 import { createLimitDistributor } from "./limitDistributor.js";
-import { createSiteFrames, upstreamFrames } from "./initialFrames.js";
+import { createDirectoryFeed } from "./directoryFeed.js";
+import { createSiteFrames } from "./initialFrames.js";
 import { registerControlMetrics } from "./metrics.js";
 import { createPlanPacer } from "./planPacer.js";
 import { createProposer, operatorTimeoutMs } from "./proposals.js";
@@ -76,10 +78,9 @@
     let lastPublished: { version: number; evacuated: string; lost: string; controls: string } = { version: -1, evacuated: "", lost: "", controls: "" };
     let timers: NodeJS.Timeout[] = [];
     let nextCleanupAtMs = 0;
-    /** Upstreams that this daemon itself has heard since the last `heard` frame. Other control daemons receive only these. */
-    const heardDirectly = new Set<string>();
-    /** Upstreams that any control daemon has heard since the last `heard` frame. Entries receive all of them. */
-    const heardByAny = new Set<string>();
+    const directoryFeed = createDirectoryFeed({
+        directory, nowMs, publish: (frame, role, position) => feed.publish(frame, role, position),
+    });
 
     let planTimer: NodeJS.Timeout | undefined;
     const planPacer = createPlanPacer(nowMs);
@@ -100,7 +101,7 @@
     /** Publishes the upstreams that have changed. */
     function publishChanged(changed: readonly Upstream[]) {
         if (changed.length > 0) {
-            feed.publish({ kind: "upstreams", upstreams: changed.map(upstream => toRelayed(upstream, nowMs())) });
+            directoryFeed.publishChanged(changed);
             changed.forEach(({ id, state, isGone, group }) => logger.debug("upstream changed", { upstream: id, state, isGone, group }));
             if (isLeader()) {
                 requestPlanning();
@@ -119,12 +120,12 @@
         }
     }
 
-    function* initialFrames(kinds: readonly FrameKind[]): Generator<Frame> {
+    function* initialFrames(kinds: readonly FrameKind[], known?: DirectoryPosition): Generator<Frame | PositionedFrame> {
         yield { kind: "controls", addresses: controlAddresses() };
         yield* siteFrames(log.state.published.site);
         yield { kind: "evacuated", index: log.appliedIndex, dataCentres: [...log.state.published.evacuated] };
         if (kinds.includes("upstreams")) {
-            yield* upstreamFrames(directory.upstreams, nowMs);
+            yield* directoryFeed.initialFrames(known);
         }
         if (isLeader()) {
             yield judgedFrame();
@@ -139,7 +140,7 @@
         };
     }
 
-    const feed: FeedServer = createFeedServer({ initialFrames, onReport, nowMs });
+    const feed: FeedServer = createFeedServer({ initialFrames, heardAgoMs: directoryFeed.heardAgoMs, onReport, nowMs });
 
     function onReport(daemonId: string, received: Report) {
         groupLeader.recordReport(received);
@@ -177,10 +178,11 @@
             }
             if (frame.kind === "heard") {
                 directory.updateHeardTimes(frame.heard, nowMs());
-                frame.heard.forEach(({ id }) => heardByAny.add(id));
+                directoryFeed.recordHeard(frame.heard.map(({ id }) => id), false);
             }
         },
         onHeardChanged: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
+        onUnknownKind: (kind, address) => logger.warn("frame of an unknown kind", { kind, address }),
     });
 
     function isLeader(): boolean {
@@ -236,27 +238,13 @@
         lastPublished = { ...lastPublished, version: site?.version ?? -1, evacuated: evacuatedNames, controls: addresses.join(",") };
     }
 
-    /** Runs more often than `publishAlive`, because the leader probes upstreams that seem overdue when a `heard` frame is late. */
-    function publishHeard() {
-        if (heardDirectly.size > 0) {
-            feed.publish(heardFrame(heardDirectly), "control");
-            heardDirectly.clear();
-        }
-    }
-
     function publishAlive() {
-        feed.publish(heardFrame(heardByAny), "entry");
-        heardByAny.clear();
+        directoryFeed.publishHeardByAny();
         feed.publish(aliveFrame());
         publishLimits();
         publishApplied();
     }
 
-    function heardFrame(ids: ReadonlySet<string>): Frame {
-        const present = [...ids].map(id => directory.upstreams.get(id)).filter(upstream => upstream !== undefined && !upstream.isGone);
-        return { kind: "heard", heard: present.map(upstream => ({ id: upstream!.id, agoMs: Math.round(nowMs() - upstream!.heardAtMs) })) };
-    }
-
     function publishLimits() {
         limitDistributor.frames(isLeader()).forEach(frame => feed.publish(frame, "entry"));
     }
@@ -318,8 +306,7 @@
                 return true;
             }
             publishChanged(directory.announce(announcement, nowMs()));
-            heardDirectly.add(announcement.id);
-            heardByAny.add(announcement.id);
+            directoryFeed.recordHeard([announcement.id], true);
             return true;
         },
         recordDeparture(id) {
@@ -335,7 +322,8 @@
             timers = [
                 setInterval(() => planPacer.runIfDue(plan), planIntervalMs),
                 setInterval(publishAlive, aliveIntervalMs),
-                setInterval(publishHeard, heardIntervalMs),
+                // More often than `publishAlive`, because the leader probes upstreams that seem overdue when a `heard` frame is late.
+                setInterval(directoryFeed.publishHeardDirectly, heardIntervalMs),
             ];
             publishApplied();
         },
@@ -343,6 +331,7 @@
             timers.forEach(timer => clearInterval(timer));
             clearTimeout(planTimer);
             watcher.close();
+            directoryFeed.flush();
             feed.close();
         },
     };
--- a/test/feed/reportStream.test.ts
+++ b/test/feed/reportStream.test.ts
@@ -76,7 +76,7 @@
     });
 
     // Guards against reports that wait forever for a leader that has stopped answering.
-    it("gives a report up after a second without an answer and opens another stream", async function() {
+    it("gives a report up after a second without an answer and opens another stream", async function () {
         this.timeout(5_000);
         let streams = 0;
         const silent = await createRpcServer("127.0.0.1:0", router => router.service(SiteService, {
--- a/test/fleet/directory.test.ts
+++ b/test/fleet/directory.test.ts
@@ -76,6 +76,20 @@
         expect([hasIncarnationEnded(upstreams, "u1"), possiblyRunning(upstreams).map(upstream => upstream.id)]).to.deep.equal([true, ["u2"]]);
     });
 
+    // Guards against a frame that states an upstream before the one that has left its address.
+    it("lists what has changed since a version in the order of the last changes, and nothing that only was heard", () => {
+        directory.announce(announcementOf(), 10);
+        directory.announce(announcementOf({ id: "u2", address: "10.0.0.2:80" }), 10);
+        const { version } = directory;
+        directory.announce(announcementOf({ sequence: 2 }), 20);
+        expect([directory.version, directory.changedSince(version)]).to.deep.equal([version, []]);
+        directory.announce(announcementOf({ id: "u2", address: "10.0.0.2:80", sequence: 2, slots: 8 }), 30);
+        directory.announce(announcementOf({ sequence: 3, slots: 8 }), 30);
+        directory.announce(announcementOf({ id: "u2", address: "10.0.0.2:80", sequence: 3, slots: 4 }), 30);
+        expect(directory.changedSince(version)).to.deep.equal(["u1", "u2"]);
+        expect(directory.changedSince(0)).to.deep.equal(["u1", "u2"]);
+    });
+
     it("reaches the same state whatever the order of announcements", () => {
         const announcement = fc.record({
             bornMs: fc.integer({ min: 1, max: 3 }), sequence: fc.integer({ min: 1, max: 5 }), state: fc.constantFrom("ready" as const, "draining" as const),
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { freePorts } from "../../bench/processes.js";
 import type { Gateway } from "../../src/gateway/index.js";
 import { type ControlledEntry, startControlledEntry } from "../support/controlledEntry.js";
 import { blockEventLoop } from "../support/heldLoop.js";
@@ -61,6 +62,34 @@
     });
 });
 
+describe("an entry whose connections an upstream refuses", () => {
+    // Guards against an entry that never again uses an upstream whose link refused connections for a while: it no longer receives the times
+    // at which upstreams are heard, and must ask for this one's.
+    it("uses the upstream again once a control daemon has heard it after that", async () => {
+        const port = (await freePorts(1))[0]!;
+        let isHeard = false;
+        const asked = new Set<string>();
+        const entry = await startControlledEntry(`127.0.0.1:${port}`, id => {
+            asked.add(id);
+            return isHeard ? 0 : undefined;
+        });
+        expect(parseStatus(await exchangeRaw(entry.port, charge))).to.equal(503);
+        const upstream = await startRawUpstream((request, socket) => {
+            socket.write(`HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n` +
+                "Zinnialanding-Upstream-Signature: s1\r\nContent-Length: 4\r\n\r\ndone");
+        }, port);
+        await waitUntil("the entry asks for the upstream", () => asked.size > 0);
+        expect([...asked]).to.deep.equal(["u1"]);
+        expect([parseStatus(await exchangeRaw(entry.port, charge)), upstream.requests.length]).to.deep.equal([503, 0]);
+        isHeard = true;
+        await new Promise(resolve => setTimeout(resolve, 800));
+        expect(parseStatus(await exchangeRaw(entry.port, charge))).to.equal(200);
+        await entry.gateway.stop(withinMs);
+        await entry.stopControl();
+        await upstream.close();
+    });
+});
+
 describe("an entry on the VM of a control daemon", () => {
     const pushback = { upstreamId: "u1", leftMs: 30_000 };
     let upstream: RawUpstream;
--- a/test/gateway/siteView.test.ts
+++ b/test/gateway/siteView.test.ts
@@ -39,6 +39,29 @@
         expect(ids()).to.deep.equal(["u2"]);
     });
 
+    it("names the upstreams that refused connections until they are heard or gone", async () => {
+        const [first, second] = view.candidates("orders", undefined).map(({ upstream }) => upstream);
+        await pause();
+        view.markRefusing(first!);
+        view.markRefusing(second!);
+        expect(view.refusingIds).to.deep.equal(["u1", "u2"]);
+        await pause();
+        heard("u1", 0);
+        expect(view.refusingIds).to.deep.equal(["u2"]);
+        view.apply({ kind: "upstreams", upstreams: [createUpstream("10.0.0.2:80", "u2", { sequence: 2, isGone: true })] });
+        expect(view.refusingIds).to.deep.equal([]);
+    });
+
+    // Guards against a burst to an upstream that is cold a second time: the entry has not learnt of its heartbeats in between.
+    it("applies that an upstream is cold again although it has not been told of its heartbeats", async () => {
+        view.apply({ kind: "upstreams", upstreams: [createUpstream("10.0.0.1:80", "u1", { sequence: 2, coldForMs: 10 })] });
+        const upstream = () => view.candidates("orders", undefined).find(({ upstream: { id } }) => id === "u1")!.upstream;
+        await pause();
+        expect(upstream().coldUntilMs).to.be.below(performance.now());
+        view.markCold(upstream(), 5_000);
+        expect(upstream().coldUntilMs).to.be.above(performance.now() + 4_000);
+    });
+
     it("excludes an upstream at whose address another one answers until it has restarted", async () => {
         view.markGone(view.candidates("orders", undefined)[0]!.upstream);
         await pause();
--- a/test/support/controlledEntry.ts
+++ b/test/support/controlledEntry.ts
@@ -24,8 +24,13 @@
     stopControl(): Promise<void>;
 }
 
-/** Starts a control daemon that knows the upstream `u1` at `upstreamAddress`, and an entry; resolves once the entry is ready. */
-export async function startControlledEntry(upstreamAddress: string): Promise<ControlledEntry> {
+/**
+ * Starts a control daemon that knows the upstream `u1` at `upstreamAddress`, and an entry; resolves once the entry is ready. `heardAgoMs`
+ * is what the control daemon answers to the question when an upstream was heard.
+ */
+export async function startControlledEntry(
+    upstreamAddress: string, heardAgoMs: (id: string) => number | undefined = () => undefined,
+): Promise<ControlledEntry> {
     const port = (await freePorts(1))[0]!;
     const reports: Report[] = [];
     const initialFrames: Frame[] = [
@@ -33,7 +38,8 @@
         { kind: "alive", leads: true, dataCentre: "a", hasContent: true, isInTouch: true, siteVersion: 1 },
     ];
     const feed = createFeedServer({
-        initialFrames: () => initialFrames, onReport: (_daemonId, report) => void reports.push(report), nowMs: () => performance.now(),
+        initialFrames: () => initialFrames, heardAgoMs, onReport: (_daemonId, report) => void reports.push(report),
+        nowMs: () => performance.now(),
     });
     const rpc = await createRpcServer("127.0.0.1:0", feed.routes);
     const gateway = await createGateway({
--- a/test/support/rawUpstream.ts
+++ b/test/support/rawUpstream.ts
@@ -14,8 +14,13 @@
     close(): Promise<void>;
 }
 
-/** Starts an upstream whose raw responses the test writes: `respond` is called with each request, its socket and its index. */
-export async function startRawUpstream(respond: (request: RawRequest, socket: Socket, index: number) => void): Promise<RawUpstream> {
+/**
+ * Starts an upstream whose raw responses the test writes: `respond` is called with each request, its socket and its index. It listens on
+ * `port`, or on any free one.
+ */
+export async function startRawUpstream(
+    respond: (request: RawRequest, socket: Socket, index: number) => void, port = 0,
+): Promise<RawUpstream> {
     const requests: RawRequest[] = [];
     const sockets = new Set<Socket>();
     const server = createServer(socket => {
@@ -42,7 +47,7 @@
             }
         });
     });
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    await new Promise<void>(resolve => server.listen(port, "127.0.0.1", resolve));
     return {
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
         requests,
