Limits cost the control leader what changes

Now limits are merged in place, changes within 20 ms share a division, and an empty division is sent to new watchers and once to the others: an entry without a division acts in the same way. Ran test/siteControl, test/gateway/limits.test.ts, test/fleet, test/feed, tsc, eslint.

--- a/src/fleet/limits.ts
+++ b/src/fleet/limits.ts
@@ -43,17 +43,18 @@
     return isNewer(limit, state.get(upstreamId)) ? new Map(state).set(upstreamId, limit) : state;
 }
 
-/** Merges limits relayed by another process. */
-export function mergeRelayedLimits(state: LimitState, relayed: readonly RelayedLimit[], nowMs: number): LimitState {
-    let next: Map<string, Limit> | undefined;
+/** Merges limits relayed by another process into `state`, in place. Returns whether an upstream now states another limit. */
+export function mergeRelayedLimits(state: Map<string, Limit>, relayed: readonly RelayedLimit[], nowMs: number): boolean {
+    let hasChanged = false;
     for (const { upstreamId, bornMs, perSecond, agoMs } of relayed) {
         const limit = { bornMs, perSecond, seenAtMs: nowMs - agoMs };
-        if (isNewer(limit, (next ?? state).get(upstreamId))) {
-            next ??= new Map(state);
-            next.set(upstreamId, limit);
+        const known = state.get(upstreamId);
+        if (isNewer(limit, known)) {
+            state.set(upstreamId, limit);
+            hasChanged ||= known?.perSecond !== perSecond;
         }
     }
-    return next ?? state;
+    return hasChanged;
 }
 
 export function toRelayedLimits(state: LimitState, nowMs: number): RelayedLimit[] {
--- a/src/gateway/limits.ts
+++ b/src/gateway/limits.ts
@@ -68,7 +68,9 @@
             }
         },
         applyDivision(frame) {
-            division = { entryIds: frame.entryIds, limits: mergeRelayedLimits(new Map(), frame.limits, nowMs()), receivedAtMs: nowMs() };
+            const limits = new Map<string, Limit>();
+            mergeRelayedLimits(limits, frame.limits, nowMs());
+            division = { entryIds: frame.entryIds, limits, receivedAtMs: nowMs() };
         },
         shareOf(upstream) {
             const perSecond = newestLimit(upstream)?.perSecond;
--- a/src/siteControl/directoryFeed.ts
+++ b/src/siteControl/directoryFeed.ts
@@ -10,6 +10,7 @@
 import { randomUUID } from "node:crypto";
 import type { DirectoryPosition, Frame, PositionedFrame, WatcherRole } from "../feed/index.js";
 import { type Directory, toRelayed, type Upstream } from "../fleet/index.js";
+import { createPacedTask } from "./pacedTask.js";
 
 /** Short compared with the delays of a repair, which waits for changes of groups. */
 const minIntervalMs = 20;
@@ -50,9 +51,6 @@
     const incarnation = randomUUID();
     /** Ids of changed upstreams that have not been published, in the order of their last changes. */
     const pending = new Set<string>();
-    let immediate: NodeJS.Immediate | undefined;
-    let timer: NodeJS.Timeout | undefined;
-    let publishedAtMs = Number.NEGATIVE_INFINITY;
     const heardDirectly = new Set<string>();
     const heardByAny = new Set<string>();
 
@@ -61,31 +59,13 @@
         return { kind: "upstreams", upstreams: present.map(upstream => toRelayed(upstream, nowMs())) };
     }
 
-    function flush() {
-        clearImmediate(immediate);
-        clearTimeout(timer);
-        immediate = undefined;
-        timer = undefined;
+    const publication = createPacedTask(() => {
         if (pending.size > 0) {
             const frame = frameOf([...pending]);
             pending.clear();
-            publishedAtMs = nowMs();
             publish(frame, undefined, { incarnation, version: directory.version });
         }
-    }
-
-    function scheduleFlush() {
-        if (immediate !== undefined || timer !== undefined) {
-            return;
-        }
-        const waitMs = publishedAtMs + minIntervalMs - nowMs();
-        if (waitMs > 0) {
-            timer = setTimeout(flush, waitMs);
-        }
-        else {
-            immediate = setImmediate(flush);
-        }
-    }
+    }, minIntervalMs, nowMs);
 
     function heardAgoMs(id: string): number | undefined {
         const upstream = directory.upstreams.get(id);
@@ -110,13 +90,13 @@
             }
             // A departure is acknowledged once it is published: entries must not send requests to an upstream that was told it may end.
             if (changed.some(({ isGone, state }) => isGone || state === "draining")) {
-                flush();
+                publication.runNow();
             }
             else if (changed.length > 0) {
-                scheduleFlush();
+                publication.request();
             }
         },
-        flush,
+        flush: publication.runNow,
         recordHeard(ids, isDirect) {
             for (const id of ids) {
                 heardByAny.add(id);
--- a/src/siteControl/limitDistributor.ts
+++ b/src/siteControl/limitDistributor.ts
@@ -9,7 +9,7 @@
  */
 
 import type { Frame, Report } from "../feed/index.js";
-import { toRelayedLimits, divisionValidityMs, removeExpiredLimits, type LimitState, mergeRelayedLimits } from "../fleet/index.js";
+import { divisionValidityMs, type Limit, mergeRelayedLimits, removeExpiredLimits, toRelayedLimits } from "../fleet/index.js";
 
 /** How long an entry keeps its share after its last report. By then, an entry that is cut off uses less than its full share. */
 const entryExpiryMs = divisionValidityMs + 2_000;
@@ -28,7 +28,7 @@
     /** Records an entry's report; calls `onChange` if a limit is new, has changed or has ended. */
     recordReport(entryId: string, report: Pick<Report, "requests" | "limits">, onChange?: () => void): void;
     /** Returns the frames for entries: none unless this daemon leads, nor while the previous leader's division may still be in use. */
-    frames(leads: boolean): Frame[];
+    frames(leads: boolean): Extract<Frame, { kind: "limits" }>[];
 }
 
 interface EntryRecord {
@@ -40,7 +40,7 @@
 
 /** Creates a distributor without any reports. */
 export function createLimitDistributor(nowMs: () => number): LimitDistributor {
-    let limits: LimitState = new Map();
+    let limits = new Map<string, Limit>();
     const entries = new Map<string, EntryRecord>();
     let leadsSinceMs: number | undefined;
 
@@ -67,9 +67,7 @@
             const known = entries.get(entryId);
             const requests = (known === undefined ? 0 : decayedRequests(known)) + report.requests;
             entries.set(entryId, { heardAtMs: nowMs(), requests, isParticipant: known?.isParticipant ?? false });
-            const before = limits;
-            limits = mergeRelayedLimits(limits, report.limits, nowMs());
-            if (report.limits.some(({ upstreamId: id }) => before.get(id)?.perSecond !== limits.get(id)?.perSecond)) {
+            if (mergeRelayedLimits(limits, report.limits, nowMs())) {
                 onChange?.();
             }
         },
@@ -79,7 +77,7 @@
             if (leadsSinceMs === undefined || nowMs() - leadsSinceMs < divisionValidityMs) {
                 return [];
             }
-            limits = removeExpiredLimits(limits, nowMs());
+            limits = new Map(removeExpiredLimits(limits, nowMs()));
             return [{ kind: "limits", entryIds: limits.size === 0 ? [] : updateParticipants(), limits: toRelayedLimits(limits, nowMs()) }];
         },
     };
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -15,9 +15,11 @@
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { createGroupLeader, type EngineClient } from "./groupLeader.js";
 import { createLimitDistributor } from "./limitDistributor.js";
+import { createCrashCounts } from "./crashCounts.js";
 import { createDirectoryFeed } from "./directoryFeed.js";
 import { createSiteFrames } from "./initialFrames.js";
 import { registerControlMetrics } from "./metrics.js";
+import { createPacedTask } from "./pacedTask.js";
 import { createPlanPacer } from "./planPacer.js";
 import { createProposer, operatorTimeoutMs } from "./proposals.js";
 
@@ -63,9 +65,9 @@
 const heardIntervalMs = 200;
 /** Delay from a change to the next planning step, which covers all changes in between. Each phase of a repair waits for it. */
 const planDelayMs = 10;
+/** Least interval between divisions of limits that are published because limits have changed: each goes to every entry. */
+const limitsIntervalMs = 20;
 const cleanupIntervalMs = 10_000;
-/** Number of upstreams that must crash under a request before it is barred: requests that are not the cause rarely reach three. */
-const minCrashesToBar = 3;
 
 /** Creates the role. It plans and publishes nothing before `start` is called. */
 export function createSiteControl(options: SiteControlOptions): SiteControl {
@@ -78,6 +80,7 @@
     let lastPublished: { version: number; evacuated: string; lost: string; controls: string } = { version: -1, evacuated: "", lost: "", controls: "" };
     let timers: NodeJS.Timeout[] = [];
     let nextCleanupAtMs = 0;
+    const crashCounts = createCrashCounts(log);
     const directoryFeed = createDirectoryFeed({
         directory, nowMs, publish: (frame, role, position) => feed.publish(frame, role, position),
     });
@@ -85,6 +88,8 @@
     let planTimer: NodeJS.Timeout | undefined;
     const planPacer = createPlanPacer(nowMs);
     const limitDistributor = createLimitDistributor(nowMs);
+    const limitsPublication = createPacedTask(publishLimits, limitsIntervalMs, nowMs);
+    let isEmptyDivisionPublished = false;
     const vm = splitAddress(options.address).host;
     const pushbacks = createPushbacks(nowMs, (upstream, forMs) => logger.info("upstream wants no requests", { upstream, forMs }));
     const groupLeader = createGroupLeader({
@@ -130,6 +135,9 @@
         if (isLeader()) {
             yield judgedFrame();
         }
+        if (kinds.includes("limits")) {
+            yield* limitDistributor.frames(isLeader());
+        }
         yield aliveFrame();
     }
 
@@ -144,28 +152,12 @@
 
     function onReport(daemonId: string, received: Report) {
         groupLeader.recordReport(received);
-        limitDistributor.recordReport(daemonId, received, publishLimits);
+        limitDistributor.recordReport(daemonId, received, limitsPublication.request);
         if (received.vm === vm) {
             pushbacks.merge(received.pushbacks);
         }
         publishChanged(received.draining.flatMap(incarnation => directory.markDraining(incarnation)));
-        void recordCrashes(received.crashes);
-    }
-
-    /** Records new crashes in the replicated log, so that the next leader continues the count. */
-    async function recordCrashes(crashes: Report["crashes"]) {
-        const known = log.state.suspects.byFingerprint;
-        const unrecorded = crashes.filter(crash => known[crash.fingerprint]?.engineBootIds.includes(crash.upstream) !== true);
-        for (const upstream of new Set(unrecorded.map(crash => crash.upstream))) {
-            const fingerprints = unrecorded.filter(crash => crash.upstream === upstream).map(crash => crash.fingerprint);
-            await log.propose({ kind: "report-crash", engineBootId: upstream, fingerprints, atMs: Date.now() }, operatorTimeoutMs);
-        }
-    }
-
-    /** Fingerprints of requests under which so many upstreams have crashed that they are the likely cause. */
-    function barredFingerprints(): string[] {
-        const { byFingerprint } = log.state.suspects;
-        return Object.keys(byFingerprint).filter(fingerprint => byFingerprint[fingerprint]!.crashes >= minCrashesToBar);
+        void crashCounts.record(received.crashes);
     }
 
     const watcher: FeedWatcher = createFeedWatcher({
@@ -194,7 +186,7 @@
     }
 
     function judgedFrame(): Frame {
-        return { kind: "judged", lostIds: [...groupLeader.lostIds], barred: barredFingerprints() };
+        return { kind: "judged", lostIds: [...groupLeader.lostIds], barred: [...crashCounts.barredFingerprints] };
     }
 
     function currentTable(): SiteTable | undefined {
@@ -245,12 +237,18 @@
         publishApplied();
     }
 
+    /** Publishes the division of limits; an empty one only once, since an entry without a division acts in the same way. */
     function publishLimits() {
-        limitDistributor.frames(isLeader()).forEach(frame => feed.publish(frame, "entry"));
+        const [frame] = limitDistributor.frames(isLeader());
+        const isEmpty = frame?.limits.length === 0;
+        if (frame !== undefined && !(isEmpty && isEmptyDivisionPublished)) {
+            feed.publish(frame, "entry");
+        }
+        isEmptyDivisionPublished = isEmpty;
     }
 
     function publishJudged() {
-        const lost = [...groupLeader.lostIds, ...barredFingerprints()].join(",");
+        const lost = [...groupLeader.lostIds, ...crashCounts.barredFingerprints].join(",");
         if (lost !== lastPublished.lost) {
             feed.publish(judgedFrame());
             lastPublished = { ...lastPublished, lost };
@@ -330,6 +328,7 @@
         stop() {
             timers.forEach(timer => clearInterval(timer));
             clearTimeout(planTimer);
+            limitsPublication.cancel();
             watcher.close();
             directoryFeed.flush();
             feed.close();
