--- a/src/feed/reportStream.ts
+++ b/src/feed/reportStream.ts
@@ -1,6 +1,6 @@
 /**
- * Sends the reports of an entry to one control daemon. They share one stream: a call for each report cost the leader 0.48 ms of processor
- * time, which at 300 entries with four reports a second is more than half of its core, while a message of an open stream costs a tenth.
+ * Sends the reports of an entry to one control daemon. They share one stream: with 300 entries that report four times a second, a call for
+ * each report costs the leader 0.25 ms of processor time, 0.3 of its core, and a message of an open stream with its answer 0.11 ms.
  *
  * @module
  */
--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -168,7 +168,9 @@
             kinds,
             push(encoded) {
                 enqueue(queue, encoded);
-                isAborted ||= queue.length > maxQueuedFrames;
+                if (queue.length > maxQueuedFrames) {
+                    watcher.abort();
+                }
                 wake?.();
             },
             end() {
@@ -177,6 +179,10 @@
             },
             abort() {
                 isAborted = true;
+                // The stream may never resume: it waits for a watcher that takes no more.
+                queue.length = 0;
+                watchers.delete(watcher);
+                watchingEntries.delete(watcher);
                 wake?.();
             },
         };
--- a/test/feed/server.test.ts
+++ b/test/feed/server.test.ts
@@ -74,6 +74,19 @@
     });
 });
 
+describe("feed server whose watcher goes while it takes nothing", () => {
+    // Guards against watchers that stay for good, with their queues, because their streams wait for a connection that has ended: entries
+    // that change the control daemon that they follow left hundreds.
+    it("forgets the watcher at once", async () => {
+        const feed = createFeedServer({ initialFrames: () => [siteFrame(0)], onReport: () => undefined, nowMs });
+        const abort = new AbortController();
+        await watchDirectly(feed, { isEntry: true, scope: WatchScope.CONTENT }, abort.signal).next();
+        expect(feed.watcherCount).to.equal(1);
+        abort.abort();
+        expect(feed.watcherCount).to.equal(0);
+    });
+});
+
 describe("entry that watches several control daemons", () => {
     let feeds: FeedServer[];
     let servers: RpcServer[];
@@ -135,12 +148,14 @@
 });
 
 /** Calls the watch method of `feed` directly, without a network connection. */
-async function* watchDirectly(feed: FeedServer, request: Pick<WatchSiteRequest, "isEntry" | "scope">): AsyncGenerator<Frame> {
+async function* watchDirectly(
+    feed: FeedServer, request: Pick<WatchSiteRequest, "isEntry" | "scope">, signal = new AbortController().signal,
+): AsyncGenerator<Frame> {
     type Watch = (request: WatchSiteRequest, context: { signal: AbortSignal }) => AsyncIterable<SiteFrame>;
     let watch: Watch | undefined;
     const router = { service: (_service: typeof SiteService, methods: { watch: Watch }) => watch = methods.watch };
     feed.routes(router as unknown as ConnectRouter);
-    for await (const { frame } of watch!(create(WatchSiteRequestSchema, request), { signal: new AbortController().signal })) {
+    for await (const { frame } of watch!(create(WatchSiteRequestSchema, request), { signal })) {
         yield JSON.parse(Buffer.from(frame).toString("utf8")) as Frame;
     }
 }
