--- a/bench/feedCosts.ts
+++ b/bench/feedCosts.ts
@@ -7,6 +7,7 @@
  */
 
 import { createClient, createRouterTransport } from "@connectrpc/connect";
+import { createReportSender } from "../src/feed/reportStream.js";
 import { createFeedServer, type Frame, frameSchema, type Report, reportSchema } from "../src/feed/index.js";
 import { type Announcement, announcementSchema, createDirectory, toRelayed } from "../src/fleet/index.js";
 import { SiteService, WatchScope } from "../src/rpc/index.js";
@@ -88,24 +89,27 @@
     add("heartbeat: parse and announce", heartbeatsPerSecond / (otherControls + 1), await meanUs(2_000, time => {
         directory.announce({ ...announcementSchema.parse(JSON.parse(heartbeat)), sequence: time + 3 }, time);
     }));
-    add("heard, all upstreams: encode", framesPerSecond.heardToEntries, await meanUs(rounds, () => JSON.stringify(heardByAll)));
-    add("heard, all upstreams: to followers", framesPerSecond.heardToEntries * followers, await pushUs(heardByAll, followers), jsonBytes(heardByAll));
+    add("heard, all upstreams: encode, for older entries", framesPerSecond.heardToEntries, await meanUs(rounds, () => JSON.stringify(heardByAll)));
+    add("heard, all upstreams: to followers, if older", framesPerSecond.heardToEntries * followers, await pushUs(heardByAll, followers), jsonBytes(heardByAll));
     add("heard, own upstreams: to controls", framesPerSecond.heardToControls * otherControls, await pushUs(heardByOne, otherControls), jsonBytes(heardByOne));
     add("heard, of other controls: decode", framesPerSecond.heardToControls * otherControls, await decodeUs(heardByOne));
     const changesUs = await pushUs(oneChange, followers);
-    add("upstreams, one change: to followers", changesPerSecond * followers, changesUs, jsonBytes(oneChange));
-    add("upstreams, one change: to controls", changesPerSecond * otherControls, changesUs, jsonBytes(oneChange));
+    add("upstreams, one change a frame: to followers", changesPerSecond * followers, changesUs, jsonBytes(oneChange));
+    add("upstreams, one change a frame: to controls", changesPerSecond * otherControls, changesUs, jsonBytes(oneChange));
     add("upstreams, one change: decode", changesPerSecond * otherControls, await decodeUs(oneChange));
     const changesIn20Ms = upstreamsFrame(2);
     const batchedUs = await pushUs(changesIn20Ms, followers);
-    add("upstreams, changes of 20 ms: to all", 50 * (followers + otherControls), batchedUs, jsonBytes(changesIn20Ms));
+    add("upstreams, changes of 20 ms a frame: to all", 50 * (followers + otherControls), batchedUs, jsonBytes(changesIn20Ms));
     add("alive: to entries and controls", framesPerSecond.alive * (entries + otherControls), await pushUs(alive, entries), jsonBytes(alive));
     const reportText = JSON.stringify(report);
     add("report: schema (leader)", reportsPerSecond, await meanUs(2_000, () => reportSchema.parse(JSON.parse(reportText))));
     const reportFeed = createFeedServer({ initialFrames: () => [], onReport: () => undefined, nowMs: () => performance.now() });
     const client = createClient(SiteService, createRouterTransport(reportFeed.routes));
     const bytes = Buffer.from(reportText);
-    add("report: RPC with schema (leader)", reportsPerSecond, await meanUs(1_000, () => client.report({ daemonId: "entry-1", report: bytes })));
+    add("report: call (leader)", reportsPerSecond, await meanUs(1_000, () => client.report({ daemonId: "entry-1", report: bytes })));
+    const sender = createReportSender({ transport: createRouterTransport(reportFeed.routes) });
+    add("report: message of a stream (leader)", reportsPerSecond, await meanUs(1_000, () => sender.send({ daemonId: "entry-1", report: bytes })));
+    sender.close();
     for (const known of [0, upstreams]) {
         const distributor = createLimitDistributor(() => performance.now());
         distributor.recordReport("entry-1", { requests: 1, limits: limits.slice(0, known) });
--- a/src/feed/reportStream.ts
+++ b/src/feed/reportStream.ts
@@ -34,7 +34,7 @@
 }
 
 /** Creates a sender, which opens its stream with the first report and anew with the first one after the stream has ended. */
-export function createReportSender(connection: PeerConnection): ReportSender {
+export function createReportSender(connection: Pick<PeerConnection, "transport">): ReportSender {
     const client = createClient(SiteService, connection.transport);
     let stream: OpenStream | undefined;
     /** Whether the control daemon is older than the stream of reports and receives them one by one. */
