--- a/src/feed/watcher.ts
+++ b/src/feed/watcher.ts
@@ -11,8 +11,10 @@
 import { createClient } from "@connectrpc/connect";
 import { createPeerConnection, type PeerConnection, SiteService, WatchScope } from "../rpc/index.js";
 import { chooseDaemonToFollow, type FollowCandidate, type FollowedDaemon, newestSiteVersion } from "./follow.js";
-import { type AliveFrame, type Frame, frameSchema, type Report } from "./frames.js";
+import { type AliveFrame, decodeFrame, type Frame, type Report } from "./frames.js";
 import { createLoadsDecoder, type EntryLoads, type SharedLoadsAnswer, sharedLoadsSchema } from "./loads.js";
+import { createReportSender, type ReportSender } from "./reportStream.js";
+import type { DirectoryPosition } from "./server.js";
 
 /** Interval at which control daemons send `alive` frames. A stream counts as dead after three intervals without a frame. */
 export const aliveIntervalMs = 500;
@@ -33,6 +35,8 @@
      * the answer of each daemon that leads and is not older than this message.
      */
     report(report: Report, loads?: EntryLoads, onLoads?: (answer: SharedLoadsAnswer) => void): void;
+    /** Asks the followed control daemon when upstreams were last heard. Its answer comes as a `heard` frame; a lost one is not repeated. */
+    askHeard(ids: readonly string[]): void;
     /** Addresses of the control daemons that are currently heard. */
     readonly heard: readonly string[];
     /** Address of the followed control daemon; undefined while there is none. */
@@ -49,6 +53,8 @@
     onHeardChanged(address: string, isHeard: boolean): void;
     /** Called once, with the first answer about loads that can't be read. Such answers are ignored. */
     onUnreadableLoads?(error: string): void;
+    /** Called once for each kind of frame that this watcher does not know. Such frames are skipped. */
+    onUnknownKind?(kind: string, address: string): void;
     onFollowedChanged?(address: string | undefined, previous: string | undefined): void;
 }
 
@@ -56,6 +62,8 @@
 interface WatchedDaemon {
     readonly address: string;
     connection: PeerConnection | undefined;
+    /** Sends reports over the connection; undefined until the first one. */
+    reports: ReportSender | undefined;
     heardSinceMs: number;
     isHeard: boolean;
     isClosed: boolean;
@@ -78,6 +86,9 @@
     const { daemonId, isEntry } = options;
     const daemons = new Map<string, WatchedDaemon>();
     const decodeLoads = createLoadsDecoder(sharedLoadsSchema, error => options.onUnreadableLoads?.(error));
+    /** What has been received of the directories of control daemons, by address. */
+    const positions = new Map<string, DirectoryPosition>();
+    const unknownKinds = new Set<string>();
     let followed: ContentStream | undefined;
     let isClosed = false;
     const followTimer = isEntry ? setInterval(updateFollowed, followIntervalMs) : undefined;
@@ -91,6 +102,19 @@
         }
     }
 
+    function watchRequest(address: string, scope: WatchScope) {
+        const position = scope === WatchScope.SIGNS ? undefined : positions.get(address);
+        const known = position && { directoryIncarnation: position.incarnation, directoryVersion: BigInt(position.version) };
+        return { daemonId, isEntry, scope, asksForHeard: isEntry, ...known };
+    }
+
+    function reportUnknownKind(kind: string, address: string) {
+        if (!unknownKinds.has(kind)) {
+            unknownKinds.add(kind);
+            options.onUnknownKind?.(kind, address);
+        }
+    }
+
     /** Reads a stream until it ends or has been silent for `silenceTimeoutMs`. */
     async function readStream(connection: PeerConnection, scope: WatchScope, abort: AbortController, onFrame: (frame: Frame) => void) {
         let heardAtMs = performance.now();
@@ -101,9 +125,18 @@
         }, aliveIntervalMs / 2);
         try {
             const client = createClient(SiteService, connection.transport);
-            for await (const message of client.watch({ daemonId, isEntry, scope }, { signal: abort.signal })) {
+            for await (const message of client.watch(watchRequest(connection.address, scope), { signal: abort.signal })) {
                 heardAtMs = performance.now();
-                onFrame(frameSchema.parse(JSON.parse(Buffer.from(message.frame).toString("utf8"))));
+                const decoded = decodeFrame(message.frame);
+                if ("unknownKind" in decoded) {
+                    reportUnknownKind(decoded.unknownKind, connection.address);
+                    continue;
+                }
+                onFrame(decoded.frame);
+                const { directoryIncarnation: incarnation, directoryVersion } = message;
+                if (incarnation !== "") {
+                    positions.set(connection.address, { incarnation, version: Number(directoryVersion) });
+                }
             }
         }
         finally {
@@ -127,6 +160,8 @@
             });
         }
         finally {
+            daemon.reports?.close();
+            daemon.reports = undefined;
             daemon.connection = undefined;
             connection.close();
         }
@@ -196,7 +231,10 @@
                 next.siteVersion = frame.version;
                 next.behindSinceMs = undefined;
             }
-            options.onFrame(frame, daemon.address);
+            // The stream's own heartbeat. The other stream to this daemon brings the same frames.
+            if (frame.kind !== "alive") {
+                options.onFrame(frame, daemon.address);
+            }
         };
         readStream(daemon.connection, WatchScope.CONTENT, next.abort, onFrame).catch(() => undefined).finally(() => {
             if (followed === next) {
@@ -212,8 +250,9 @@
             for (const address of addresses) {
                 if (!daemons.has(address) && !isClosed) {
                     const daemon: WatchedDaemon = {
-                        address, connection: undefined, heardSinceMs: 0, isHeard: false, isClosed: false, alive: undefined,
-                        failedAtMs: Number.NEGATIVE_INFINITY, abort: new AbortController(), reopenDelayMs: minReopenDelayMs,
+                        address, connection: undefined, reports: undefined, heardSinceMs: 0, isHeard: false, isClosed: false,
+                        alive: undefined, failedAtMs: Number.NEGATIVE_INFINITY, abort: new AbortController(),
+                        reopenDelayMs: minReopenDelayMs,
                     };
                     daemons.set(address, daemon);
                     void watchRepeatedly(daemon);
@@ -237,14 +276,24 @@
             };
             for (const daemon of daemons.values()) {
                 if (daemon.isHeard && daemon.alive?.leads === true && daemon.connection !== undefined) {
-                    const client = createClient(SiteService, daemon.connection.transport);
+                    daemon.reports ??= createReportSender(daemon.connection);
                     // A lost report is followed by the next one within a second.
-                    client.report({ daemonId, report: bytes, loads: loadsBytes }, { timeoutMs: 1_000 })
+                    daemon.reports.send({ daemonId, report: bytes, loads: loadsBytes })
                         .then(summary => applyAnswer(decodeLoads(summary.loads)))
                         .catch(() => undefined);
                 }
             }
         },
+        askHeard(ids) {
+            const { address, connection } = followed?.daemon ?? {};
+            if (address === undefined || connection === undefined) {
+                return;
+            }
+            createClient(SiteService, connection.transport).heard({ ids: [...ids] }, { timeoutMs: aliveIntervalMs }).then(answer => {
+                options.onFrame({ kind: "heard", heard: answer.heard.map(({ id, agoMs }) => ({ id, agoMs })) }, address);
+                // An older control daemon does not know the question and sends all heard times.
+            }, () => undefined);
+        },
         get heard() {
             return [...daemons.values()].filter(daemon => daemon.isHeard).map(daemon => daemon.address);
         },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -63,6 +63,8 @@
 /** How often group heads are checked for suspects. It is short compared with the 0.5 s within which a lost member is detected. */
 const suspectCheckIntervalMs = 50;
 const sweepIntervalMs = 500;
+/** How often an entry asks whether upstreams that refused its connections have been heard since. */
+const askHeardIntervalMs = 500;
 /** How often a shutdown checks whether requests are still running. */
 const drainPollMs = 50;
 /**
@@ -138,6 +140,13 @@
         requests = 0;
     }
 
+    function askHeard() {
+        const { refusingIds } = view;
+        if (refusingIds.length > 0) {
+            watcher.askHeard(refusingIds);
+        }
+    }
+
     function budgetOf(service: string): RetryBudget {
         const { maxTokens, initialTokens } = shareOfSlack(slack, entryCount.upperBound);
         const currentBudget = budgets.get(service);
@@ -175,6 +184,7 @@
         },
         onHeardChanged: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
         onUnreadableLoads: error => logger.warn("answer about shared loads ignored", { error }),
+        onUnknownKind: (kind, address) => logger.warn("frame of an unknown kind", { kind, address }),
         onFollowedChanged: (address, previous) => logger.info("followed control daemon changed", { address, previous }),
     });
     watcher.watch(options.controlAddresses);
@@ -222,6 +232,7 @@
             report();
         }, suspectCheckIntervalMs),
         setInterval(() => connections.sweep(view.addresses), sweepIntervalMs),
+        setInterval(askHeard, askHeardIntervalMs),
     ];
 
     function activityLogFields() {
--- a/test/gateway/sharedLoads.test.ts
+++ b/test/gateway/sharedLoads.test.ts
@@ -120,7 +120,7 @@
 describe("an entry of a site", () => {
     // Guards against a setting that does not reach the reports, and against reports that change where overload control does not act.
     it("exchanges loads with the control daemon only if overload control acts", async () => {
-        const entries = await Promise.all([startControlledEntry("127.0.0.1:1", "on"), startControlledEntry("127.0.0.1:1", "auto")]);
+        const entries = await Promise.all([startControlledEntry("127.0.0.1:1", { overloadMode: "on" }), startControlledEntry("127.0.0.1:1")]);
         await waitUntil("a view is applied", () => entries[0]!.loads.length > 4);
         await waitUntil("reports without loads have come", () => entries[1]!.reports.length > 2);
         const text = await entries[0]!.metrics.text();
--- a/test/support/controlledEntry.ts
+++ b/test/support/controlledEntry.ts
@@ -29,8 +29,17 @@
     stopControl(): Promise<void>;
 }
 
+/** What differs from an entry and a control daemon of default settings. */
+export interface ControlledEntryOptions {
+    readonly overloadMode?: OverloadMode;
+    /** The control daemon's answer to the question when an upstream was heard; by default, it has heard none. */
+    readonly heardAgoMs?: (id: string) => number | undefined;
+}
+
 /** Starts a control daemon that knows the upstream `u1` at `upstreamAddress`, and an entry; resolves once the entry is ready. */
-export async function startControlledEntry(upstreamAddress: string, overloadMode: OverloadMode = "auto"): Promise<ControlledEntry> {
+export async function startControlledEntry(
+    upstreamAddress: string, { overloadMode = "auto", heardAgoMs = () => undefined }: ControlledEntryOptions = {},
+): Promise<ControlledEntry> {
     const port = (await freePorts(1))[0]!;
     const reports: Report[] = [];
     const loads: EntryLoads[] = [];
@@ -42,7 +51,7 @@
         { kind: "alive", leads: true, dataCentre: "a", hasContent: true, isInTouch: true, siteVersion: 1 },
     ];
     const feed = createFeedServer({
-        initialFrames: () => initialFrames, onReport: (_daemonId, report) => void reports.push(report), nowMs,
+        initialFrames: () => initialFrames, heardAgoMs, onReport: (_daemonId, report) => void reports.push(report), nowMs,
         onLoads(daemonId, received) {
             loads.push(received);
             return loadTable.report(daemonId, received);
