Control daemons remember their upstreams and ask them after a restart

After all processes were killed, upstreams became known by their heartbeats alone, one each 1.2 s. A control daemon now keeps the last known upstreams in its data folder and asks each of them after a restart. An answer of the same incarnation counts as heard.

--- a/src/consensus/index.ts
+++ b/src/consensus/index.ts
@@ -1,3 +1,4 @@
+export { diskOperations, type FileOperations, replaceFile } from "./files.js";
 export { CorruptionError } from "./segment.js";
 export { ForeignFolderError } from "./storage.js";
 export { type ConsensusNode, createReplicatedLog, type ReplicatedLogOptions, type VoterChange } from "./node.js";
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,3 +1,3 @@
 export { createGateway, type Gateway, type GatewayOptions } from "./gateway.js";
-export { type HeaderNames } from "./headers.js";
+export { type HeaderNames, headerValue } from "./headers.js";
 export { readSignals } from "./signals.js";
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -4,20 +4,24 @@
  * @module
  */
 
-import type { ConsensusNode } from "../consensus/index.js";
+import type { ConsensusNode, FileOperations } from "../consensus/index.js";
 import { aliveIntervalMs, createFeedServer, createFeedWatcher, type FeedServer, type FeedWatcher, type Frame, type FrameKind, type Report } from "../feed/index.js";
 import {
-    type Announcement, createDirectory, createPushbacks, toRelayed, type Upstream, type UpstreamSignals,
+    type Announcement, createDirectory, createPushbacks, type Incarnation, toRelayed, type Upstream, type UpstreamSignals,
 } from "../fleet/index.js";
 import { type PeerConnections, splitAddress } from "../rpc/index.js";
 import { createSiteTable, type DecodedSite, type SiteDialect, type SiteFinding, type SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import { barredFingerprints, recordCrashes } from "./crashRecords.js";
 import { createGroupLeader, type EngineClient } from "./groupLeader.js";
 import { createLimitDistributor } from "./limitDistributor.js";
 import { createSiteFrames, upstreamFrames } from "./initialFrames.js";
 import { registerControlMetrics } from "./metrics.js";
 import { createPlanPacer } from "./planPacer.js";
 import { createProposer, operatorTimeoutMs } from "./proposals.js";
+import { createRecovery } from "./recovery.js";
+import type { UpstreamInquirer } from "./restoration.js";
+import type { UpstreamHints } from "./upstreamHints.js";
 
 export interface SiteControlOptions {
     readonly daemonId: string;
@@ -26,7 +30,9 @@
     readonly address: string;
     readonly log: ConsensusNode;
     readonly dialect: SiteDialect;
-    readonly engines: EngineClient;
+    readonly engines: EngineClient & UpstreamInquirer;
+    /** The daemon's data folder, and the upstreams that its previous process has remembered there. */
+    readonly memory: { readonly files: FileOperations; readonly folder: string; readonly remembered: UpstreamHints };
     readonly connections: PeerConnections;
     readonly logger: Logger;
     readonly metrics: SiteMetrics;
@@ -62,8 +68,6 @@
 /** Delay from a change to the next planning step, which covers all changes in between. Each phase of a repair waits for it. */
 const planDelayMs = 10;
 const cleanupIntervalMs = 10_000;
-/** Number of upstreams that must crash under a request before it is barred: requests that are not the cause rarely reach three. */
-const minCrashesToBar = 3;
 
 /** Creates the role. It plans and publishes nothing before `start` is called. */
 export function createSiteControl(options: SiteControlOptions): SiteControl {
@@ -90,6 +94,11 @@
         ...options, nowMs, directory: () => directory.upstreams, pushbacks, recordSignals, requestPlanning,
     });
 
+    const recovery = createRecovery({
+        ...options, ...options.memory, nowMs, directory, pushbacks, inquirer: options.engines, isInTouch, table: currentTable,
+        evacuated: () => log.state.published.evacuated, onSignals: recordSignals, onRestored: acceptAnnouncement,
+    });
+
     function requestPlanning() {
         planTimer ??= setTimeout(() => {
             planTimer = undefined;
@@ -100,6 +109,7 @@
     /** Publishes the upstreams that have changed. */
     function publishChanged(changed: readonly Upstream[]) {
         if (changed.length > 0) {
+            recovery.upstreamsChanged(changed);
             feed.publish({ kind: "upstreams", upstreams: changed.map(upstream => toRelayed(upstream, nowMs())) });
             changed.forEach(({ id, state, isGone, group }) => logger.debug("upstream changed", { upstream: id, state, isGone, group }));
             if (isLeader()) {
@@ -109,7 +119,7 @@
     }
 
     /** Records what an engine's answer to a probe or an order states about it. */
-    function recordSignals(upstream: Upstream, { isLeaving, pushbackMs }: UpstreamSignals) {
+    function recordSignals(upstream: Incarnation, { isLeaving, pushbackMs }: UpstreamSignals) {
         if (isLeaving) {
             publishChanged(directory.markDraining(upstream));
         }
@@ -119,6 +129,12 @@
         }
     }
 
+    function acceptAnnouncement(announcement: Announcement, heardAtMs: number) {
+        publishChanged(directory.announce(announcement, heardAtMs));
+        heardDirectly.add(announcement.id);
+        heardByAny.add(announcement.id);
+    }
+
     function* initialFrames(kinds: readonly FrameKind[]): Generator<Frame> {
         yield { kind: "controls", addresses: controlAddresses() };
         yield* siteFrames(log.state.published.site);
@@ -148,23 +164,7 @@
             pushbacks.merge(received.pushbacks);
         }
         publishChanged(received.draining.flatMap(incarnation => directory.markDraining(incarnation)));
-        void recordCrashes(received.crashes);
-    }
-
-    /** Records new crashes in the replicated log, so that the next leader continues the count. */
-    async function recordCrashes(crashes: Report["crashes"]) {
-        const known = log.state.suspects.byFingerprint;
-        const unrecorded = crashes.filter(crash => known[crash.fingerprint]?.engineBootIds.includes(crash.upstream) !== true);
-        for (const upstream of new Set(unrecorded.map(crash => crash.upstream))) {
-            const fingerprints = unrecorded.filter(crash => crash.upstream === upstream).map(crash => crash.fingerprint);
-            await log.propose({ kind: "report-crash", engineBootId: upstream, fingerprints, atMs: Date.now() }, operatorTimeoutMs);
-        }
-    }
-
-    /** Fingerprints of requests under which so many upstreams have crashed that they are the likely cause. */
-    function barredFingerprints(): string[] {
-        const { byFingerprint } = log.state.suspects;
-        return Object.keys(byFingerprint).filter(fingerprint => byFingerprint[fingerprint]!.crashes >= minCrashesToBar);
+        void recordCrashes(log, received.crashes);
     }
 
     const watcher: FeedWatcher = createFeedWatcher({
@@ -192,7 +192,7 @@
     }
 
     function judgedFrame(): Frame {
-        return { kind: "judged", lostIds: [...groupLeader.lostIds], barred: barredFingerprints() };
+        return { kind: "judged", lostIds: [...groupLeader.lostIds], barred: barredFingerprints(log) };
     }
 
     function currentTable(): SiteTable | undefined {
@@ -221,6 +221,7 @@
             logger.info("site applied", { version: site.version, index: log.appliedIndex, term: log.term, leader: log.leaderAddress });
         }
         if (evacuatedNames !== lastPublished.evacuated) {
+            recovery.evacuationChanged();
             feed.publish({ kind: "evacuated", index: log.appliedIndex, dataCentres: [...evacuated] });
             logger.info("evacuated data centres applied", { dataCentres: evacuated });
         }
@@ -262,7 +263,7 @@
     }
 
     function publishJudged() {
-        const lost = [...groupLeader.lostIds, ...barredFingerprints()].join(",");
+        const lost = [...groupLeader.lostIds, ...barredFingerprints(log)].join(",");
         if (lost !== lastPublished.lost) {
             feed.publish(judgedFrame());
             lastPublished = { ...lastPublished, lost };
@@ -317,9 +318,7 @@
                 logger.warn("announcement of an unknown service", { upstream: announcement.id, service: announcement.service });
                 return true;
             }
-            publishChanged(directory.announce(announcement, nowMs()));
-            heardDirectly.add(announcement.id);
-            heardByAny.add(announcement.id);
+            acceptAnnouncement(announcement, nowMs());
             return true;
         },
         recordDeparture(id) {
@@ -338,8 +337,10 @@
                 setInterval(publishHeard, heardIntervalMs),
             ];
             publishApplied();
+            recovery.start();
         },
         stop() {
+            recovery.stop();
             timers.forEach(timer => clearInterval(timer));
             clearTimeout(planTimer);
             watcher.close();
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -7,18 +7,21 @@
 import { createServer } from "node:http";
 import { asFunction, asValue, createContainer, InjectionMode } from "awilix";
 import type { SiteSettings } from "./config/index.js";
-import { type ConsensusNode, createReplicatedLog, type SettingsPeer } from "./consensus/index.js";
+import { type ConsensusNode, createReplicatedLog, diskOperations, type SettingsPeer } from "./consensus/index.js";
 import { createGateway, type Gateway, type HeaderNames } from "./gateway/index.js";
 import { createPeerConnections, createRpcServer, type RpcServer, splitAddress } from "./rpc/index.js";
 import type { SiteDialect } from "./site/index.js";
-import { createDisklessControl, createSiteControl, type EngineClient, type DisklessControl, type SiteControl } from "./siteControl/index.js";
+import {
+    createDisklessControl, createSiteControl, type EngineClient, type DisklessControl, noHints, readHints, type SiteControl,
+    type UpstreamInquirer,
+} from "./siteControl/index.js";
 import { type BoundedOutput, createBoundedOutput, createLogger, createSiteMetrics, type Logger, type SiteMetrics } from "./telemetry/index.js";
 
 /** Adapts the daemon to a platform: its configuration format, its header names and its APIs. */
 export interface PlatformAdapter {
     readonly dialect: SiteDialect;
     readonly headerNames: HeaderNames;
-    createEngineClient(): EngineClient;
+    createEngineClient(): EngineClient & UpstreamInquirer;
     /** Serves the calls of upstreams and operators. Resolves to a function that stops the server. */
     serveControl(address: string, control: SiteControl, logger: Logger): Promise<() => Promise<void>>;
     /** Redirects the calls of upstreams and operators to voters at the same port. Resolves to a function that stops the server. */
@@ -87,7 +90,7 @@
 
     const controlLog = daemon.roles.includes("control") ? await container.cradle.log : undefined;
     if (controlLog !== undefined) {
-        stopHooks.push(daemon.dataFolder === undefined ? await startDisklessControl() : await startControl());
+        stopHooks.push(daemon.dataFolder === undefined ? await startDisklessControl() : await startControl(daemon.dataFolder));
     }
     const gateway = isEntry ? await container.cradle.gateway : undefined;
     if (gateway !== undefined) {
@@ -102,12 +105,13 @@
     }
     logger.info("started", { tookMs: Math.round(performance.now()) });
 
-    async function startControl(): Promise<() => Promise<void>> {
+    async function startControl(folder: string): Promise<() => Promise<void>> {
         const log = await container.cradle.log;
         const connections = createPeerConnections();
+        const remembered = controlSettings.firstStart ? noHints : await readHints(diskOperations, folder, logger);
         const control = createSiteControl({
             daemonId: daemon.id, dataCentre: daemon.dataCentre, address: listen.rpc!, log, dialect: platform.dialect,
-            engines: platform.createEngineClient(), connections, logger, metrics,
+            engines: platform.createEngineClient(), memory: { files: diskOperations, folder, remembered }, connections, logger, metrics,
             isFirstStart: controlSettings.firstStart, heartbeatMs: controlSettings.heartbeatMs,
         });
         const rpc: RpcServer = await createRpcServer(listen.rpc!, router => {
--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -292,7 +292,9 @@
             void handleOrder(message, response);
         }
         else if (message.url === "/api/report") {
-            response.writeHead(200, { "content-type": "application/json", ...statementHeaders() }).end(JSON.stringify({ ...reportFields(), seq: orderSeq, queued: 0, running: 0 }));
+            const target = message.headers["zinnialanding-target-instance"];
+            const isIntended = target === undefined || target === options.id;
+            response.writeHead(isIntended ? 200 : 421, { "content-type": "application/json", ...statementHeaders() }).end(JSON.stringify({ ...reportFields(), seq: orderSeq, queued: 0, running: 0 }));
         }
         else {
             void handleRequest(message, response);
