--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import { createLimits } from "./limits.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSiteView } from "./siteView.js";
+import { createStartHold } from "./startHold.js";
 import { queueLimitsFor } from "./work.js";
 import { createWorkload } from "./workload.js";
 
@@ -31,6 +32,8 @@
     readonly headerNames: HeaderNames;
     /** The retry budget of all entries together: this ratio of the requests, plus this many retries in each window. */
     readonly retries: { readonly ratio: number; readonly slack: number };
+    /** The interval at which upstreams announce themselves. */
+    readonly heartbeatMs: number;
     readonly logger: Logger;
     readonly metrics: SiteMetrics;
 }
@@ -72,6 +75,7 @@
     const { logger, metrics } = options;
     const nowMs = () => performance.now();
     const view = createSiteView(options.dialect, logger);
+    const startHold = createStartHold({ view, heartbeatMs: options.heartbeatMs, nowMs });
     const entryCount = createEntryCount(nowMs);
     const limits = createLimits(options.daemonId, logger, nowMs);
     const pushbacks = createPushbacks(nowMs, (upstream, forMs) => logger.info("upstream wants no requests", { upstream, forMs }));
@@ -125,6 +129,8 @@
         dataCentre: options.dataCentre,
         onFrame(frame, address) {
             view.apply(frame, address);
+            startHold.controlHeard();
+            startHold.viewChanged();
             if (frame.kind === "limits") {
                 limits.applyDivision(frame);
             }
@@ -144,7 +150,7 @@
     watcher.watch(options.controlAddresses);
 
     const server: GatewayServer = await listenForCallers(options.callerAddress, {
-        names: options.headerNames, view, balancer, connections, pushbacks, logger, dataCentre: options.dataCentre,
+        names: options.headerNames, view, startHold, balancer, connections, pushbacks, logger, dataCentre: options.dataCentre,
         nowMs, random: Math.random, queueLimits: queueLimitsFor,
         mayRetry: service => budgetOf(service).tryRetry(nowMs()) === undefined,
         recordLimit: limits.limitSeen,
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -12,6 +12,7 @@
 import { type CallerAnswer, createCallerAnswer } from "./answer.js";
 import { type ParsedRequest, messageHeader, readBody, readHead, type Refusal } from "./parsedRequest.js";
 import { type RequestDependencies, type RunningRequest, startRequest } from "./request.js";
+import type { StartHold } from "./startHold.js";
 import { createStopRecord, type StopLabels } from "./stopRecord.js";
 
 /** The HTTP parser refuses larger headers. Sites set lower limits. */
@@ -58,6 +59,8 @@
 }
 
 export interface ServerDependencies extends RequestDependencies {
+    /** Holds callers while the entry starts; without it they are refused at once. */
+    readonly startHold?: StartHold;
     /** Counts a request that was refused before an upstream was chosen. */
     countEarlyRefusal(status: number): void;
     /** Counts a request that arrived or was cut off during the shutdown. */
@@ -125,12 +128,20 @@
 
     async function serve(message: IncomingMessage, served: ServedRequest) {
         const { attemptId, answer, place } = served;
+        const arrivedAtMs = dependencies.nowMs();
+        const caller = { onceGone: (callback: () => void) => void served.response.once("close", callback) };
+        if (dependencies.view.table === undefined) {
+            await dependencies.startHold?.untilSite(arrivedAtMs, caller);
+            if (served.isClosed || answer.isOver) {
+                return;
+            }
+        }
         const { table } = dependencies.view;
         if (table === undefined) {
             answer.sendOwn(503, "the site is not known here yet", unknownSiteRetryMs);
             return;
         }
-        const head = readHead(message, dependencies.names, table, dependencies.nowMs());
+        const head = readHead(message, dependencies.names, table, arrivedAtMs);
         if ("refused" in head) {
             refuseEarly(served, head.refused);
             return;
@@ -140,6 +151,14 @@
             refuseStopping(served);
             return;
         }
+        const { route, model } = head.request;
+        const hold = dependencies.startHold?.untilUpstreams(route, model, arrivedAtMs, caller);
+        if (hold !== undefined) {
+            await hold;
+            if (served.isClosed || answer.isOver) {
+                return;
+            }
+        }
         const body = await readBody(message, table.site.limits.maxBodyBytes);
         if (body === undefined) {
             answer.sendOwn(413, "the body is too large");
@@ -217,6 +236,7 @@
         drain(times) {
             cutOffAtMs = times.cutOffAtMs;
             strictAdmissionFromMs = times.listenerClosesAtMs - maxClockSkewMs;
+            dependencies.startHold?.end();
             connections.drain();
             stopRecord.stopStarted();
         },
--- a/src/siteControl/restoration.ts
+++ b/src/siteControl/restoration.ts
@@ -105,6 +105,7 @@
 /** Checks the values that the upstream has stated: one that is out of range would make entries reject the frame that relays it. */
 function toDecision(hint: UpstreamHint, stated: Omit<EngineReport, "bornMs">): RestorationDecision {
     const { id, service, address, dataCentre, bornMs, sequence, state, slots } = hint;
-    const announcement = announcementSchema.safeParse({ id, service, address, dataCentre, bornMs, sequence, state, slots, coldForMs: 0, ...stated });
+    const remembered = { id, service, address, dataCentre, bornMs, sequence, state, slots };
+    const announcement = announcementSchema.safeParse({ ...remembered, coldForMs: 0, ...stated });
     return announcement.success ? { announcement: announcement.data } : { reason: "unreadable report" };
 }
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -73,7 +73,7 @@
         gateway: asFunction(({ logger, metrics }: Cradle) => createGateway({
             daemonId: daemon.id, dataCentre: daemon.dataCentre, callerAddress: listen.callers!,
             controlAddresses: controlRpcAddresses(settings), dialect: platform.dialect, headerNames: platform.headerNames,
-            retries: settings.repeats, logger, metrics,
+            retries: settings.repeats, heartbeatMs: controlSettings.heartbeatMs, logger, metrics,
         })).singleton(),
         log: asFunction(({ logger }: Cradle) => createReplicatedLog({
             voterId: hostOf(listen.rpc!), address: listen.rpc!, dataFolder: daemon.dataFolder,
--- a/test/support/controlledEntry.ts
+++ b/test/support/controlledEntry.ts
@@ -37,6 +37,7 @@
     });
     const rpc = await createRpcServer("127.0.0.1:0", feed.routes);
     const gateway = await createGateway({
+        heartbeatMs: 1_200,
         daemonId: "entry-1", dataCentre: "a", callerAddress: `127.0.0.1:${port}`, controlAddresses: [rpc.address], headerNames,
         dialect: { decodeSite: () => ({ site: createSite() }) }, retries: { ratio: 0.1, slack: 10 },
         logger: createLogger("error", "test", new PassThrough().resume()), metrics: createSiteMetrics(),
