--- a/src/siteControl/upstreamHints.ts
+++ b/src/siteControl/upstreamHints.ts
@@ -109,7 +109,9 @@
     let isStopped = false;
 
     function schedule(atMs: number) {
-        if (isStopped || atMs >= writeAtMs) {
+        // A write that is overdue by the clock has a timer that is late, as after the VM was suspended.
+        const isScheduled = atMs >= writeAtMs && writeAtMs > nowMs();
+        if (isStopped || isScheduled) {
             return;
         }
         writeAtMs = atMs;
--- a/test/platform/engines.test.ts
+++ b/test/platform/engines.test.ts
@@ -27,4 +27,32 @@
         const upstream = await start("421 Misdirected\r\nServer-Leaving: 1");
         expect(await createEngineClient().probe(upstream)).to.deep.equal({ outcome: "refused", signals: undefined });
     });
+
+    // Guards against the use of a restarted daemon's remembered upstream by an answer that is not its own or is not a report.
+    it("asks an upstream for its report, and a plain one for its health", async () => {
+        const report = { born: 9, domain: 3, staged: ["lm"], group: { name: "lm/2", epoch: 2, rank: 1, state: "open", more: 1 }, seq: 4, busy: 0 };
+        const bodies = [JSON.stringify(report), JSON.stringify({ ...report, group: { name: "lm/2" } }), "{\"born\":", "ok"];
+        const heads = ["200 OK", "200 OK", "200 OK", "200 OK\r\nZinnialanding-Served-By: u1", "421 Misdirected", "503 Busy\r\nRetry-After: 2"];
+        engine = await startRawUpstream((_request, socket, index) => {
+            const body = bodies[index] ?? "";
+            socket.write(`HTTP/1.1 ${heads[index]}\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+        });
+        const client = createEngineClient();
+        const answers = [];
+        for (const healthPath of [undefined, undefined, undefined, "/health", undefined, undefined]) {
+            const { signals, ...answer } = await client.inquire({ id: "u1", address: engine.address }, healthPath);
+            answers.push({ ...answer, pushbackMs: signals?.pushbackMs });
+        }
+        const own = { bornMs: 9, domain: "3", stagedModels: ["lm"], group: { name: "lm/2", epoch: 2, rank: 1, state: "open" } };
+        expect(answers).to.deep.equal([
+            { kind: "report", report: own, pushbackMs: undefined },
+            { kind: "unusable", reason: "unreadable report", pushbackMs: undefined },
+            { kind: "unusable", reason: "unreadable report", pushbackMs: undefined },
+            { kind: "healthy", id: "u1", pushbackMs: undefined },
+            { kind: "unusable", reason: "status 421", pushbackMs: undefined },
+            { kind: "unusable", reason: "status 503", pushbackMs: 2_000 },
+        ]);
+        expect(engine.requests.map(request => [request.head.split(" ")[1], request.header("Zinnialanding-Target-Instance")]))
+            .to.deep.equal(["/api/report", "/api/report", "/api/report", "/health", "/api/report", "/api/report"].map(path => [path, "u1"]));
+    });
 });
