A watcher that starts before its control daemon listens tries again every 40 ms

The delay doubled from 150 ms to a second, so an entry that started together with the control daemons had no site for up to half a second after they listened. A caller held while the entry stops may return at once.

--- a/src/feed/watcher.ts
+++ b/src/feed/watcher.ts
@@ -19,6 +19,12 @@
 /** Delay before a stream is reopened. It is short because readiness after a restart waits for it. */
 const minReopenDelayMs = 150;
 const maxReopenDelayMs = 1_000;
+/**
+ * After all processes were off, a watcher often starts before the control daemons listen. Until a daemon was heard for the first time, its
+ * stream is reopened after this short delay, for as long as a start may take.
+ */
+const startReopenDelayMs = 40;
+const startPeriodMs = 3_000;
 /** How often an entry checks whether to follow another control daemon. */
 const followIntervalMs = 100;
 
@@ -52,6 +58,7 @@
     connection: PeerConnection | undefined;
     heardSinceMs: number;
     isHeard: boolean;
+    hasBeenHeard: boolean;
     isClosed: boolean;
     alive: AliveFrame | undefined;
     failedAtMs: number;
@@ -73,11 +80,13 @@
     const daemons = new Map<string, WatchedDaemon>();
     let followed: ContentStream | undefined;
     let isClosed = false;
+    const createdAtMs = performance.now();
     const followTimer = isEntry ? setInterval(updateFollowed, followIntervalMs) : undefined;
 
     function setHeard(daemon: WatchedDaemon, isHeard: boolean) {
         if (daemon.isHeard !== isHeard) {
             daemon.isHeard = isHeard;
+            daemon.hasBeenHeard ||= isHeard;
             daemon.heardSinceMs = performance.now();
             daemon.alive = isHeard ? daemon.alive : undefined;
             options.onHeardChanged(daemon.address, isHeard);
@@ -131,8 +140,10 @@
             await watchDaemon(daemon).catch(() => undefined);
             setHeard(daemon, false);
             updateFollowed();
-            await new Promise(resolve => setTimeout(resolve, daemon.reopenDelayMs * (0.5 + Math.random())));
-            daemon.reopenDelayMs = Math.min(maxReopenDelayMs, daemon.reopenDelayMs * 2);
+            const isStarting = !daemon.hasBeenHeard && performance.now() - createdAtMs < startPeriodMs;
+            const delayMs = isStarting ? startReopenDelayMs : daemon.reopenDelayMs;
+            await new Promise(resolve => setTimeout(resolve, delayMs * (0.5 + Math.random())));
+            daemon.reopenDelayMs = isStarting ? minReopenDelayMs : Math.min(maxReopenDelayMs, daemon.reopenDelayMs * 2);
         }
     }
 
@@ -205,8 +216,9 @@
             for (const address of addresses) {
                 if (!daemons.has(address) && !isClosed) {
                     const daemon: WatchedDaemon = {
-                        address, connection: undefined, heardSinceMs: 0, isHeard: false, isClosed: false, alive: undefined,
-                        failedAtMs: Number.NEGATIVE_INFINITY, abort: new AbortController(), reopenDelayMs: minReopenDelayMs,
+                        address, connection: undefined, heardSinceMs: 0, isHeard: false, hasBeenHeard: false, isClosed: false,
+                        alive: undefined, failedAtMs: Number.NEGATIVE_INFINITY, abort: new AbortController(),
+                        reopenDelayMs: minReopenDelayMs,
                     };
                     daemons.set(address, daemon);
                     void watchRepeatedly(daemon);
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -137,6 +137,10 @@
             }
         }
         const { table } = dependencies.view;
+        if (table === undefined && cutOffAtMs < Infinity) {
+            refuseStopping(served);
+            return;
+        }
         if (table === undefined) {
             answer.sendOwn(503, "the site is not known here yet", unknownSiteRetryMs);
             return;
--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -12,6 +12,7 @@
 /** Events in a streamed answer; an event stands for five tokens. */
 export const eventsPerAnswer = 6;
 const eventMs = 30;
+const healthPath = "/";
 /** Downtime after a crash. */
 const restartMs = 300;
 
@@ -60,6 +61,7 @@
             return refusedJoins;
         },
         isPoweredOff: false,
+        sendsHeartbeats: true,
         orderDelayMs: 0,
         resetAfterEvents: undefined,
         crashPath: undefined,
@@ -94,7 +96,7 @@
     }
 
     async function sendHeartbeat() {
-        if (runner.isPoweredOff || isDown) {
+        if (runner.isPoweredOff || isDown || !runner.sendsHeartbeats) {
             return;
         }
         const body = JSON.stringify({
@@ -284,10 +286,21 @@
         response.writeHead(executeOrder(order), statementHeaders()).end("{}");
     }
 
+    /** Answers a health check: 200 while the runner is not leaving. */
+    function answerHealthCheck(message: IncomingMessage, response: ServerResponse) {
+        const target = message.headers["zinnialanding-target-instance"];
+        const status = target !== undefined && target !== options.id ? 421 : state === "draining" ? 503 : 200;
+        response.writeHead(status, { "zinnialanding-served-by": options.id, ...statementHeaders() }).end();
+    }
+
     const server: Server = createServer((message, response) => {
         if (runner.isPoweredOff) {
             return;
         }
+        if (message.method === "GET" && message.url === healthPath) {
+            answerHealthCheck(message, response);
+            return;
+        }
         if (message.url === "/api/order") {
             void handleOrder(message, response);
         }
--- a/standin/platform/runnerTypes.ts
+++ b/standin/platform/runnerTypes.ts
@@ -69,6 +69,8 @@
     readonly refusedJoins: number;
     /** When true, the runner answers nothing and sends no heartbeats, like a VM that lost power. */
     isPoweredOff: boolean;
+    /** When false, the runner serves but all its heartbeats are lost. */
+    sendsHeartbeats: boolean;
     /** Delays orders by this much and leaves them unanswered; 0 executes and answers them at once. */
     orderDelayMs: number;
     /** Resets the connection of each answer after this many events; undefined for no resets. */
--- a/test/gateway/startHold.test.ts
+++ b/test/gateway/startHold.test.ts
@@ -4,7 +4,10 @@
 import { createSiteView, type SiteView } from "../../src/gateway/siteView.js";
 import { createStartHold, type StartHold } from "../../src/gateway/startHold.js";
 import { createLogger } from "../../src/telemetry/index.js";
-import { createGroupHead, createSite, createUpstream } from "../support/gatewaySite.js";
+import { startControlledEntry } from "../support/controlledEntry.js";
+import { createGroupHead, createSite, createUpstream, encodeRequest, openCaller, parseStatus } from "../support/gatewaySite.js";
+import { waitUntil } from "../support/platformSite.js";
+import { startRawUpstream } from "../support/rawUpstream.js";
 
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -89,3 +92,55 @@
         expect(hold.untilUpstreams(streamRoute, "lm", nowMs(), caller)).to.equal(undefined);
     });
 });
+
+describe("an entry that starts before its control daemon has anything", () => {
+    const request = encodeRequest("GET", "/read/1");
+
+    async function start() {
+        const upstream = await startRawUpstream((_request, socket) =>
+            socket.write("HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: attempt-1\r\nZinnialanding-Upstream-Signature: s1\r\nContent-Length: 4\r\n\r\ndone"));
+        const entry = await startControlledEntry(upstream.address, true);
+        // Until the control daemon is heard.
+        await pause(300);
+        const caller = await openCaller(entry.port);
+        return {
+            entry, upstream, caller,
+            async stop() {
+                caller.close();
+                await Promise.all([entry.gateway.stop(100), upstream.close()]);
+                await entry.stopControl();
+            },
+        };
+    }
+
+    // Guards against refusals in the moment before the site and the upstreams arrive.
+    it("answers a caller that arrives before the site and the upstreams, and one with an unknown path as usual", async () => {
+        const { entry, upstream, caller, stop } = await start();
+        const lost = await openCaller(entry.port);
+        caller.send(request);
+        lost.send(encodeRequest("GET", "/nowhere/1"));
+        await pause(50);
+        expect(caller.text).to.equal("");
+        entry.publish({ kind: "site", version: 1, text: "" });
+        entry.publish({ kind: "upstreams", upstreams: [createUpstream(upstream.address, "u1")] });
+        await waitUntil("both are answered", () => caller.text !== "" && lost.text !== "");
+        expect([parseStatus(caller.text), parseStatus(lost.text)]).to.deep.equal([200, 404]);
+        lost.close();
+        await stop();
+    });
+
+    it("refuses a caller in time if the site doesn't come, and at once if the entry stops", async () => {
+        const { entry, caller, stop } = await start();
+        const startMs = performance.now();
+        caller.send(request);
+        await waitUntil("the caller is refused", () => parseStatus(caller.text) === 503);
+        expect(performance.now() - startMs).to.be.within(250, 900);
+        expect(caller.text).to.match(/Retry-After: 1\.00/);
+        const second = await openCaller(entry.port);
+        second.send(request);
+        await pause(50);
+        await stop();
+        expect(second.text).to.match(/^HTTP\/1.1 503 [^]*Retry-After: 0\.00/);
+        second.close();
+    });
+});
--- a/test/support/controlledEntry.ts
+++ b/test/support/controlledEntry.ts
@@ -24,14 +24,19 @@
     stopControl(): Promise<void>;
 }
 
-/** Starts a control daemon that knows the upstream `u1` at `upstreamAddress`, and an entry; resolves once the entry is ready. */
-export async function startControlledEntry(upstreamAddress: string): Promise<ControlledEntry> {
+/**
+ * Starts a control daemon that knows the upstream `u1` at `upstreamAddress`, and an entry; resolves once the entry is ready. With
+ * `isStarting`, the daemon has neither a site nor upstreams yet, and the entry is only listening.
+ */
+export async function startControlledEntry(upstreamAddress: string, isStarting = false): Promise<ControlledEntry> {
     const port = (await freePorts(1))[0]!;
     const reports: Report[] = [];
-    const initialFrames: Frame[] = [
-        { kind: "site", version: 1, text: "" }, { kind: "upstreams", upstreams: [createUpstream(upstreamAddress, "u1")] },
-        { kind: "alive", leads: true, dataCentre: "a", hasContent: true, isInTouch: true, siteVersion: 1 },
-    ];
+    const aliveFrame: Frame = { kind: "alive", leads: true, dataCentre: "a", hasContent: true, isInTouch: true, siteVersion: 1 };
+    const initialFrames: Frame[] = isStarting
+        ? [aliveFrame]
+        : [
+                { kind: "site", version: 1, text: "" }, { kind: "upstreams", upstreams: [createUpstream(upstreamAddress, "u1")] }, aliveFrame,
+            ];
     const feed = createFeedServer({
         initialFrames: () => initialFrames, onReport: (_daemonId, report) => void reports.push(report), nowMs: () => performance.now(),
     });
@@ -42,7 +47,7 @@
         dialect: { decodeSite: () => ({ site: createSite() }) }, retries: { ratio: 0.1, slack: 10 },
         logger: createLogger("error", "test", new PassThrough().resume()), metrics: createSiteMetrics(),
     });
-    await waitUntil("the entry is ready", () => gateway.isReady);
+    await waitUntil("the entry is ready", () => isStarting || gateway.isReady);
     return {
         gateway, port, reports,
         publish: frame => feed.publish(frame),
