--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -172,6 +172,7 @@
     });
 
     metrics.registerGauge("zinnialanding_requests_running", () => server.running);
+    metrics.registerGauge("zinnialanding_callers_held", () => startHold.heldCount);
     metrics.registerGauge("zinnialanding_caller_connections", () => server.connections.open);
     metrics.registerGauge("zinnialanding_caller_connections_unused", () => server.connections.unused);
     metrics.registerGauge("zinnialanding_upstream_connections", () => connections.open);
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -130,8 +130,13 @@
         const { attemptId, answer, place } = served;
         const arrivedAtMs = dependencies.nowMs();
         const caller = { onceGone: (callback: () => void) => void served.response.once("close", callback) };
-        if (dependencies.view.table === undefined) {
-            await dependencies.startHold?.untilSite(arrivedAtMs, caller);
+        const logHold = (awaited: string, isThere: boolean) => dependencies.logger.info("caller held", {
+            request: attemptId, awaited, isThere, forMs: Math.round(dependencies.nowMs() - arrivedAtMs),
+        });
+        const siteHold = dependencies.view.table === undefined ? dependencies.startHold?.untilSite(arrivedAtMs, caller) : undefined;
+        if (siteHold !== undefined) {
+            await siteHold;
+            logHold("site", dependencies.view.table !== undefined);
             if (served.isClosed || answer.isOver) {
                 return;
             }
@@ -159,6 +164,7 @@
         const hold = dependencies.startHold?.untilUpstreams(route, model, arrivedAtMs, caller);
         if (hold !== undefined) {
             await hold;
+            logHold("upstreams", route.targets.some(({ service }) => dependencies.view.candidates(service, model).length > 0));
             if (served.isClosed || answer.isOver) {
                 return;
             }
--- a/src/gateway/startHold.ts
+++ b/src/gateway/startHold.ts
@@ -35,6 +35,8 @@
     untilUpstreams(route: Route, model: string | undefined, arrivedAtMs: number, caller: HeldCaller): Promise<void> | undefined;
     /** Ends all waits; from now on nobody is held. */
     end(): void;
+    /** The number of callers that are held. */
+    readonly heldCount: number;
 }
 
 export interface HeldCaller {
@@ -113,5 +115,8 @@
             hasEnded = true;
             [...held].forEach(({ release }) => release());
         },
+        get heldCount() {
+            return held.size;
+        },
     };
 }
--- a/src/siteControl/upstreamHints.ts
+++ b/src/siteControl/upstreamHints.ts
@@ -46,6 +46,8 @@
 const minWriteIntervalMs = 2_000;
 /** A drain or departure is acknowledged to the upstream, so a restart must not undo it. Bounds the writes when many drain together. */
 const minUrgentWriteIntervalMs = 100;
+/** Urgent writes may take this part of the time, since the replicated log uses the same disk. */
+const maxUrgentShare = 0.1;
 const retryDelayMs = 10_000;
 
 /** Reads the file. Returns no hints if there is none or it can't be read; the latter is logged. */
@@ -105,6 +107,7 @@
     let writeAtMs = Number.POSITIVE_INFINITY;
     let timer: NodeJS.Timeout | undefined;
     let isWriting = false;
+    let lastWriteTookMs = 0;
     let hasFailed = false;
     let isStopped = false;
 
@@ -149,13 +152,15 @@
             schedule(nowMs() + retryDelayMs);
         }
         isWriting = false;
+        lastWriteTookMs = nowMs() - lastWriteAtMs;
         if (writeAtMs !== Number.POSITIVE_INFINITY) {
             startTimer();
         }
     }
 
     function requestWrite(isUrgent: boolean) {
-        const intervalMs = hasFailed ? retryDelayMs : isUrgent ? minUrgentWriteIntervalMs : minWriteIntervalMs;
+        const urgentIntervalMs = Math.max(minUrgentWriteIntervalMs, lastWriteTookMs / maxUrgentShare);
+        const intervalMs = hasFailed ? retryDelayMs : isUrgent ? Math.min(urgentIntervalMs, minWriteIntervalMs) : minWriteIntervalMs;
         schedule(Math.max(nowMs(), lastWriteAtMs + intervalMs));
     }
 
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -26,6 +26,7 @@
 
 const gaugeHelp = {
     zinnialanding_requests_running: "Requests of callers that have no final answer yet.",
+    zinnialanding_callers_held: "Callers held after a start until the site or the upstreams arrive.",
     zinnialanding_caller_connections: "Open connections of callers.",
     zinnialanding_caller_connections_unused: "Open connections of callers that have carried no request yet.",
     zinnialanding_upstream_connections: "Open connections to upstreams.",
