--- a/bench/feedLoad.ts
+++ b/bench/feedLoad.ts
@@ -7,14 +7,17 @@
  */
 
 import { spawn } from "node:child_process";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { PassThrough } from "node:stream";
 import { fileURLToPath } from "node:url";
-import type { ConsensusNode } from "../src/consensus/index.js";
+import { type ConsensusNode, diskOperations } from "../src/consensus/index.js";
 import { createFeedServer, createFeedWatcher, type Frame } from "../src/feed/index.js";
 import { type Announcement, createDirectory, toRelayed } from "../src/fleet/index.js";
 import { createPeerConnections, createRpcServer } from "../src/rpc/index.js";
 import { siteSchema } from "../src/site/index.js";
-import { createSiteControl } from "../src/siteControl/index.js";
+import { createSiteControl, noHints } from "../src/siteControl/index.js";
 import { createLogger, createSiteMetrics } from "../src/telemetry/index.js";
 
 const upstreams = 3_000;
@@ -99,9 +102,11 @@
         leaseHeld: true, role: "leader", term: 1, appliedIndex: 1, leaderAddress: "self", voters: () => others, subscribe: () => undefined,
         state: { published: { site: { version: 1, text: "{}" }, evacuated: [] }, suspects: { byFingerprint: {} } },
     } as unknown as ConsensusNode;
+    const folder = mkdtempSync(join(tmpdir(), "feed-"));
     const control = createSiteControl({
         daemonId: "control-0", dataCentre: "a", address: "127.0.0.1:1", log, dialect: { decodeSite: () => ({ site }) },
-        engines: { order: () => Promise.reject(new Error("none")), probe: () => new Promise(() => undefined) },
+        engines: { order: () => Promise.reject(new Error("none")), probe: () => new Promise(() => undefined), inquire: () => new Promise(() => undefined) },
+        memory: { files: diskOperations, folder, remembered: noHints },
         connections: createPeerConnections(), logger: createLogger("error", "bench", new PassThrough().resume()), metrics: createSiteMetrics(),
         isFirstStart: false, heartbeatMs,
     });
@@ -120,6 +125,8 @@
     console.log("watchers", control.feed.watcherCount, "processor, % of a core", ((user + system) / 10 / tookMs).toFixed(1),
         "memory, MB", (process.memoryUsage().rss / 1e6).toFixed(0));
     children.forEach(child => child.kill());
+    control.stop();
+    rmSync(folder, { recursive: true });
     process.exit();
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSharedLoads } from "./sharedLoads.js";
 import { createSiteView } from "./siteView.js";
+import { createStartHold } from "./startHold.js";
 import { pushbackLeftMs } from "./withoutCandidate.js";
 import { queueLimitsFor } from "./work.js";
 import { createWorkload } from "./workload.js";
@@ -39,6 +40,8 @@
     readonly retries: { readonly ratio: number; readonly slack: number };
     /** Whether overload control acts; by default for the services for which the published site calls for it. */
     readonly overloadMode?: OverloadMode;
+    /** The interval at which upstreams announce themselves. */
+    readonly heartbeatMs: number;
     readonly logger: Logger;
     readonly metrics: SiteMetrics;
 }
@@ -84,6 +87,7 @@
     const { logger, metrics } = options;
     const nowMs = () => performance.now();
     const view = createSiteView(options.dialect, logger);
+    const startHold = createStartHold({ view, heartbeatMs: options.heartbeatMs, nowMs });
     const entryCount = createEntryCount(nowMs);
     const limits = createLimits(options.daemonId, logger, nowMs);
     const pushbacks = createPushbacks(nowMs, (upstream, forMs) => logger.info("upstream wants no requests", { upstream, forMs }));
@@ -169,6 +173,8 @@
             if (frame.kind === "upstreams") {
                 admission.roomChanged();
             }
+            startHold.controlHeard();
+            startHold.viewChanged();
             if (frame.kind === "limits") {
                 limits.applyDivision(frame);
             }
@@ -190,7 +196,7 @@
     watcher.watch(options.controlAddresses);
 
     const server: GatewayServer = await listenForCallers(options.callerAddress, {
-        names: options.headerNames, view, balancer, connections, pushbacks, logger, dataCentre: options.dataCentre,
+        names: options.headerNames, view, startHold, balancer, connections, pushbacks, logger, dataCentre: options.dataCentre,
         nowMs, random: Math.random, queueLimits: queueLimitsFor, admission, groupRoom, latency,
         mayRetry: service => budgetOf(service).tryRetry(nowMs()) === undefined,
         recordLimit: limits.limitSeen,
@@ -213,6 +219,7 @@
     });
 
     metrics.registerGauge("zinnialanding_requests_running", () => server.running);
+    metrics.registerGauge("zinnialanding_callers_held", () => startHold.heldCount);
     metrics.registerGauge("zinnialanding_caller_connections", () => server.connections.open);
     metrics.registerGauge("zinnialanding_caller_connections_unused", () => server.connections.unused);
     metrics.registerGauge("zinnialanding_upstream_connections", () => connections.open);
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -4,16 +4,17 @@
  * @module
  */
 
-import type { ConsensusNode } from "../consensus/index.js";
+import type { ConsensusNode, FileOperations } from "../consensus/index.js";
 import {
     aliveIntervalMs, createFeedServer, createFeedWatcher, type DirectoryPosition, type FeedServer, type FeedWatcher, type Frame,
     type FrameKind, type PositionedFrame, type Report,
 } from "../feed/index.js";
-import { type Announcement, createDirectory, createPushbacks, type Upstream, type UpstreamSignals } from "../fleet/index.js";
+import { type Announcement, createDirectory, createPushbacks, type Incarnation, type Upstream, type UpstreamSignals } from "../fleet/index.js";
 import { type PeerConnections, splitAddress } from "../rpc/index.js";
-import { createSiteTable, type DecodedSite, type SiteDialect, type OverloadMode, type SiteFinding, type SiteTable } from "../site/index.js";
+import type { DecodedSite, OverloadMode, SiteDialect, SiteFinding } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { barredFingerprints, recordCrashes } from "./crashRecords.js";
+import { createCurrentTable } from "./currentTable.js";
 import { createGroupLeader, type EngineClient } from "./groupLeader.js";
 import { createLimitDistributor } from "./limitDistributor.js";
 import { createDirectoryFeed } from "./directoryFeed.js";
@@ -23,6 +24,9 @@
 import { createPacedTask } from "./pacedTask.js";
 import { createPlanPacer } from "./planPacer.js";
 import { createProposer, operatorTimeoutMs } from "./proposals.js";
+import { createRecovery } from "./recovery.js";
+import type { UpstreamInquirer } from "./restoration.js";
+import type { UpstreamHints } from "./upstreamHints.js";
 
 export interface SiteControlOptions {
     readonly daemonId: string;
@@ -31,7 +35,9 @@
     readonly address: string;
     readonly log: ConsensusNode;
     readonly dialect: SiteDialect;
-    readonly engines: EngineClient;
+    readonly engines: EngineClient & UpstreamInquirer;
+    /** The daemon's data folder, and the upstreams that its previous process has remembered there. */
+    readonly memory: { readonly files: FileOperations; readonly folder: string; readonly remembered: UpstreamHints };
     readonly connections: PeerConnections;
     readonly logger: Logger;
     readonly metrics: SiteMetrics;
@@ -79,7 +85,7 @@
     const propose = createProposer({ ...options, nowMs });
     const directory = createDirectory();
     const siteFrames = createSiteFrames();
-    let decodedSite: { readonly text: string; readonly table: SiteTable } | undefined;
+    const currentTable = createCurrentTable(log, dialect, logger);
     let lastPublished: { version: number; evacuated: string; lost: string; controls: string } = { version: -1, evacuated: "", lost: "", controls: "" };
     let timers: NodeJS.Timeout[] = [];
     let nextCleanupAtMs = 0;
@@ -99,6 +105,11 @@
         ...options, nowMs, directory: () => directory.upstreams, pushbacks, recordSignals, requestPlanning,
     });
 
+    const recovery = createRecovery({
+        ...options, ...options.memory, nowMs, directory, pushbacks, inquirer: options.engines, isInTouch, table: currentTable,
+        evacuated: () => log.state.published.evacuated, onSignals: recordSignals, onRestored: acceptAnnouncement,
+    });
+
     function requestPlanning() {
         planTimer ??= setTimeout(() => {
             planTimer = undefined;
@@ -109,6 +120,7 @@
     /** Publishes the upstreams that have changed. */
     function publishChanged(changed: readonly Upstream[]) {
         if (changed.length > 0) {
+            recovery.upstreamsChanged(changed);
             directoryFeed.publishChanged(changed);
             changed.forEach(({ id, state, isGone, group }) => logger.debug("upstream changed", { upstream: id, state, isGone, group }));
             if (isLeader()) {
@@ -118,7 +130,7 @@
     }
 
     /** Records what an engine's answer to a probe or an order states about it. */
-    function recordSignals(upstream: Upstream, { isLeaving, pushbackMs }: UpstreamSignals) {
+    function recordSignals(upstream: Incarnation, { isLeaving, pushbackMs }: UpstreamSignals) {
         if (isLeaving) {
             publishChanged(directory.markDraining(upstream));
         }
@@ -128,6 +140,11 @@
         }
     }
 
+    function acceptAnnouncement(announcement: Announcement, heardAtMs: number) {
+        publishChanged(directory.announce(announcement, heardAtMs));
+        directoryFeed.recordHeard([announcement.id], true);
+    }
+
     function* initialFrames(kinds: readonly FrameKind[], known?: DirectoryPosition): Generator<Frame | PositionedFrame> {
         yield { kind: "controls", addresses: controlAddresses() };
         yield* siteFrames(log.state.published.site);
@@ -196,22 +213,6 @@
         return { kind: "judged", lostIds: [...groupLeader.lostIds], barred: barredFingerprints(log) };
     }
 
-    function currentTable(): SiteTable | undefined {
-        const { site } = log.state.published;
-        if (site === undefined) {
-            return undefined;
-        }
-        if (decodedSite?.text !== site.text) {
-            const result = dialect.decodeSite(site.text);
-            if (result.site === undefined) {
-                logger.error("the published site cannot be read", { version: site.version, findings: result.findings });
-                return decodedSite?.table;
-            }
-            decodedSite = { text: site.text, table: createSiteTable(result.site) };
-        }
-        return decodedSite!.table;
-    }
-
     /** Publishes what has changed in the applied state of the replicated log. */
     function publishApplied() {
         const { site, evacuated } = log.state.published;
@@ -222,6 +223,7 @@
             logger.info("site applied", { version: site.version, index: log.appliedIndex, term: log.term, leader: log.leaderAddress });
         }
         if (evacuatedNames !== lastPublished.evacuated) {
+            recovery.evacuationChanged();
             feed.publish({ kind: "evacuated", index: log.appliedIndex, dataCentres: [...evacuated] });
             logger.info("evacuated data centres applied", { dataCentres: evacuated });
         }
@@ -310,8 +312,7 @@
                 logger.warn("announcement of an unknown service", { upstream: announcement.id, service: announcement.service });
                 return true;
             }
-            publishChanged(directory.announce(announcement, nowMs()));
-            directoryFeed.recordHeard([announcement.id], true);
+            acceptAnnouncement(announcement, nowMs());
             return true;
         },
         recordDeparture(id) {
@@ -331,8 +332,10 @@
                 setInterval(directoryFeed.publishHeardDirectly, heardIntervalMs),
             ];
             publishApplied();
+            recovery.start();
         },
         stop() {
+            recovery.stop();
             timers.forEach(timer => clearInterval(timer));
             clearTimeout(planTimer);
             limitsPublication.cancel();
