--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -4,20 +4,29 @@
  * @module
  */
 
-import type { ConsensusNode } from "../consensus/index.js";
-import { aliveIntervalMs, createFeedServer, createFeedWatcher, type FeedServer, type FeedWatcher, type Frame, type FrameKind, type Report } from "../feed/index.js";
-import { type Announcement, createDirectory, createPushbacks, toRelayed, type Upstream, type UpstreamSignals } from "../fleet/index.js";
+import type { ConsensusNode, FileOperations } from "../consensus/index.js";
+import {
+    aliveIntervalMs, createFeedServer, createFeedWatcher, type DirectoryPosition, type FeedServer, type FeedWatcher, type Frame,
+    type FrameKind, type PositionedFrame, type Report,
+} from "../feed/index.js";
+import { type Announcement, createDirectory, createPushbacks, type Incarnation, type Upstream, type UpstreamSignals } from "../fleet/index.js";
 import { type PeerConnections, splitAddress } from "../rpc/index.js";
-import { createSiteTable, type DecodedSite, type SiteDialect, type OverloadMode, type SiteFinding, type SiteTable } from "../site/index.js";
+import type { DecodedSite, OverloadMode, SiteDialect, SiteFinding } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
 import { barredFingerprints, recordCrashes } from "./crashRecords.js";
+import { createCurrentTable } from "./currentTable.js";
 import { createGroupLeader, type EngineClient } from "./groupLeader.js";
 import { createLimitDistributor } from "./limitDistributor.js";
+import { createDirectoryFeed } from "./directoryFeed.js";
 import { createLoadTable } from "./loadTable.js";
-import { createSiteFrames, upstreamFrames } from "./initialFrames.js";
+import { createSiteFrames } from "./initialFrames.js";
 import { registerControlMetrics } from "./metrics.js";
+import { createPacedTask } from "./pacedTask.js";
 import { createPlanPacer } from "./planPacer.js";
 import { createProposer, operatorTimeoutMs } from "./proposals.js";
+import { createRecovery } from "./recovery.js";
+import type { UpstreamInquirer } from "./restoration.js";
+import type { UpstreamHints } from "./upstreamHints.js";
 
 export interface SiteControlOptions {
     readonly daemonId: string;
@@ -26,7 +35,9 @@
     readonly address: string;
     readonly log: ConsensusNode;
     readonly dialect: SiteDialect;
-    readonly engines: EngineClient;
+    readonly engines: EngineClient & UpstreamInquirer;
+    /** The daemon's data folder, and the upstreams that its previous process has remembered there. */
+    readonly memory: { readonly files: FileOperations; readonly folder: string; readonly remembered: UpstreamHints };
     readonly connections: PeerConnections;
     readonly logger: Logger;
     readonly metrics: SiteMetrics;
@@ -63,6 +74,8 @@
 const heardIntervalMs = 200;
 /** Delay from a change to the next planning step, which covers all changes in between. Each phase of a repair waits for it. */
 const planDelayMs = 10;
+/** Least interval between divisions of limits that are published because limits have changed: each goes to every entry. */
+const limitsIntervalMs = 20;
 const cleanupIntervalMs = 10_000;
 
 /** Creates the role. It plans and publishes nothing before `start` is called. */
@@ -72,25 +85,31 @@
     const propose = createProposer({ ...options, nowMs });
     const directory = createDirectory();
     const siteFrames = createSiteFrames();
-    let decodedSite: { readonly text: string; readonly table: SiteTable } | undefined;
+    const currentTable = createCurrentTable(log, dialect, logger);
     let lastPublished: { version: number; evacuated: string; lost: string; controls: string } = { version: -1, evacuated: "", lost: "", controls: "" };
     let timers: NodeJS.Timeout[] = [];
     let nextCleanupAtMs = 0;
-    /** Upstreams that this daemon itself has heard since the last `heard` frame. Other control daemons receive only these. */
-    const heardDirectly = new Set<string>();
-    /** Upstreams that any control daemon has heard since the last `heard` frame. Entries receive all of them. */
-    const heardByAny = new Set<string>();
+    const directoryFeed = createDirectoryFeed({
+        directory, nowMs, publish: (frame, role, position) => feed.publish(frame, role, position),
+    });
 
     let planTimer: NodeJS.Timeout | undefined;
     const planPacer = createPlanPacer(nowMs);
     const limitDistributor = createLimitDistributor(nowMs);
     const loadTable = createLoadTable({ daemonId: options.daemonId, leads: isLeader, nowMs });
+    const limitsPublication = createPacedTask(publishLimits, limitsIntervalMs, nowMs);
+    let isEmptyDivisionPublished = false;
     const vm = splitAddress(options.address).host;
     const pushbacks = createPushbacks(nowMs, (upstream, forMs) => logger.info("upstream wants no requests", { upstream, forMs }));
     const groupLeader = createGroupLeader({
         ...options, nowMs, directory: () => directory.upstreams, pushbacks, recordSignals, requestPlanning,
     });
 
+    const recovery = createRecovery({
+        ...options, ...options.memory, nowMs, directory, pushbacks, inquirer: options.engines, isInTouch, table: currentTable,
+        evacuated: () => log.state.published.evacuated, onSignals: recordSignals, onRestored: acceptAnnouncement,
+    });
+
     function requestPlanning() {
         planTimer ??= setTimeout(() => {
             planTimer = undefined;
@@ -101,7 +120,8 @@
     /** Publishes the upstreams that have changed. */
     function publishChanged(changed: readonly Upstream[]) {
         if (changed.length > 0) {
-            feed.publish({ kind: "upstreams", upstreams: changed.map(upstream => toRelayed(upstream, nowMs())) });
+            recovery.upstreamsChanged(changed);
+            directoryFeed.publishChanged(changed);
             changed.forEach(({ id, state, isGone, group }) => logger.debug("upstream changed", { upstream: id, state, isGone, group }));
             if (isLeader()) {
                 requestPlanning();
@@ -110,7 +130,7 @@
     }
 
     /** Records what an engine's answer to a probe or an order states about it. */
-    function recordSignals(upstream: Upstream, { isLeaving, pushbackMs }: UpstreamSignals) {
+    function recordSignals(upstream: Incarnation, { isLeaving, pushbackMs }: UpstreamSignals) {
         if (isLeaving) {
             publishChanged(directory.markDraining(upstream));
         }
@@ -120,16 +140,24 @@
         }
     }
 
-    function* initialFrames(kinds: readonly FrameKind[]): Generator<Frame> {
+    function acceptAnnouncement(announcement: Announcement, heardAtMs: number) {
+        publishChanged(directory.announce(announcement, heardAtMs));
+        directoryFeed.recordHeard([announcement.id], true);
+    }
+
+    function* initialFrames(kinds: readonly FrameKind[], known?: DirectoryPosition): Generator<Frame | PositionedFrame> {
         yield { kind: "controls", addresses: controlAddresses() };
         yield* siteFrames(log.state.published.site);
         yield { kind: "evacuated", index: log.appliedIndex, dataCentres: [...log.state.published.evacuated] };
         if (kinds.includes("upstreams")) {
-            yield* upstreamFrames(directory.upstreams, nowMs);
+            yield* directoryFeed.initialFrames(known);
         }
         if (isLeader()) {
             yield judgedFrame();
         }
+        if (kinds.includes("limits")) {
+            yield* limitDistributor.frames(isLeader());
+        }
         yield aliveFrame();
     }
 
@@ -141,14 +169,14 @@
     }
 
     const feed: FeedServer = createFeedServer({
-        initialFrames, onReport, nowMs,
+        initialFrames, heardAgoMs: directoryFeed.heardAgoMs, onReport, nowMs,
         onLoads: loadTable.report,
         onUnreadableLoads: error => logger.warn("loads in a report ignored", { error }),
     });
 
     function onReport(daemonId: string, received: Report) {
         groupLeader.recordReport(received);
-        limitDistributor.recordReport(daemonId, received, publishLimits);
+        limitDistributor.recordReport(daemonId, received, limitsPublication.request);
         if (received.vm === vm) {
             pushbacks.merge(received.pushbacks);
         }
@@ -166,10 +194,11 @@
             }
             if (frame.kind === "heard") {
                 directory.updateHeardTimes(frame.heard, nowMs());
-                frame.heard.forEach(({ id }) => heardByAny.add(id));
+                directoryFeed.recordHeard(frame.heard.map(({ id }) => id), false);
             }
         },
         onHeardChanged: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
+        onUnknownKind: (kind, address) => logger.warn("frame of an unknown kind", { kind, address }),
     });
 
     function isLeader(): boolean {
@@ -184,22 +213,6 @@
         return { kind: "judged", lostIds: [...groupLeader.lostIds], barred: barredFingerprints(log) };
     }
 
-    function currentTable(): SiteTable | undefined {
-        const { site } = log.state.published;
-        if (site === undefined) {
-            return undefined;
-        }
-        if (decodedSite?.text !== site.text) {
-            const result = dialect.decodeSite(site.text);
-            if (result.site === undefined) {
-                logger.error("the published site cannot be read", { version: site.version, findings: result.findings });
-                return decodedSite?.table;
-            }
-            decodedSite = { text: site.text, table: createSiteTable(result.site) };
-        }
-        return decodedSite!.table;
-    }
-
     /** Publishes what has changed in the applied state of the replicated log. */
     function publishApplied() {
         const { site, evacuated } = log.state.published;
@@ -210,6 +223,7 @@
             logger.info("site applied", { version: site.version, index: log.appliedIndex, term: log.term, leader: log.leaderAddress });
         }
         if (evacuatedNames !== lastPublished.evacuated) {
+            recovery.evacuationChanged();
             feed.publish({ kind: "evacuated", index: log.appliedIndex, dataCentres: [...evacuated] });
             logger.info("evacuated data centres applied", { dataCentres: evacuated });
         }
@@ -225,29 +239,21 @@
         lastPublished = { ...lastPublished, version: site?.version ?? -1, evacuated: evacuatedNames, controls: addresses.join(",") };
     }
 
-    /** Runs more often than `publishAlive`, because the leader probes upstreams that seem overdue when a `heard` frame is late. */
-    function publishHeard() {
-        if (heardDirectly.size > 0) {
-            feed.publish(heardFrame(heardDirectly), "control");
-            heardDirectly.clear();
-        }
-    }
-
     function publishAlive() {
-        feed.publish(heardFrame(heardByAny), "entry");
-        heardByAny.clear();
+        directoryFeed.publishHeardByAny();
         feed.publish(aliveFrame());
         publishLimits();
         publishApplied();
     }
 
-    function heardFrame(ids: ReadonlySet<string>): Frame {
-        const present = [...ids].map(id => directory.upstreams.get(id)).filter(upstream => upstream !== undefined && !upstream.isGone);
-        return { kind: "heard", heard: present.map(upstream => ({ id: upstream!.id, agoMs: Math.round(nowMs() - upstream!.heardAtMs) })) };
-    }
-
+    /** Publishes the division of limits; an empty one only once, since an entry without a division acts in the same way. */
     function publishLimits() {
-        limitDistributor.frames(isLeader()).forEach(frame => feed.publish(frame, "entry"));
+        const [frame] = limitDistributor.frames(isLeader());
+        const isEmpty = frame?.limits.length === 0;
+        if (frame !== undefined && !(isEmpty && isEmptyDivisionPublished)) {
+            feed.publish(frame, "entry");
+        }
+        isEmptyDivisionPublished = isEmpty;
     }
 
     function publishJudged() {
@@ -306,9 +312,7 @@
                 logger.warn("announcement of an unknown service", { upstream: announcement.id, service: announcement.service });
                 return true;
             }
-            publishChanged(directory.announce(announcement, nowMs()));
-            heardDirectly.add(announcement.id);
-            heardByAny.add(announcement.id);
+            acceptAnnouncement(announcement, nowMs());
             return true;
         },
         recordDeparture(id) {
@@ -324,14 +328,19 @@
             timers = [
                 setInterval(() => planPacer.runIfDue(plan), planIntervalMs),
                 setInterval(publishAlive, aliveIntervalMs),
-                setInterval(publishHeard, heardIntervalMs),
+                // More often than `publishAlive`, because the leader probes upstreams that seem overdue when a `heard` frame is late.
+                setInterval(directoryFeed.publishHeardDirectly, heardIntervalMs),
             ];
             publishApplied();
+            recovery.start();
         },
         stop() {
+            recovery.stop();
             timers.forEach(timer => clearInterval(timer));
             clearTimeout(planTimer);
+            limitsPublication.cancel();
             watcher.close();
+            directoryFeed.flush();
             feed.close();
         },
     };
--- a/test/support/controlledEntry.ts
+++ b/test/support/controlledEntry.ts
@@ -29,20 +29,33 @@
     stopControl(): Promise<void>;
 }
 
+/** What differs from an entry and a control daemon of default settings. */
+export interface ControlledEntryOptions {
+    readonly overloadMode?: OverloadMode;
+    /** The control daemon's answer to the question when an upstream was heard; by default, it has heard none. */
+    readonly heardAgoMs?: (id: string) => number | undefined;
+    /** Whether the control daemon has neither a site nor upstreams yet, so that the entry is only listening. */
+    readonly isStarting?: boolean;
+}
+
 /** Starts a control daemon that knows the upstream `u1` at `upstreamAddress`, and an entry; resolves once the entry is ready. */
-export async function startControlledEntry(upstreamAddress: string, overloadMode: OverloadMode = "auto"): Promise<ControlledEntry> {
+export async function startControlledEntry(
+    upstreamAddress: string, { overloadMode = "auto", heardAgoMs = () => undefined, isStarting = false }: ControlledEntryOptions = {},
+): Promise<ControlledEntry> {
     const port = (await freePorts(1))[0]!;
     const reports: Report[] = [];
     const loads: EntryLoads[] = [];
     const nowMs = () => performance.now();
     const loadTable = createLoadTable({ daemonId: "control-1", leads: () => true, nowMs });
     const metrics = createSiteMetrics();
-    const initialFrames: Frame[] = [
-        { kind: "site", version: 1, text: "" }, { kind: "upstreams", upstreams: [createUpstream(upstreamAddress, "u1")] },
-        { kind: "alive", leads: true, dataCentre: "a", hasContent: true, isInTouch: true, siteVersion: 1 },
-    ];
+    const aliveFrame: Frame = { kind: "alive", leads: true, dataCentre: "a", hasContent: true, isInTouch: true, siteVersion: 1 };
+    const initialFrames: Frame[] = isStarting
+        ? [aliveFrame]
+        : [
+                { kind: "site", version: 1, text: "" }, { kind: "upstreams", upstreams: [createUpstream(upstreamAddress, "u1")] }, aliveFrame,
+            ];
     const feed = createFeedServer({
-        initialFrames: () => initialFrames, onReport: (_daemonId, report) => void reports.push(report), nowMs,
+        initialFrames: () => initialFrames, heardAgoMs, onReport: (_daemonId, report) => void reports.push(report), nowMs,
         onLoads(daemonId, received) {
             loads.push(received);
             return loadTable.report(daemonId, received);
@@ -50,11 +63,12 @@
     });
     const rpc = await createRpcServer("127.0.0.1:0", feed.routes);
     const gateway = await createGateway({
+        heartbeatMs: 1_200,
         daemonId: "entry-1", dataCentre: "a", callerAddress: `127.0.0.1:${port}`, controlAddresses: [rpc.address], headerNames,
         dialect: { decodeSite: () => ({ site: createSite() }) }, retries: { ratio: 0.1, slack: 10 }, overloadMode,
         logger: createLogger("error", "test", new PassThrough().resume()), metrics,
     });
-    await waitUntil("the entry is ready", () => gateway.isReady);
+    await waitUntil("the entry is ready", () => isStarting || gateway.isReady);
     return {
         gateway, port, reports, loads, metrics,
         publish: frame => feed.publish(frame),
