--- a/src/latency/onTimeLimit.ts
+++ b/src/latency/onTimeLimit.ts
@@ -31,10 +31,13 @@
     return requests / passMs(costs, requests) * shareUpTo(differences, latenessMs - networkMs - firstMs * factor);
 }
 
+/** The part of the highest on-time throughput that a group has to keep. */
+const keptPart = 0.9;
+
 /**
- * Returns the number of requests at which most of them are completed on time, at least 1 and at most the slots: with fewer, the group
- * completes fewer requests; with more, more of them are late. No pass takes longer than the pause. Where none can be on time, it is as
- * many as the pause allows.
+ * Returns the largest number of requests, at least 1 and at most the slots, at which a group completes nearly as many on time as it can.
+ * With fewer it completes fewer in all, and refuses callers whom it could serve; with more, most are late. No pass takes longer than the
+ * pause. Where none can be on time, it is as many as the pause allows.
  */
 export function onTimeLimit(costs: ModelCosts, terms: OnTimeTerms): number {
     const { pauseMs = Infinity, factor } = terms;
@@ -42,5 +45,6 @@
     for (let requests = 1; requests <= costs.slots && (requests === 1 || passMs(costs, requests) * factor <= pauseMs); requests++) {
         throughputs.push(onTimeThroughput(costs, requests, terms));
     }
-    return throughputs.lastIndexOf(Math.max(...throughputs)) + 1;
+    const enough = Math.max(...throughputs) * keptPart;
+    return throughputs.findLastIndex(throughput => throughput >= enough) + 1;
 }
