Bound the bytes that an entry holds for callers and upstreams

Cause: backpressure bounds them per connection only, so a few hundred slow callers can take a process over its limit. Change: an account of held bytes by holder and kind; above parts of its bound bodies pause, requests with bodies are refused and callers who take nothing are disconnected. Active where the settings state [memory] limit_mb.

--- a/src/gateway/answer.ts
+++ b/src/gateway/answer.ts
@@ -32,6 +32,8 @@
     /** Headers of every answer that the entry generates itself. */
     readonly ownHeaders: string[];
     onDrain(): void;
+    /** Called after bytes have been written and again once they have been handed to the kernel; absent if nobody counts them. */
+    onWritten?(): void;
 }
 
 /** Creates the answer that is written to `response`. */
@@ -45,7 +47,10 @@
         response.writeHead(status, allHeaders);
     }
 
-    response.on("drain", () => options.onDrain());
+    response.on("drain", () => {
+        options.onWritten?.();
+        options.onDrain();
+    });
 
     return {
         get isStarted() {
@@ -64,7 +69,12 @@
             }
         },
         write(chunk) {
-            return isOver || chunk.length === 0 ? true : response.write(chunk);
+            if (isOver || chunk.length === 0) {
+                return true;
+            }
+            const isTaken = response.write(chunk, options.onWritten);
+            options.onWritten?.();
+            return isTaken;
         },
         end() {
             if (!isOver) {
@@ -78,6 +88,7 @@
                 const withoutLength = headers.filter((_, index) => headers[index - index % 2]!.toLowerCase() !== "content-length");
                 writeHead(status, [...withoutLength, "Content-Length", String(body.length)]);
                 response.end(body);
+                options.onWritten?.();
             }
         },
         sendOwn(status, reason, retryAfterMs) {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -12,6 +12,7 @@
 import type { Connections, ExchangeRequest } from "./connections.js";
 import type { EventSplitter } from "./events.js";
 import { type HeaderNames, forwardedHeaders, headerValue } from "./headers.js";
+import type { Holder } from "./memory/index.js";
 import { readSignals } from "./signals.js";
 import type { SiteView } from "./siteView.js";
 
@@ -45,6 +46,7 @@
     readonly request: ParsedRequest;
     readonly upstream: Upstream;
     readonly answer: CallerAnswer;
+    readonly holder: Holder;
     readonly splitter: EventSplitter;
     /** Whether the request may be sent again after it may have run. */
     readonly isRepeatable: boolean;
@@ -81,7 +83,7 @@
 
 /** Sends the request to an upstream and calls back once the attempt has ended. */
 export function startAttempt(options: AttemptOptions, dependencies: AttemptDependencies): RunningAttempt {
-    const { request, upstream, answer, splitter } = options;
+    const { request, upstream, answer, splitter, holder } = options;
     const { names, balancer, view } = dependencies;
     const isStream = request.route.kind === "stream";
     let status = 0;
@@ -92,6 +94,8 @@
     let hasEvents = false;
     let isOver = false;
 
+    const releaseHolder = holder.retain();
+    const source = holder.attach({ pause: () => exchange.pause(), resume: () => exchange.resume() });
     balancer.requestSent(upstream, upstream.coldUntilMs > dependencies.nowMs());
     if (isStream) {
         balancer.streamStarted(upstream);
@@ -103,6 +107,9 @@
     function end() {
         isOver = true;
         clearInterval(stallTimer);
+        source.detach();
+        holder.hold("answer", 0);
+        releaseHolder();
         options.onEnded();
         balancer.requestEnded(upstream);
         if (isStream) {
@@ -138,6 +145,11 @@
     }
 
     function checkStalled() {
+        // Nothing comes from an exchange that is paused because its caller is slow.
+        if (source.isPaused) {
+            lastProgressAtMs = dependencies.nowMs();
+            return;
+        }
         const reason = stallReason();
         if (reason !== undefined && options.mayFailOver()) {
             abandon(reason);
@@ -206,14 +218,15 @@
     }
 
     function forward(bytes: Buffer) {
-        if (!answer.write(bytes)) {
-            exchange.pause();
+        if (!answer.write(bytes) && !holder.mayReadOn) {
+            source.pause();
         }
     }
 
     function onData(chunk: Buffer) {
         if (isForwarding && isStream) {
             const events = splitter.push(chunk);
+            holder.hold("answer", splitter.partialBytes);
             if (events.length > 0) {
                 balancer.eventReceived(upstream, !hasEvents);
                 hasEvents = true;
@@ -231,10 +244,13 @@
         bufferedBytes += chunk.length;
         if (bufferedBytes > maxBufferedBytes && status < 300) {
             isForwarding = true;
+            holder.hold("answer", 0);
             answer.start(status, answerHeaders(rawHeaders));
             buffered.forEach(forward);
             buffered = [];
+            return;
         }
+        holder.hold("answer", bufferedBytes);
     }
 
     function onMisdirected() {
@@ -306,6 +322,6 @@
                 end();
             }
         },
-        resume: () => exchange.resume(),
+        resume: () => source.drained(),
     };
 }
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -12,6 +12,8 @@
     readonly lastId: string | undefined;
     /** Whether no incomplete event is buffered. */
     readonly isAtBoundary: boolean;
+    /** The size of the incomplete event. */
+    readonly partialBytes: number;
     /** Drops an incomplete event. */
     discardPartial(): void;
 }
@@ -56,6 +58,9 @@
         get isAtBoundary() {
             return partial.length === 0;
         },
+        get partialBytes() {
+            return partial.length;
+        },
         discardPartial() {
             partial = Buffer.alloc(0);
         },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import type { HeaderNames } from "./headers.js";
 import { createLoopTicks } from "./loopTicks.js";
 import { createLimits } from "./limits.js";
+import { createMemory, heldKinds, unboundedMemory } from "./memory/index.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSiteView } from "./siteView.js";
 import { queueLimitsFor } from "./work.js";
@@ -31,6 +32,8 @@
     readonly headerNames: HeaderNames;
     /** The retry budget of all entries together: this ratio of the requests, plus this many retries in each window. */
     readonly retries: { readonly ratio: number; readonly slack: number };
+    /** The memory that the process may use, in MB; if undefined, the bytes held for callers and upstreams are not bounded. */
+    readonly memoryLimitMb?: number;
     readonly logger: Logger;
     readonly metrics: SiteMetrics;
 }
@@ -53,6 +56,8 @@
 /** How often group heads are checked for suspects. It is short compared with the 0.5 s within which a lost member is detected. */
 const suspectCheckIntervalMs = 50;
 const sweepIntervalMs = 500;
+/** How often slow callers are looked for. It is short compared with the 500 ms after which one may be disconnected. */
+const memoryCheckIntervalMs = 100;
 /** How often a shutdown checks whether requests are still running. */
 const drainPollMs = 50;
 /**
@@ -82,6 +87,9 @@
     const connections = createConnections();
     const crashes = createCrashLog(nowMs);
     const workload = createWorkload();
+    const memory = options.memoryLimitMb === undefined
+        ? unboundedMemory
+        : createMemory({ limitMb: options.memoryLimitMb, logger, nowMs, count: metrics.recordMemoryAction });
     const vm = splitAddress(options.callerAddress).host;
     const { ratio, slack } = options.retries;
     const budgets = new Map<string, RetryBudget>();
@@ -144,7 +152,7 @@
     watcher.watch(options.controlAddresses);
 
     const server: GatewayServer = await listenForCallers(options.callerAddress, {
-        names: options.headerNames, view, balancer, connections, pushbacks, logger, dataCentre: options.dataCentre,
+        names: options.headerNames, view, balancer, connections, memory, pushbacks, logger, dataCentre: options.dataCentre,
         nowMs, random: Math.random, queueLimits: queueLimitsFor,
         mayRetry: service => budgetOf(service).tryRetry(nowMs()) === undefined,
         recordLimit: limits.limitSeen,
@@ -174,6 +182,11 @@
     metrics.registerGauge("zinnialanding_upstreams_pushing_back", () => pushbacks.relayed().length);
     metrics.registerGauge("zinnialanding_control_daemons_heard", () => watcher.heard.length);
 
+    if (memory.isBounded) {
+        metrics.registerHeldBytes(() => new Map(heldKinds.map(kind => [kind, memory.held[kind]])));
+        metrics.registerGauge("zinnialanding_held_bytes_bound", () => memory.boundBytes);
+    }
+
     const loopTicks = createLoopTicks(nowMs);
     const timers = [
         setInterval(() => {
@@ -181,6 +194,7 @@
             report();
         }, suspectCheckIntervalMs),
         setInterval(() => connections.sweep(view.addresses), sweepIntervalMs),
+        setInterval(() => memory.check(), memoryCheckIntervalMs),
     ];
 
     function activityLogFields() {
--- a/src/gateway/parsedRequest.ts
+++ b/src/gateway/parsedRequest.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Route, SiteTable } from "../site/index.js";
 import type { HeaderNames } from "./headers.js";
+import type { BodyReading, Holder } from "./memory/index.js";
 
 /** A request that has passed all checks. */
 export interface ParsedRequest {
@@ -32,6 +33,9 @@
     readonly giveUpAtMs: number;
 }
 
+/** How long an answer that was sent before the end of its request's body waits for the rest of the body. */
+const lingerMs = 1_000;
+
 /** The refusal of a request before an upstream is chosen. */
 export interface Refusal {
     readonly status: 400 | 401 | 404 | 413 | 431 | 503;
@@ -49,7 +53,8 @@
     return text !== undefined && /^\d{1,12}(?:\.\d+)?$/.test(text.trim()) ? Number(text) : undefined;
 }
 
-function headersSize(raw: readonly string[]): number {
+/** Returns the size of a head's headers in bytes. */
+export function headersSize(raw: readonly string[]): number {
     return raw.reduce((sum, part) => sum + part.length + 2, 0);
 }
 
@@ -99,23 +104,74 @@
     };
 }
 
-/** Reads the complete body. Resolves to undefined if it is larger than `maxBytes`, rejects if the caller disconnects. */
-export function readBody(message: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> {
+/** Whether the request has a body that is not empty. */
+export function hasContent({ headers }: IncomingMessage): boolean {
+    return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
+}
+
+export interface BodyOptions {
+    readonly maxBytes: number;
+    readonly holder: Holder;
+    /** A body that is not complete by then is given up. Infinity: it is waited for as long as the caller stays. */
+    readonly giveUpInMs: number;
+}
+
+/**
+ * Reads the complete body; rejects if the caller disconnects. `too-late`: a paused connection doesn't show that its caller has left, so the
+ * time is bounded.
+ */
+export function readBody(message: IncomingMessage, { maxBytes, holder, giveUpInMs }: BodyOptions): Promise<Buffer | "too-large" | "too-late"> {
     return new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
+        let chunks: Buffer[] = [];
         let bytes = 0;
+        const timer = giveUpInMs < Infinity ? setTimeout(() => drop("too-late"), giveUpInMs) : undefined;
+        function drop(result: "too-large" | "too-late" | Error) {
+            clearTimeout(timer);
+            // An async iterator can't be used: leaving it early destroys the message, and nothing more is read on its connection.
+            message.off("data", onData);
+            chunks = [];
+            reading.dropped();
+            if (result instanceof Error) {
+                reject(result);
+            }
+            else {
+                resolve(result);
+            }
+        }
         function onData(chunk: Buffer) {
             bytes += chunk.length;
             chunks.push(chunk);
             if (bytes > maxBytes) {
-                // An async iterator can't be used: leaving it early destroys the message, and nothing more is read on its connection.
-                message.off("data", onData);
-                resolve(undefined);
+                drop("too-large");
+                return;
             }
+            reading.received(chunk.length);
         }
         message.on("data", onData);
-        message.once("end", () => resolve(Buffer.concat(chunks)));
-        message.once("error", reject);
-        message.once("close", () => reject(new Error("the caller disconnected before the end of the body")));
+        const expectedBytes = hasContent(message) ? Math.min(maxBytes, Number(message.headers["content-length"] ?? maxBytes)) : 0;
+        const reading: BodyReading = holder.readBody({ pause: () => message.pause(), resume: () => message.resume() }, expectedBytes);
+        message.once("end", () => {
+            clearTimeout(timer);
+            reading.completed();
+            resolve(Buffer.concat(chunks));
+        });
+        message.once("error", drop);
+        message.once("close", () => drop(new Error("the caller disconnected before the end of the body")));
     });
 }
+
+/** Calls back once `message` has been read completely, its caller has disconnected, or the wait for the rest has timed out. */
+export function whenBodyRead(message: IncomingMessage, callback: () => void) {
+    if (message.complete || message.destroyed) {
+        callback();
+        return;
+    }
+    const timer = setTimeout(onDone, lingerMs);
+    function onDone() {
+        clearTimeout(timer);
+        message.off("end", onDone).off("close", onDone);
+        callback();
+    }
+    message.once("end", onDone).once("close", onDone);
+    message.resume();
+}
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -17,6 +17,7 @@
 import type { ParsedRequest } from "./parsedRequest.js";
 import { answerHeaders, type AttemptDependencies, type AttemptFailure, type RunningAttempt, startAttempt } from "./attempt.js";
 import { createEventSplitter } from "./events.js";
+import type { Holder } from "./memory/index.js";
 import { outgoingHeaders } from "./outgoingHeaders.js";
 import { retryAfterMs } from "./retryAfter.js";
 import type { Candidate } from "./siteView.js";
@@ -64,7 +65,9 @@
 /** The stall timeout of repeatable requests to plain services, as a multiple of the route's latency target; 1 % take longer than this. */
 const plainStallFactor = 2;
 /** Starts serving a request. */
-export function startRequest(request: ParsedRequest, answer: CallerAnswer, dependencies: RequestDependencies): RunningRequest {
+export function startRequest(
+    request: ParsedRequest, answer: CallerAnswer, holder: Holder, dependencies: RequestDependencies,
+): RunningRequest {
     const { names, balancer, logger } = dependencies;
     const { route } = request;
     const isStream = route.kind === "stream";
@@ -289,7 +292,7 @@
             }
         };
         currentAttempt = startAttempt({
-            request, upstream, answer, splitter, isRepeatable, headers: headersTo(upstream, isLate), mayFailOver,
+            request, upstream, answer, holder, splitter, isRepeatable, headers: headersTo(upstream, isLate), mayFailOver,
             stallTimeoutMs: isLate ? Infinity : stallTimeoutMs(),
             onEnded: () => leaveLateQueue(false),
             onDelivered: fields => finish("delivered", { upstream: upstream.id, ...fields }),
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -10,8 +10,13 @@
 import { waitForPendingReads, type RequestPosition, createHttpConnections } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { type CallerAnswer, createCallerAnswer } from "./answer.js";
-import { type ParsedRequest, messageHeader, readBody, readHead, type Refusal } from "./parsedRequest.js";
+import { createCallerConnection } from "./callerConnection.js";
+import type { Holder, Memory } from "./memory/index.js";
+import {
+    hasContent, headersSize, type ParsedRequest, messageHeader, readBody, readHead, type Refusal, whenBodyRead,
+} from "./parsedRequest.js";
 import { type RequestDependencies, type RunningRequest, startRequest } from "./request.js";
+import { retryAfterMs } from "./retryAfter.js";
 import { createStopRecord, type StopLabels } from "./stopRecord.js";
 
 /** The HTTP parser refuses larger headers. Sites set lower limits. */
@@ -20,8 +25,6 @@
 const connectionCheckIntervalMs = 500;
 /** Retry-After while the site is not known yet: a start takes about a second. */
 const unknownSiteRetryMs = 1_000;
-/** How long an answer that was sent before the end of its request's body waits for the rest of the body. */
-const lingerMs = 1_000;
 /** Time allowed for sending an answer after the request's deadline. */
 const answerFlushMs = 200;
 /** Maximum difference between this clock and the platform's on when a request was sent. */
@@ -58,6 +61,7 @@
 }
 
 export interface ServerDependencies extends RequestDependencies {
+    readonly memory: Memory;
     /** Counts a request that was refused before an upstream was chosen. */
     countEarlyRefusal(status: number): void;
     /** Counts a request that arrived or was cut off during the shutdown. */
@@ -71,10 +75,13 @@
     readonly response: ServerResponse;
     readonly place: RequestPosition;
     readonly answer: CallerAnswer;
+    readonly holder: Holder;
     /** Undefined until the request has been read completely. */
     runningRequest: RunningRequest | undefined;
     /** When its answer is final at the latest. 0 until its head has been read. */
     giveUpAtMs: number;
+    /** Whether another request can continue the answer. */
+    isResumable: boolean;
     isClosed: boolean;
 }
 
@@ -110,6 +117,7 @@
         if (!served.response.writableFinished) {
             served.runningRequest?.callerLeft();
         }
+        served.holder.callerClosed();
     }
 
     function refuseEarly({ attemptId, answer }: ServedRequest, refusal: Refusal) {
@@ -123,6 +131,14 @@
         refuseEarly(served, stopRefusal);
     }
 
+    /** Refuses a request with a body because of what is held already. */
+    function refuseBody(served: ServedRequest, reason: string, deadlineAtMs: number) {
+        dependencies.memory.countRefusal();
+        const leftMs = Math.max(0, deadlineAtMs - dependencies.nowMs());
+        const returnInMs = retryAfterMs({ leftMs, acceptedInMs: 0, random: dependencies.random() });
+        refuseEarly(served, { status: 503, reason, retryAfterMs: returnInMs });
+    }
+
     async function serve(message: IncomingMessage, served: ServedRequest) {
         const { attemptId, answer, place } = served;
         const { table } = dependencies.view;
@@ -140,11 +156,23 @@
             refuseStopping(served);
             return;
         }
-        const body = await readBody(message, table.site.limits.maxBodyBytes);
-        if (body === undefined) {
+        served.isResumable = head.request.route.kind === "stream" && head.request.route.isResumable;
+        if (dependencies.memory.refusesBodies && hasContent(message)) {
+            refuseBody(served, "too much is held for other requests", head.request.deadlineAtMs);
+            return;
+        }
+        const body = await readBody(message, {
+            maxBytes: table.site.limits.maxBodyBytes, holder: served.holder,
+            giveUpInMs: dependencies.memory.isBounded ? Math.max(0, served.giveUpAtMs - dependencies.nowMs()) : Infinity,
+        });
+        if (body === "too-large") {
             answer.sendOwn(413, "the body is too large");
             return;
         }
+        if (body === "too-late") {
+            refuseBody(served, "its body could not be read in time", head.request.deadlineAtMs);
+            return;
+        }
         if (served.isClosed || answer.isOver) {
             return;
         }
@@ -156,7 +184,7 @@
         stopRecord.requestTaken({ attemptId, carried: place.precedingRequests, outcome: "served" });
         const hasBody = body.length > 0 || message.headers["content-length"] !== undefined || message.headers["transfer-encoding"] !== undefined;
         const parsed: ParsedRequest = { ...head.request, body: hasBody ? body : undefined };
-        served.runningRequest = startRequest(parsed, answer, dependencies);
+        served.runningRequest = startRequest(parsed, answer, served.holder, dependencies);
     }
 
     function accept(message: IncomingMessage, response: ServerResponse, place: RequestPosition): ServedRequest {
@@ -166,9 +194,13 @@
             whenBodyRead: callback => whenBodyRead(message, callback),
             ownHeaders: attemptId === undefined ? [] : [dependencies.names.attemptId, attemptId],
             onDrain: () => served.runningRequest?.resume(),
+            onWritten: dependencies.memory.isBounded ? () => holder.hold("caller", response.writableLength) : undefined,
         });
+        const holder = dependencies.memory.open(createCallerConnection(response, answer, attemptId, () => served.isResumable));
+        holder.hold("head", headersSize(message.rawHeaders));
         const served: ServedRequest = {
-            attemptId, message, response, place, answer, runningRequest: undefined, giveUpAtMs: 0, isClosed: false,
+            attemptId, message, response, place, answer, holder,
+            runningRequest: undefined, giveUpAtMs: 0, isResumable: false, isClosed: false,
         };
         running.add(served);
         runningBySocket.get(message.socket)?.add(served);
@@ -252,19 +284,3 @@
         },
     };
 }
-
-/** Calls back once `message` has been read completely, its caller has disconnected, or the wait for the rest has timed out. */
-function whenBodyRead(message: IncomingMessage, callback: () => void) {
-    if (message.complete || message.destroyed) {
-        callback();
-        return;
-    }
-    const timer = setTimeout(onDone, lingerMs);
-    function onDone() {
-        clearTimeout(timer);
-        message.off("end", onDone).off("close", onDone);
-        callback();
-    }
-    message.once("end", onDone).once("close", onDone);
-    message.resume();
-}
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -70,7 +70,7 @@
         gateway: asFunction(({ logger, metrics }: Cradle) => createGateway({
             daemonId: daemon.id, dataCentre: daemon.dataCentre, callerAddress: listen.callers!,
             controlAddresses: controlRpcAddresses(settings), dialect: platform.dialect, headerNames: platform.headerNames,
-            retries: settings.repeats, logger, metrics,
+            retries: settings.repeats, memoryLimitMb: settings.memory?.limitMb, logger, metrics,
         })).singleton(),
         log: asFunction(({ logger }: Cradle) => createReplicatedLog({
             voterId: hostOf(listen.rpc!), address: listen.rpc!, dataFolder: daemon.dataFolder,
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -16,6 +16,10 @@
     /** Counts a request that arrived or was cut off while the entry was stopping. */
     recordStoppingRequest(labels: { readonly listener: string; readonly connection: string; readonly outcome: string }): void;
     recordOrder(kind: string, outcome: string): void;
+    /** Counts a pause of reading, a refusal or a cut-off because of the bytes held for callers and upstreams. */
+    recordMemoryAction(action: string, reason: string): void;
+    /** Registers the bytes held for callers and upstreams, by kind. */
+    registerHeldBytes(read: () => ReadonlyMap<string, number>): void;
     /** Registers a gauge whose value is read on each scrape. */
     registerGauge(name: GaugeName, read: () => number): void;
     /** Registers a gauge with a value for each model; models that `read` no longer returns are dropped. */
@@ -34,6 +38,7 @@
     zinnialanding_log_lines_left_out: "Log lines left out because nobody read them.",
     zinnialanding_upstreams_limited: "Upstreams that state a limit on the requests that they take.",
     zinnialanding_upstreams_pushing_back: "Upstreams that have turned a request away and want none from here for a while.",
+    zinnialanding_held_bytes_bound: "Bound on the bytes held for callers and upstreams.",
     zinnialanding_term: "Term of the replicated log.",
     zinnialanding_voters: "Disks that vote, by the newest membership known here.",
     zinnialanding_voters_silent: "Voters that the leader has not heard within an election timeout; 0 at other daemons.",
@@ -67,6 +72,7 @@
     const refusalCounter = new Counter({ name: "zinnialanding_refused_early_total", help: "Requests refused before an upstream was chosen.", labelNames: ["status"], registers });
     const stoppingCounter = new Counter({ name: "zinnialanding_stopping_requests_total", help: "Requests that came or were cut off while the entry stops.", labelNames: ["listener", "connection", "outcome"], registers });
     const orderCounter = new Counter({ name: "zinnialanding_orders_total", help: "Orders to engines.", labelNames: ["kind", "outcome"], registers });
+    const memoryCounter = new Counter({ name: "zinnialanding_memory_actions_total", help: "Pauses, refusals and cut-offs because of held bytes.", labelNames: ["action", "reason"], registers });
     return {
         recordRequest(route, outcome, tookMs, firstMs) {
             requestCounter.inc({ route, outcome });
@@ -79,6 +85,15 @@
         recordRefusal: status => refusalCounter.inc({ status: String(status) }),
         recordStoppingRequest: labels => stoppingCounter.inc({ ...labels }),
         recordOrder: (kind, outcome) => orderCounter.inc({ kind, outcome }),
+        recordMemoryAction: (action, reason) => memoryCounter.inc({ action, reason }),
+        registerHeldBytes(read) {
+            new Gauge({
+                name: "zinnialanding_held_bytes", help: "Bytes held for callers and upstreams.", labelNames: ["kind"], registers,
+                collect() {
+                    read().forEach((value, kind) => this.set({ kind }, value));
+                },
+            });
+        },
         registerGauge(name, read) {
             new Gauge({
                 name, help: gaugeHelp[name], registers,
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -2,6 +2,7 @@
 import { createLogger } from "../../src/telemetry/index.js";
 import { createBalancer } from "../../src/gateway/balancer.js";
 import { createConnections } from "../../src/gateway/connections.js";
+import { type Memory, unboundedMemory } from "../../src/gateway/memory/index.js";
 import { type GatewayServer, listenForCallers } from "../../src/gateway/server.js";
 import type { StopLabels } from "../../src/gateway/stopRecord.js";
 import type { QueueLimits } from "../../src/gateway/work.js";
@@ -62,11 +63,11 @@
 
 /**
  * Starts an entry's listener for the given upstreams, without control daemons. `rateLimits` maps an upstream to the requests per second
- * that this entry may send to it.
+ * that this entry may send to it. `memory` is checked every 100 ms.
  */
 export async function startGateway(
     upstreams: RelayedUpstream[], site: Site = createSite(), maxRepeats = Infinity, queueCapacity: QueueLimits = { onTime: 100, late: 0 },
-    rateLimits: Readonly<Record<string, number>> = {},
+    rateLimits: Readonly<Record<string, number>> = {}, memory: Memory = unboundedMemory,
 ): Promise<GatewaySite> {
     const logger = createLogger("error", "test", new PassThrough().resume());
     const view = createSiteView({ decodeSite: () => ({ site }) }, logger);
@@ -80,7 +81,7 @@
     const pushbacks = createPushbacks(nowMs, () => undefined);
     let repeatsLeft = maxRepeats;
     const server = await listenForCallers(`127.0.0.1:${port}`, {
-        names: headerNames, view, logger, connections, dataCentre: "a", nowMs, random: () => 0.5,
+        names: headerNames, view, logger, connections, memory, dataCentre: "a", nowMs, random: () => 0.5,
         balancer: createBalancer({
             nowMs, random: () => 0, entries: () => 1, shareOfLimit: ({ id }) => rateLimits[id], pushbackLeftMs: pushbacks.leftMs,
         }),
@@ -94,12 +95,14 @@
         countEarlyRefusal: () => undefined,
         recordLimit: () => undefined, countWhileStopping: labels => stopCounts.push(labels),
     });
+    const memoryTimer = setInterval(() => memory.check(), 100);
     return {
         port, view, outcomes, stopCounts, server,
         get retriesLeft() {
             return repeatsLeft;
         },
         stop() {
+            clearInterval(memoryTimer);
             void server.closeListener();
             server.close();
             connections.close();
