--- a/test/gateway/memory/requests.test.ts
+++ b/test/gateway/memory/requests.test.ts
@@ -136,6 +136,21 @@
         expect(sumOf(memory.held)).to.equal(0);
     });
 
+    // Guards against an upstream that cuts off the rest of an answer because it stays unread.
+    it("of 600 KiB is read whole at once, and not while the part is off", () => {
+        const isPausedAfterAll = (memory: Memory) => {
+            const request = createWorld(memory).start("read", 0);
+            const { exchanges: [exchange] } = request;
+            exchange!.events.head(200, answerHead(request));
+            for (let sentBytes = 0; sentBytes < 600 * 1_024; sentBytes += 65_536) {
+                exchange!.events.data(Buffer.alloc(65_536));
+            }
+            request.running.endNow("the test has ended");
+            return exchange!.isPaused;
+        };
+        expect([isPausedAfterAll(createCounted(() => 0).memory), isPausedAfterAll(unboundedMemory)]).to.deep.equal([false, true]);
+    });
+
     it("is read on until 1 MiB is held, then paused, and read on again once enough has been taken", () => {
         const { memory, actions } = createCounted(() => 0);
         const request = createWorld(memory).start("read", 0);
@@ -228,6 +243,9 @@
                     await new Promise(resolve => setTimeout(resolve, 2));
                 }
                 expect(memory.held.caller).to.equal(started.reduce((sum, { caller }) => sum + caller.unsentBytes, 0));
+                if (started.every(({ exchanges }) => exchanges.every(exchange => exchange.isAborted || over.has(exchange)))) {
+                    expect(memory.held.answer).to.equal(0);
+                }
             }
             for (const request of started) {
                 request.running.endNow("the test has ended");
--- a/test/support/controlledEntry.ts
+++ b/test/support/controlledEntry.ts
@@ -10,13 +10,14 @@
 import { createFeedServer, type Frame, type Report } from "../../src/feed/index.js";
 import { createGateway, type Gateway } from "../../src/gateway/index.js";
 import { createRpcServer } from "../../src/rpc/index.js";
-import { createLogger, createSiteMetrics } from "../../src/telemetry/index.js";
+import { createLogger, createSiteMetrics, type SiteMetrics } from "../../src/telemetry/index.js";
 import { createSite, createUpstream } from "./gatewaySite.js";
 import { waitUntil } from "./platformSite.js";
 
 export interface ControlledEntry {
     readonly gateway: Gateway;
     readonly port: number;
+    readonly metrics: SiteMetrics;
     /** The entry's reports, oldest first. */
     readonly reports: readonly Report[];
     publish(frame: Frame): void;
@@ -25,9 +26,10 @@
 }
 
 /** Starts a control daemon that knows the upstream `u1` at `upstreamAddress`, and an entry; resolves once the entry is ready. */
-export async function startControlledEntry(upstreamAddress: string): Promise<ControlledEntry> {
+export async function startControlledEntry(upstreamAddress: string, memoryLimitMb?: number): Promise<ControlledEntry> {
     const port = (await freePorts(1))[0]!;
     const reports: Report[] = [];
+    const metrics = createSiteMetrics();
     const initialFrames: Frame[] = [
         { kind: "site", version: 1, text: "" }, { kind: "upstreams", upstreams: [createUpstream(upstreamAddress, "u1")] },
         { kind: "alive", leads: true, dataCentre: "a", hasContent: true, isInTouch: true, siteVersion: 1 },
@@ -39,11 +41,11 @@
     const gateway = await createGateway({
         daemonId: "entry-1", dataCentre: "a", callerAddress: `127.0.0.1:${port}`, controlAddresses: [rpc.address], headerNames,
         dialect: { decodeSite: () => ({ site: createSite() }) }, retries: { ratio: 0.1, slack: 10 },
-        logger: createLogger("error", "test", new PassThrough().resume()), metrics: createSiteMetrics(),
+        memoryLimitMb, logger: createLogger("error", "test", new PassThrough().resume()), metrics,
     });
     await waitUntil("the entry is ready", () => gateway.isReady);
     return {
-        gateway, port, reports,
+        gateway, port, reports, metrics,
         publish: frame => feed.publish(frame),
         async stopControl() {
             feed.close();
