--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -11,8 +11,9 @@
 import type { Balancer } from "./balancer.js";
 import type { Connections, ExchangeRequest } from "./connections.js";
 import { countEvents, type EventSplitter } from "./events.js";
-import { type HeaderNames, forwardedHeaders, headerValue } from "./headers.js";
+import { answerHeaders, type HeaderNames, forwardedHeaders, headerValue } from "./headers.js";
 import type { LatencyObserver } from "./latencyTracker.js";
+import type { Holder } from "./memory/index.js";
 import { readSignals } from "./signals.js";
 import type { SiteView } from "./siteView.js";
 
@@ -48,6 +49,7 @@
     readonly request: ParsedRequest;
     readonly upstream: Upstream;
     readonly answer: CallerAnswer;
+    readonly holder: Holder;
     readonly splitter: EventSplitter;
     /** Whether the request may be sent again after it may have run. */
     readonly isRepeatable: boolean;
@@ -79,14 +81,9 @@
 /** How often an attempt checks whether it is stalled. */
 const stallCheckIntervalMs = 100;
 
-/** Returns the headers of an upstream's answer that are forwarded to the caller. */
-export function answerHeaders(raw: readonly string[]): string[] {
-    return forwardedHeaders(raw, new Set(["date"]));
-}
-
 /** Sends the request to an upstream and calls back once the attempt has ended. */
 export function startAttempt(options: AttemptOptions, dependencies: AttemptDependencies): RunningAttempt {
-    const { request, upstream, answer, splitter } = options;
+    const { request, upstream, answer, splitter, holder } = options;
     const { names, balancer, view } = dependencies;
     const isStream = request.route.kind === "stream";
     let status = 0;
@@ -100,6 +97,8 @@
     let wasPaused = false;
 
     const observation = isObserved() ? dependencies.latency?.requestSent(upstream, request, needsConnection()) : undefined;
+    const releaseHolder = holder.retain();
+    const source = holder.attach({ pause: pauseReading, resume: () => exchange.resume() });
     balancer.requestSent(upstream, upstream.coldUntilMs > dependencies.nowMs());
     if (isStream) {
         balancer.streamStarted(upstream);
@@ -120,6 +119,9 @@
     function end() {
         isOver = true;
         clearInterval(stallTimer);
+        source.detach();
+        holder.hold("answer", 0);
+        releaseHolder();
         options.onEnded();
         balancer.requestEnded(upstream);
         if (isStream) {
@@ -155,6 +157,11 @@
     }
 
     function checkStalled() {
+        // Nothing comes from an exchange that is paused because its caller is slow.
+        if (source.isPaused) {
+            lastProgressAtMs = dependencies.nowMs();
+            return;
+        }
         const reason = stallReason();
         if (reason !== undefined && options.mayFailOver()) {
             abandon(reason);
@@ -222,22 +229,29 @@
         }
     }
 
+    function pauseReading() {
+        wasPaused = true;
+        exchange.pause();
+    }
+
     function forward(bytes: Buffer) {
-        if (!answer.write(bytes)) {
-            wasPaused = true;
-            exchange.pause();
+        if (!answer.write(bytes) && !holder.mayReadOn) {
+            source.pause();
         }
     }
 
     function onData(chunk: Buffer) {
         if (isForwarding && isStream) {
             const events = splitter.push(chunk);
+            // The account may pause reading now, which these events didn't wait for.
+            const cameAfterPause = wasPaused;
+            wasPaused &&= events.length === 0;
+            holder.hold("answer", splitter.partialBytes);
             if (events.length > 0) {
                 balancer.eventReceived(upstream, !hasEvents);
                 hasEvents = true;
                 lastProgressAtMs = dependencies.nowMs();
-                observation?.eventsReceived(countEvents(events), wasPaused);
-                wasPaused = false;
+                observation?.eventsReceived(countEvents(events), cameAfterPause);
                 options.onEvents();
                 forward(events);
             }
@@ -251,10 +265,13 @@
         bufferedBytes += chunk.length;
         if (bufferedBytes > maxBufferedBytes && status < 300) {
             isForwarding = true;
+            holder.hold("answer", 0);
             answer.start(status, answerHeaders(rawHeaders));
             buffered.forEach(forward);
             buffered = [];
+            return;
         }
+        holder.hold("answer", bufferedBytes);
     }
 
     function onMisdirected() {
@@ -326,6 +343,6 @@
                 end();
             }
         },
-        resume: () => exchange.resume(),
+        resume: () => source.drained(),
     };
 }
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -64,3 +64,8 @@
     }
     return kept;
 }
+
+/** Returns the headers of an upstream's answer that are forwarded to the caller. */
+export function answerHeaders(raw: readonly string[]): string[] {
+    return forwardedHeaders(raw, new Set(["date"]));
+}
--- a/test/support/controlledEntry.ts
+++ b/test/support/controlledEntry.ts
@@ -36,11 +36,14 @@
     readonly heardAgoMs?: (id: string) => number | undefined;
     /** Whether the control daemon has neither a site nor upstreams yet, so that the entry is only listening. */
     readonly isStarting?: boolean;
+    /** The memory that the entry's process may use; unbounded by default. */
+    readonly memoryLimitMb?: number;
 }
 
 /** Starts a control daemon that knows the upstream `u1` at `upstreamAddress`, and an entry; resolves once the entry is ready. */
 export async function startControlledEntry(
-    upstreamAddress: string, { overloadMode = "auto", heardAgoMs = () => undefined, isStarting = false }: ControlledEntryOptions = {},
+    upstreamAddress: string,
+    { overloadMode = "auto", heardAgoMs = () => undefined, isStarting = false, memoryLimitMb }: ControlledEntryOptions = {},
 ): Promise<ControlledEntry> {
     const port = (await freePorts(1))[0]!;
     const reports: Report[] = [];
@@ -66,7 +69,7 @@
         heartbeatMs: 1_200,
         daemonId: "entry-1", dataCentre: "a", callerAddress: `127.0.0.1:${port}`, controlAddresses: [rpc.address], headerNames,
         dialect: { decodeSite: () => ({ site: createSite() }) }, retries: { ratio: 0.1, slack: 10 }, overloadMode,
-        logger: createLogger("error", "test", new PassThrough().resume()), metrics,
+        memoryLimitMb, logger: createLogger("error", "test", new PassThrough().resume()), metrics,
     });
     await waitUntil("the entry is ready", () => isStarting || gateway.isReady);
     return {
