--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import { createLoadReports } from "./loadReports.js";
 import { createLoopTicks } from "./loopTicks.js";
 import { createLimits } from "./limits.js";
+import { createMemory, heldKinds, unboundedMemory } from "./memory/index.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
 import { createSharedLoads } from "./sharedLoads.js";
 import { createSiteView } from "./siteView.js";
@@ -42,6 +43,8 @@
     readonly overloadMode?: OverloadMode;
     /** The interval at which upstreams announce themselves. */
     readonly heartbeatMs: number;
+    /** The memory that the process may use, in MB; if undefined, the bytes held for callers and upstreams are not bounded. */
+    readonly memoryLimitMb?: number;
     readonly logger: Logger;
     readonly metrics: SiteMetrics;
 }
@@ -68,6 +71,8 @@
 const sweepIntervalMs = 500;
 /** How often an entry asks whether upstreams that refused its connections have been heard since. */
 const askHeardIntervalMs = 500;
+/** How often slow callers are looked for. It is short compared with the 500 ms after which one may be disconnected. */
+const memoryCheckIntervalMs = 100;
 /** How often a shutdown checks whether requests are still running. */
 const drainPollMs = 50;
 /**
@@ -113,6 +118,9 @@
     });
     const crashes = createCrashLog(nowMs);
     const workload = createWorkload();
+    const memory = options.memoryLimitMb === undefined
+        ? unboundedMemory
+        : createMemory({ limitMb: options.memoryLimitMb, logger, nowMs, count: metrics.recordMemoryAction });
     const vm = splitAddress(options.callerAddress).host;
     const { ratio, slack } = options.retries;
     const budgets = new Map<string, RetryBudget>();
@@ -196,7 +204,7 @@
     watcher.watch(options.controlAddresses);
 
     const server: GatewayServer = await listenForCallers(options.callerAddress, {
-        names: options.headerNames, view, startHold, balancer, connections, pushbacks, logger, dataCentre: options.dataCentre,
+        names: options.headerNames, view, startHold, balancer, connections, memory, pushbacks, logger, dataCentre: options.dataCentre,
         nowMs, random: Math.random, queueLimits: queueLimitsFor, admission, groupRoom, latency,
         mayRetry: service => budgetOf(service).tryRetry(nowMs()) === undefined,
         recordLimit: limits.limitSeen,
@@ -232,6 +240,11 @@
     metrics.registerModelGauge("zinnialanding_model_requests_waiting", () => admission.waitingByModel);
     metrics.registerOrganisationGauge("zinnialanding_organisation_requests_waiting", () => admission.waitingByOrganisation);
 
+    if (memory.isBounded) {
+        metrics.registerHeldBytes(() => new Map(heldKinds.map(kind => [kind, memory.held[kind]])));
+        metrics.registerGauge("zinnialanding_held_bytes_bound", () => memory.boundBytes);
+    }
+
     const timers = [
         setInterval(() => {
             loopTicks.tick();
@@ -240,6 +253,7 @@
         }, suspectCheckIntervalMs),
         setInterval(() => connections.sweep(view.addresses), sweepIntervalMs),
         setInterval(askHeard, askHeardIntervalMs),
+        setInterval(() => memory.check(), memoryCheckIntervalMs),
     ];
 
     function activityLogFields() {
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -17,11 +17,13 @@
 import type { AdmissionDecision } from "./admissionTypes.js";
 import type { CallerAnswer } from "./answer.js";
 import type { ParsedRequest } from "./parsedRequest.js";
-import { answerHeaders, type AttemptDependencies, type AttemptFailure, type RunningAttempt, startAttempt } from "./attempt.js";
+import { type AttemptDependencies, type AttemptFailure, type RunningAttempt, startAttempt } from "./attempt.js";
 import { chooseService } from "./chooseService.js";
 import { createEventSplitter } from "./events.js";
+import { answerHeaders } from "./headers.js";
 import type { PredictingGroupRoom } from "./groupRoom.js";
 import { type BoundsDependencies, isOnTimeQueueFull, mayQueueLate, queueLogFields } from "./lateQueue.js";
+import type { Holder } from "./memory/index.js";
 import { outgoingHeaders } from "./outgoingHeaders.js";
 import { retryAfterMs } from "./retryAfter.js";
 import type { Candidate } from "./siteView.js";
@@ -64,7 +66,9 @@
 const maxExtraAttempts = 2;
 
 /** Starts serving a request. */
-export function startRequest(request: ParsedRequest, answer: CallerAnswer, dependencies: RequestDependencies): RunningRequest {
+export function startRequest(
+    request: ParsedRequest, answer: CallerAnswer, holder: Holder, dependencies: RequestDependencies,
+): RunningRequest {
     const { names, balancer, logger } = dependencies;
     const { route } = request;
     const isStream = route.kind === "stream";
@@ -284,7 +288,7 @@
             }
         };
         currentAttempt = startAttempt({
-            request, upstream, answer, splitter, isRepeatable, isLate, headers: headersTo(upstream, isLate), mayFailOver,
+            request, upstream, answer, holder, splitter, isRepeatable, isLate, headers: headersTo(upstream, isLate), mayFailOver,
             stallTimeoutMs: isLate ? Infinity : stallTimeoutMs(route),
             onEnded() {
                 leaveLateQueue(false);
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -23,6 +23,10 @@
     recordOrder(kind: string, outcome: string): void;
     /** Counts a report of this entry that carried its loads. */
     recordLoadReport(): void;
+    /** Counts a pause of reading, a refusal or a cut-off because of the bytes held for callers and upstreams. */
+    recordMemoryAction(action: string, reason: string): void;
+    /** Registers the bytes held for callers and upstreams, by kind. */
+    registerHeldBytes(read: () => ReadonlyMap<string, number>): void;
     /** Registers a gauge whose value is read on each scrape. */
     registerGauge(name: GaugeName, read: () => number): void;
     /** Registers a gauge with a value for each model; models that `read` no longer returns are dropped. */
@@ -53,6 +57,7 @@
     zinnialanding_upstreams_limited: "Upstreams that state a limit on the requests that they take.",
     zinnialanding_upstreams_pushing_back: "Upstreams that have turned a request away and want none from here for a while.",
     zinnialanding_shared_loads_age_seconds: "Age of the view of all entries' requests at groups; NaN if there is none.",
+    zinnialanding_held_bytes_bound: "Bound on the bytes held for callers and upstreams.",
     zinnialanding_term: "Term of the replicated log.",
     zinnialanding_voters: "Disks that vote, by the newest membership known here.",
     zinnialanding_voters_silent: "Voters that the leader has not heard within an election timeout; 0 at other daemons.",
@@ -102,6 +107,7 @@
     const stoppingCounter = new Counter({ name: "zinnialanding_stopping_requests_total", help: "Requests that came or were cut off while the entry stops.", labelNames: ["listener", "connection", "outcome"], registers });
     const orderCounter = new Counter({ name: "zinnialanding_orders_total", help: "Orders to engines.", labelNames: ["kind", "outcome"], registers });
     const loadReportCounter = new Counter({ name: "zinnialanding_load_reports_total", help: "Reports that carried this entry's loads.", registers });
+    const memoryCounter = new Counter({ name: "zinnialanding_memory_actions_total", help: "Pauses, refusals and cut-offs because of held bytes.", labelNames: ["action", "reason"], registers });
     const admissionSeconds = new Histogram({ name: "zinnialanding_admission_wait_seconds", help: "From arrival to the decision on a stream that asked for room.", labelNames: ["route", "outcome"], buckets: bucketBoundsS, registers });
     const admissionRefusals = new Counter({ name: "zinnialanding_admission_refused_total", help: "Streams refused for want of room.", labelNames: ["cause", "priority"], registers });
 
@@ -135,6 +141,8 @@
         },
         recordOrder: (kind, outcome) => orderCounter.inc({ kind, outcome }),
         recordLoadReport: () => loadReportCounter.inc(),
+        recordMemoryAction: (action, reason) => memoryCounter.inc({ action, reason }),
+        registerHeldBytes: read => registerLabelled("zinnialanding_held_bytes", "Bytes held for callers and upstreams.", "kind", read),
         registerGauge(name, read) {
             new Gauge({
                 name, help: gaugeHelp[name], registers,
--- a/test/gateway/latencyTracker.test.ts
+++ b/test/gateway/latencyTracker.test.ts
@@ -1,8 +1,11 @@
+import { PassThrough } from "node:stream";
 import { expect } from "chai";
 import { startAttempt, type AttemptDependencies, type AttemptOptions } from "../../src/gateway/attempt.js";
 import { countEvents, createEventSplitter } from "../../src/gateway/events.js";
 import type { ExchangeEvents } from "../../src/gateway/connections.js";
 import { createLoopTicks } from "../../src/gateway/loopTicks.js";
+import { type CallerConnection, createMemory, unboundedMemory } from "../../src/gateway/memory/index.js";
+import { createLogger } from "../../src/telemetry/index.js";
 import { headerNames } from "../../platform/headers.js";
 import { learnedDifferences } from "../latency/measured.js";
 import { createEntry, groupHead, streamRequest } from "./groupModel.js";
@@ -115,6 +118,7 @@
     // A late stream waits behind others, and a continued one has already brought events.
     it("observes on-time streams from their start on, and tells which events came after reading was paused", () => {
         const observed: string[] = [];
+        const connection = { unsentBytes: 0, queuedBytes: 0 } as CallerConnection;
         let events: ExchangeEvents | undefined;
         const world = createWorld();
         const dependencies = {
@@ -132,18 +136,31 @@
         const attempt = (change: Partial<AttemptOptions>) => startAttempt({
             request: { ...world.request, attemptId: "r1" }, upstream: groupHead("g0").upstream, splitter: createEventSplitter(),
             answer: { start: () => undefined, write: () => false }, isRepeatable: false, stallTimeoutMs: 1_000, headers: [],
-            onEvents: () => undefined, ...change,
+            holder: unboundedMemory.open(connection), onEvents: () => undefined, ...change,
         } as unknown as AttemptOptions, dependencies);
         const continued = createEventSplitter();
         continued.push(Buffer.from("id: 3\ndata: x\n\n"));
         attempt({ isLate: true });
         attempt({ splitter: continued });
         expect(observed).to.deep.equal([]);
-        attempt({});
-        events!.head(200, [headerNames.attemptId, "r1", headerNames.signature, "s"]);
-        events!.data(Buffer.from("id: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\n"));
-        events!.data(Buffer.from("id: 3\ndata: z\n\n"));
-        expect(observed).to.deep.equal(["sent true", "2 false", "pause", "1 true", "pause"]);
+        const serve = (change: Partial<AttemptOptions>) => {
+            attempt(change);
+            events!.head(200, [headerNames.attemptId, "r1", headerNames.signature, "s"]);
+            events!.data(Buffer.from("id: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\n"));
+            events!.data(Buffer.from("id: 3\ndata: z\n\n"));
+            return observed.splice(0);
+        };
+        expect(serve({})).to.deep.equal(["sent true", "2 false", "pause", "1 true", "pause"]);
+        // With room in the account, reading goes on although the caller is slow.
+        const logger = createLogger("error", "test", new PassThrough().resume());
+        const memory = createMemory({ limitMb: 250, logger, nowMs: () => 0, count: () => undefined });
+        expect(serve({ holder: memory.open(connection) })).to.deep.equal(["sent true", "2 false", "1 false"]);
+        // A pause by the full account counts like one by the caller, though not for the events with which it begins.
+        const filler = memory.open(connection);
+        filler.hold("upstream", memory.boundBytes);
+        const whileFull = serve({ holder: memory.open(connection) });
+        expect(whileFull.filter(entry => entry !== "pause")).to.deep.equal(["sent true", "2 false", "1 true"]);
+        expect(whileFull).to.include("pause");
     });
 
     it("counts events with any line breaks", () => {
