Limit groups where they keep 0.95 of their on-time throughput

Times to the first event vary with the passes of a group, so their spread at one load is scaled by the pass to that at another; without this, what was seen at a full group made a smaller limit look useless.

--- a/src/gateway/latencyTracker.ts
+++ b/src/gateway/latencyTracker.ts
@@ -216,7 +216,9 @@
                 const engineMs = observedMs - differences.medianMs;
                 addSample(upstream, model, { observedMs: engineMs, predictedMs: predictedMs / factorAtSending }, load);
             }
-            model.learned.differences = addDifference(differences, observedMs - predictedMs, nowMs());
+            model.learned.differences = addDifference(
+                differences, observedMs - predictedMs, passMs(model.costs, load) * factorAtSending, nowMs(),
+            );
         }
 
         function pauseEnded(pauseMs: number, count: number) {
--- a/src/latency/onTimeLimit.ts
+++ b/src/latency/onTimeLimit.ts
@@ -28,11 +28,12 @@
 export function onTimeThroughput(costs: ModelCosts, requests: number, terms: OnTimeTerms): number {
     const { latenessMs, networkMs, differences, factor } = terms;
     const firstMs = predictFirstEventMs(costs, requests, costs.usualPromptTokens, usualUnreadTokens(costs, requests));
-    return requests / passMs(costs, requests) * shareUpTo(differences, latenessMs - networkMs - firstMs * factor);
+    const pass = passMs(costs, requests);
+    return requests / pass * shareUpTo(differences, latenessMs - networkMs - firstMs * factor, pass * factor);
 }
 
 /** The part of the highest on-time throughput that a group has to keep. */
-const keptPart = 0.9;
+const keptPart = 0.95;
 
 /**
  * Returns the largest number of requests, at least 1 and at most the slots, at which a group completes nearly as many on time as it can.
--- a/src/latency/quantiles.ts
+++ b/src/latency/quantiles.ts
@@ -7,14 +7,16 @@
 
 interface Difference {
     readonly ms: number;
+    /** The expected time of a pass at the load at which it was observed. */
+    readonly passMs: number;
     readonly atMs: number;
 }
 
 /** The latest differences, the oldest first, and their quantiles. */
 export interface Differences {
     readonly latest: readonly Difference[];
-    /** The same in ms, in ascending order. */
-    readonly sortedMs: readonly number[];
+    /** What they differ from their median by, in passes at the load of each, in ascending order. */
+    readonly sortedDeviations: readonly number[];
     readonly medianMs: number;
     readonly upperMs: number;
 }
@@ -27,7 +29,7 @@
 const maxCount = 128;
 const upperQuantile = 0.75;
 
-export const noDifferences: Differences = { latest: [], sortedMs: [], medianMs: 0, upperMs: 0 };
+export const noDifferences: Differences = { latest: [], sortedDeviations: [], medianMs: 0, upperMs: 0 };
 
 /** Whether there are enough differences to rely on their quantiles. */
 export function isLearned({ latest }: Differences): boolean {
@@ -41,24 +43,30 @@
     return below + (sorted[Math.ceil(rank)]! - below) * (rank - Math.floor(rank));
 }
 
-/** Adds a difference that was observed at `atMs`. A value that is not finite is ignored. */
-export function addDifference({ latest, ...rest }: Differences, ms: number, atMs: number): Differences {
-    if (!Number.isFinite(ms)) {
+/** Adds a difference that was observed at `atMs`, at a load with passes of `passMs`. A value that is not finite is ignored. */
+export function addDifference({ latest, ...rest }: Differences, ms: number, passMs: number, atMs: number): Differences {
+    if (!Number.isFinite(ms) || !(passMs > 0)) {
         return { latest, ...rest };
     }
-    const all = [...latest, { ms, atMs }];
+    const all = [...latest, { ms, passMs, atMs }];
     const firstRecent = all.findIndex(difference => atMs - difference.atMs <= retentionMs);
     const kept = all.slice(Math.max(all.length - maxCount, Math.min(firstRecent, all.length - minCount), 0));
     const sortedMs = kept.map(difference => difference.ms).sort((a, b) => a - b);
-    return { latest: kept, sortedMs, medianMs: quantileOf(sortedMs, 0.5), upperMs: quantileOf(sortedMs, upperQuantile) };
+    const medianMs = quantileOf(sortedMs, 0.5);
+    const sortedDeviations = kept.map(difference => (difference.ms - medianMs) / difference.passMs).sort((a, b) => a - b);
+    return { latest: kept, sortedDeviations, medianMs, upperMs: quantileOf(sortedMs, upperQuantile) };
 }
 
-/** Returns the share of the differences that are at most `ms`, from 0 to 1. */
-export function shareUpTo({ sortedMs }: Differences, ms: number): number {
-    let [count, above] = [0, sortedMs.length];
+/**
+ * Returns the expected share of differences of at most `ms`, from 0 to 1, at a load with passes of `passMs`. Times vary with the passes: a
+ * request that just misses one waits for the next.
+ */
+export function shareUpTo({ sortedDeviations, medianMs }: Differences, ms: number, passMs: number): number {
+    const deviation = (ms - medianMs) / passMs;
+    let [count, above] = [0, sortedDeviations.length];
     while (count < above) {
         const middle = (count + above) >> 1;
-        [count, above] = sortedMs[middle]! <= ms ? [middle + 1, above] : [count, middle];
+        [count, above] = sortedDeviations[middle]! <= deviation ? [middle + 1, above] : [count, middle];
     }
-    return sortedMs.length === 0 ? 0 : count / sortedMs.length;
+    return sortedDeviations.length === 0 ? 0 : count / sortedDeviations.length;
 }
