Views of loads last two report intervals, and observations of ended groups are dropped

Above 200 entries the leader asks for reports rarer than 500 ms, so views expired between two of them. Observations of each group that an entry had used stayed in memory for good.

--- a/src/admission/allowance.ts
+++ b/src/admission/allowance.ts
@@ -4,8 +4,6 @@
  * @module
  */
 
-/** A view older than this is not used: the entry keeps to its share of the limit. */
-const maxViewAgeMs = 500;
 /**
  * Below this part of the limit an entry may use `looseFactor` times its share, at least `minLooseShare` of the room, and at least one
  * request for each view, since few entries have requests for the same group between two views. If each could use all of the room there, a
@@ -31,8 +29,6 @@
 
 export interface AllowanceInput {
     readonly viewNumber: number;
-    /** Age of the view; Infinity if there is none. */
-    readonly ageMs: number;
     /** The number of requests at the group up to which one more is on time. */
     readonly limit: number;
     /** Requests of other entries by the view; undefined if it is too old. */
@@ -73,8 +69,8 @@
  * rest is divided by the next view, so that entries with many requests do not keep all of it.
  */
 export function computeAllowance(state: AllowanceState, input: AllowanceInput): Allowance {
-    const { viewNumber, ageMs, limit, others, own, countedOwn, share, ownAtModel } = input;
-    if (others === undefined || ageMs >= maxViewAgeMs) {
+    const { viewNumber, limit, others, own, countedOwn, share, ownAtModel } = input;
+    if (others === undefined) {
         const allowance = allowanceWithoutView(input);
         return { state, allowance: ownAtModel === 0 ? Math.max(1, allowance) : allowance };
     }
--- a/src/gateway/allowances.ts
+++ b/src/gateway/allowances.ts
@@ -24,12 +24,12 @@
         [...states].filter(([, state]) => viewNumber - state.viewNumber >= retainedViews).forEach(([headId]) => states.delete(headId));
     }
 
-    return ({ headId, limit, own, share, ageMs, estimatedOthers, ownAtModel }) => {
+    return ({ headId, limit, own, share, estimatedOthers, ownAtModel }) => {
         const { viewNumber } = sharedLoads;
         prune(viewNumber);
         const others = sharedLoads.othersAt(headId);
         const { state, allowance } = computeAllowance(states.get(headId) ?? initialAllowance, {
-            viewNumber, ageMs, limit, others, estimatedOthers, own, countedOwn: sharedLoads.countedOwnAt(headId), share,
+            viewNumber, limit, others, estimatedOthers, own, countedOwn: sharedLoads.countedOwnAt(headId), share,
             ownAtModel: others === undefined ? ownAtModel() : own,
         });
         states.set(headId, state);
--- a/src/gateway/latencyTracker.ts
+++ b/src/gateway/latencyTracker.ts
@@ -73,6 +73,8 @@
 const maxUsualPrompts = 64;
 /** Groups that are not in use for this long are not shown in the gauge of the highest factor. */
 const gaugeRetentionMs = 10_000;
+/** What was observed of a group is forgotten after this time, in which its speed factor has returned to 1. */
+const headRetentionMs = 60_000;
 
 interface HeadState {
     model: string;
@@ -137,6 +139,7 @@
             return known;
         }
         const speed = createGroupSpeed(upstream.bornMs, upstream.group?.epoch ?? 0, nowMs());
+        [...heads].filter(([, head]) => nowMs() - head.speed.atMs > headRetentionMs).forEach(([id]) => heads.delete(id));
         const state = { model, speed, backlog: emptyBacklog, factor: 1, factorUntilMs: 0 };
         heads.set(upstream.id, state);
         return state;
--- a/src/gateway/sharedLoads.ts
+++ b/src/gateway/sharedLoads.ts
@@ -31,8 +31,8 @@
     checkAge(): void;
 }
 
-/** A view is usable for this long: two report intervals. */
-export const viewLifetimeMs = 500;
+/** A view is usable for two report intervals, and for at least this long. */
+const minViewLifetimeMs = 500;
 /** How long after that the share takes to become equal for each entry. */
 const equalShareAfterMs = 10_000;
 /** The leader's interval is kept for this long after its last answer. */
@@ -53,11 +53,12 @@
     let viewNumber = 0;
     let isFresh = false;
 
+    const viewLifetimeMs = () => Math.max(minViewLifetimeMs, 2 * (latest?.all.nextReportMs ?? 0));
     const ageMs = () => latest === undefined ? Infinity : Math.max(0, nowMs() - takenAtMs);
 
     return {
         othersAt(headId) {
-            return latest === undefined || ageMs() >= viewLifetimeMs
+            return latest === undefined || ageMs() >= viewLifetimeMs()
                 ? undefined
                 : Math.max(0, (latest.all.running[headId] ?? 0) - (latest.own[headId] ?? 0));
         },
@@ -65,7 +66,7 @@
         shareOf(model) {
             const equalShare = 1 / Math.max(1, latest?.all.entries ?? entries());
             const stated = latest?.shares[model] ?? equalShare;
-            const equalPart = Math.min(1, Math.max(0, (ageMs() - viewLifetimeMs) / equalShareAfterMs));
+            const equalPart = Math.min(1, Math.max(0, (ageMs() - viewLifetimeMs()) / equalShareAfterMs));
             return stated + (equalShare - stated) * equalPart;
         },
         get ageMs() {
@@ -87,14 +88,13 @@
             latest = answer;
             answeredAtMs = nowMs();
             takenAtMs = nowMs() - answer.ageMs;
-            if (!isFresh && ageMs() < viewLifetimeMs) {
+            if (!isFresh && ageMs() < viewLifetimeMs()) {
                 isFresh = true;
                 logger.info("view of shared loads is fresh", { leader, number, entries: answer.all.entries });
             }
         },
         checkAge() {
-            // With many entries, reports may be rarer than views last. That is logged only once a report has remained without answer.
-            if (isFresh && ageMs() >= Math.max(viewLifetimeMs, 2 * (latest?.all.nextReportMs ?? 0))) {
+            if (isFresh && ageMs() >= viewLifetimeMs()) {
                 isFresh = false;
                 logger.info("view of shared loads is old", { ageMs: Math.round(ageMs()), ...latest?.all.view });
             }
--- a/test/gateway/sharedLoads.test.ts
+++ b/test/gateway/sharedLoads.test.ts
@@ -55,7 +55,7 @@
 });
 
 describe("the allowance of an entry at a group", () => {
-    const input = { viewNumber: 1, ageMs: 0, limit: 40, others: 28, own: 4, countedOwn: 4, share: 0.25, ownAtModel: 4 };
+    const input = { viewNumber: 1, limit: 40, others: 28, own: 4, countedOwn: 4, share: 0.25, ownAtModel: 4 };
     const allowance = (change: Partial<typeof input> & { others?: number | undefined; estimatedOthers?: number }) =>
         computeAllowance(initialAllowance, { ...input, ...change }).allowance;
 
@@ -67,15 +67,14 @@
             "over the limit": allowance({ others: 40 }),
             "half empty": allowance({ others: 16 }),
             "half empty, small share": allowance({ others: 16, share: 0.01 }),
-            "old view": allowance({ ageMs: 500 }),
-            "no view": allowance({ ageMs: Infinity, others: undefined }),
+            "no view": allowance({ others: undefined }),
             "no view, above its share": allowance({ others: undefined, own: 12, ownAtModel: 12 }),
-            "no view, 20 others by its answers": allowance({ ageMs: Infinity, others: undefined, estimatedOthers: 20 }),
-            "no view, full by its answers": allowance({ ageMs: Infinity, others: undefined, estimatedOthers: 36 }),
+            "no view, 20 others by its answers": allowance({ others: undefined, estimatedOthers: 20 }),
+            "no view, full by its answers": allowance({ others: undefined, estimatedOthers: 36 }),
             "no view, none at the model": allowance({ others: undefined, own: 0, ownAtModel: 0, share: 0.01 }),
         }).to.deep.equal({
             "8 left": 2, "8 left, 2 sent since": 0, "8 left, 2 ended since": 2.5, "over the limit": -1, "half empty": 7.5,
-            "half empty, small share": 1.35, "old view": 6, "no view": 6, "no view, above its share": -2,
+            "half empty, small share": 1.35, "no view": 6, "no view, above its share": -2,
             "no view, 20 others by its answers": 8, "no view, full by its answers": 6, "no view, none at the model": 1,
         });
     });
--- a/test/support/loadExchange.ts
+++ b/test/support/loadExchange.ts
@@ -48,7 +48,7 @@
             return limit - own;
         }
         entry.allowance = computeAllowance(entry.allowance.state, {
-            viewNumber: sharedLoads.viewNumber, ageMs: sharedLoads.ageMs, limit, others: sharedLoads.othersAt("h"), own,
+            viewNumber: sharedLoads.viewNumber, limit, others: sharedLoads.othersAt("h"), own,
             countedOwn: sharedLoads.countedOwnAt("h"), share: sharedLoads.shareOf("m"), ownAtModel: own,
         });
         return entry.allowance.allowance;
