--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -6,17 +6,33 @@
  */
 
 import { Agent, request } from "node:http";
-import { callControlDaemon } from "../../standin/platform/index.js";
-import type { Random } from "../random.js";
+import { bulkPadding, callControlDaemon } from "../../standin/platform/index.js";
+import { createRandom, nextArrivalMs, type Random } from "../random.js";
 import type { Call, CallKind } from "./history.js";
+import type { Fault } from "./schedule.js";
 
 const readinessIntervalMs = 200;
-const deadlineMs = 3_000;
+export const deadlineMs = 3_000;
 /** Time after the deadline in which an answer may still come. */
 const answerMarginMs = 1_500;
+/** The answers of sound requests are shorter, without padding. */
+const maxBodyLength = 1_000;
 const retryDelayMs = 100;
 /** Relative frequencies. */
 const weights: readonly (readonly [CallKind, number])[] = [["charge", 3], ["read", 2], ["caption", 5], ["route", 2], ["keyed", 2]];
+/** Organisations of bursts; the first one sends most requests. */
+const organisations = ["atelier", "workshop"];
+/** Streams that differ only in priority, and streams with large events. */
+export const streamRoutes = [["urgent", 0], ["tolerant", 2], ["bulk", 1]].map(([name, priority]) => ({
+    name, host: "shop.example", pathPrefix: `/${name}/`, kind: "streaming", service: "pool", timeoutMs: 4_000, targetLatencyMs: 400,
+    targetGapMs: 300, priority, maxAttempts: 2, resumeStreams: true,
+}));
+export const tenants = organisations.map(name => ({ name, apiKeys: [`key-of-${name}`] }));
+const largeShare = 0.8;
+const burstPerSecond = 200;
+/** Part of the callers of `leaving-callers` that leave, and the longest time after which they do. */
+const [leaverShare, maxStayMs] = [0.5, 600];
+const slowCallers = 4;
 
 export interface EntryAddresses {
     readonly id: string;
@@ -26,6 +42,8 @@
 
 export interface Callers {
     readonly calls: readonly Call[];
+    /** Brings about more load or callers of another kind; resolves when their requests have ended. */
+    load(event: Fault): Promise<void>;
     /** Ends the load; resolves when every call has ended. */
     stop(): Promise<void>;
 }
@@ -42,6 +60,14 @@
     key(): string | undefined;
 }
 
+/** What a caller does otherwise than others. */
+interface Behaviour {
+    readonly organisation?: string;
+    readonly leavesAfterMs?: number | undefined;
+    /** How long it reads nothing once the answer has begun. */
+    readonly stopsReadingMs?: number;
+}
+
 function pause(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
@@ -78,13 +104,14 @@
     }
 
     /** Sends one request over the connection of `agent`. Resolves to whether the connection may be used again. */
-    function send(agent: Agent, entry: EntryAddresses, kind: CallKind): Promise<boolean> {
+    function send(agent: Agent | false, entry: EntryAddresses, kind: CallKind, behaviour: Behaviour = {}): Promise<boolean> {
+        const { organisation, leavesAfterMs, stopsReadingMs = 0 } = behaviour;
         const id = `c${nextId++}`;
         const routeVersion = kind === "route" ? options.routeVersion() : undefined;
         const key = kind === "keyed" ? options.key() : undefined;
         // Requests with the same path, caller and body would count as one that crashes upstreams when links are reset under it.
         const path = kind === "route" ? `/v${routeVersion}/${id}` : `/${kind === "keyed" ? "read" : kind}/${id}`;
-        const body = kind === "charge" || kind === "caption" ? "x" : undefined;
+        const body = ["read", "route", "keyed"].includes(kind) ? undefined : "x";
         const [host, port] = entry.callers.split(":");
         const sentAtMs = performance.now();
         return new Promise(resolve => {
@@ -92,17 +119,18 @@
             let status: number | undefined;
             let leavingUpstream: string | undefined;
             let isReusable = true;
+            let leftAtMs: number | undefined;
             const finish = (isComplete: boolean) => {
                 calls.push({
-                    id, kind, entry: entry.id, sentAtMs, endedAtMs: performance.now(), status, isComplete, body: text, leavingUpstream,
-                    routeVersion, key,
+                    id, kind, entry: entry.id, sentAtMs, endedAtMs: performance.now(), status, isComplete,
+                    body: text.replaceAll(bulkPadding, ": whole\n").slice(0, maxBodyLength), leavingUpstream, routeVersion, key, organisation, leftAtMs,
                 });
                 resolve(isComplete && isReusable);
             };
             const message = request({
                 host, port, agent, method: body === undefined ? "GET" : "POST", path, timeout: deadlineMs + answerMarginMs,
                 headers: {
-                    host: "shop.example", "api-key": key ?? "key-1", "zinnialanding-attempt-id": id, "zinnialanding-deadline-ms": String(deadlineMs),
+                    host: "shop.example", "api-key": key ?? (organisation === undefined ? "key-1" : `key-of-${organisation}`), "zinnialanding-attempt-id": id, "zinnialanding-deadline-ms": String(deadlineMs),
                     "zinnialanding-model": "lm", "zinnialanding-token-usage": "20,30",
                     ...body === undefined ? {} : { "content-length": String(body.length) },
                 },
@@ -110,17 +138,48 @@
                 status = response.statusCode;
                 isReusable = response.headers.connection !== "close";
                 leavingUpstream = response.headers["server-leaving"] === "1" ? String(response.headers["zinnialanding-served-by"]) : undefined;
+                if (stopsReadingMs > 0) {
+                    setTimeout(() => response.resume(), stopsReadingMs);
+                }
                 response.on("data", chunk => {
                     text += String(chunk);
                 });
                 response.on("close", () => finish(response.complete));
+                if (stopsReadingMs > 0) {
+                    response.pause();
+                }
             });
             message.on("timeout", () => message.destroy(new Error("timed out")));
             message.on("error", () => status === undefined && finish(false));
             message.end(body);
+            if (leavesAfterMs !== undefined) {
+                const leave = setTimeout(() => {
+                    leftAtMs = performance.now();
+                    message.destroy(new Error("the caller leaves"));
+                }, leavesAfterMs);
+                message.on("close", () => clearTimeout(leave));
+            }
         });
     }
 
+    async function load({ kind, forMs, target }: Fault) {
+        const draw = createRandom(target);
+        const requests: Promise<boolean>[] = [];
+        const add = (callKind: CallKind, behaviour: Behaviour) => requests.push(send(false, chooseEntry(), callKind, behaviour));
+        if (kind === "slow-callers") {
+            Array.from({ length: slowCallers }, () => add("bulk", { stopsReadingMs: forMs }));
+        }
+        else {
+            const startedAtMs = performance.now();
+            for (let atMs = 0; atMs < forMs; atMs += nextArrivalMs(draw, burstPerSecond)) {
+                await pause(startedAtMs + atMs - performance.now());
+                const leavesAfterMs = kind === "leaving-callers" && draw() < leaverShare ? draw() * maxStayMs : undefined;
+                add(draw() < 0.5 ? "urgent" : "tolerant", { organisation: organisations[draw() < largeShare ? 0 : 1]!, leavesAfterMs });
+            }
+        }
+        await Promise.all(requests);
+    }
+
     async function runCaller() {
         while (!isStopped) {
             const entry = chooseEntry();
@@ -139,6 +198,7 @@
     const running = Array.from({ length: options.count }, runCaller);
     return {
         calls,
+        load,
         async stop() {
             isStopped = true;
             clearInterval(balancer);
--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -19,6 +19,10 @@
     readonly drainMs: number;
     /** Time to recover once everything is back. */
     readonly recoveryMs: number;
+    /** Within it a request ends; callers send it along. */
+    readonly deadlineMs: number;
+    /** What a busy machine and what is under way may add to the times of other processes. */
+    readonly marginMs: number;
 }
 
 /** A pushback allows this many requests from this time after it until its end. */
@@ -47,17 +51,17 @@
 
 const refusalsAreTrue: Check = history => {
     const counts = runCounts(history);
-    const isFalse = ({ kind, id, status }: Call) => kind === "charge" && notRunStatuses.has(status ?? 0) && counts.has(id);
+    const isFalse = ({ id, status }: Call) => notRunStatuses.has(status ?? 0) && counts.has(id);
     return history.calls.filter(isFalse)
         .map(({ id, status }) => `request ${id} was answered ${status} and has run`);
 };
 
 function isWhole({ kind, id, body }: Call): boolean {
-    if (kind !== "caption") {
+    if (!["caption", "urgent", "tolerant", "bulk"].includes(kind)) {
         return body === `done ${id}`;
     }
     const expected = Array.from({ length: eventsPerAnswer }, (_, index) => index + 1);
-    return eventIds(body).join() === expected.join() && expected.every(event => body.includes(`data: ${id} ${event}\n`));
+    return eventIds(body).join() === expected.join() && expected.every(event => body.includes(`data: ${id} ${event}\n${kind === "bulk" ? ": whole\n" : ""}`));
 }
 
 const answersAreWholeAndOwn: Check = ({ calls }) =>
@@ -171,6 +175,54 @@
     });
 };
 
+const callersWhoLeftAreNotServed: Check = ({ calls, upstreams, outages }, { marginMs }) => {
+    const runs = upstreams.flatMap(upstream => upstream.runs);
+    const lastRunAtMs = new Map(runs.map(({ id, atMs }) => [id, atMs]));
+    return calls.filter(({ id, entry, leftAtMs = Infinity, sentAtMs }) => (lastRunAtMs.get(id) ?? 0) > leftAtMs + marginMs &&
+        !isDisturbed(outages, entry, sentAtMs, lastRunAtMs.get(id)!))
+        .map(({ id, entry, leftAtMs }) => `${entry} had ${id} run ${Math.round(lastRunAtMs.get(id)! - leftAtMs!)} ms after its caller left`);
+};
+
+/** An answer that its caller reads slowly may end later. */
+const deadlinesAreKept: Check = ({ calls, outages }, { deadlineMs, marginMs }) => calls
+    .filter(({ kind, entry, sentAtMs, endedAtMs }) => kind !== "bulk" && endedAtMs - sentAtMs > deadlineMs + marginMs &&
+        !isDisturbed(outages, entry, sentAtMs, endedAtMs))
+    .map(({ id, kind, entry, sentAtMs, endedAtMs }) => `${entry} held ${kind} ${id} for ${Math.round(endedAtMs - sentAtMs)} ms`);
+
+const isServed = ({ status, isComplete }: Call) => status === 200 && isComplete;
+
+/** An organisation that is as likely served as the others has none served of so many with a probability of e^-10. */
+const minExpectedServed = 10;
+
+const organisationsAreServed: Check = ({ calls }) => {
+    const counted = calls.filter(({ organisation, leftAtMs }) => organisation !== undefined && leftAtMs === undefined);
+    const servedShare = counted.filter(isServed).length / Math.max(1, counted.length);
+    return [...new Set(counted.map(({ organisation }) => organisation))].flatMap(organisation => {
+        const own = counted.filter(call => call.organisation === organisation);
+        return own.length * servedShare >= minExpectedServed && !own.some(isServed)
+            ? [`none of ${own.length} requests of ${organisation} was served`]
+            : [];
+    });
+};
+
+/** Standard errors of the difference between two shares: less than one sound run in 700 exceeds them. */
+const maxStandardErrors = 3;
+
+/** Streams of bursts differ only in priority, which is drawn for each one, so that faults strike both alike. */
+const urgentOnesAreServedAsOften: Check = ({ calls }) => {
+    const [urgent, tolerant] = (["urgent", "tolerant"] as const).map(kind =>
+        calls.filter(call => call.kind === kind && call.leftAtMs === undefined));
+    const [urgentServed, tolerantServed] = [urgent!.filter(isServed).length, tolerant!.filter(isServed).length];
+    if (urgent!.length === 0 || tolerant!.length === 0) {
+        return [];
+    }
+    const share = (urgentServed + tolerantServed) / (urgent!.length + tolerant!.length);
+    const standardError = Math.sqrt(share * (1 - share) * (1 / urgent!.length + 1 / tolerant!.length));
+    return urgentServed / urgent!.length < tolerantServed / tolerant!.length - maxStandardErrors * standardError
+        ? [`${urgentServed} of ${urgent!.length} urgent streams were served, and ${tolerantServed} of ${tolerant!.length} tolerant ones`]
+        : [];
+};
+
 const groupsAreSound: Check = ({ upstreams }) => upstreams.flatMap(({ anomalies }) => anomalies);
 
 const recovers: Check = ({ calls, calmFromMs, endedAtMs }, { recoveryMs }) => {
@@ -185,6 +237,7 @@
     runsAtMostOnce, refusalsAreTrue, answersAreWholeAndOwn, pushbacksAreKept, leavingUpstreamsGetNothing, coldUpstreamsAreSpared,
     revokedKeysAreRefused, readsAreNotStale,
     configurationsNeverRevert, configurationsApply, plannedStopsLoseNothing, groupsAreSound, recovers,
+    callersWhoLeftAreNotServed, deadlinesAreKept, organisationsAreServed, urgentOnesAreServedAsOften,
 };
 export type CheckName = keyof typeof checks;
 
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -6,7 +6,7 @@
 
 import type { Arrival, Pushback, Run } from "../../standin/platform/index.js";
 
-export type CallKind = "charge" | "read" | "caption" | "route" | "keyed";
+export type CallKind = "charge" | "read" | "caption" | "route" | "keyed" | "urgent" | "tolerant" | "bulk";
 
 /** A request of a caller. All times are on one clock. */
 export interface Call {
@@ -26,6 +26,10 @@
     readonly routeVersion?: number | undefined;
     /** For calls of the kind `keyed`: the key, which is revoked sooner or later. */
     readonly key?: string | undefined;
+    /** For streams of bursts: the organisation. */
+    readonly organisation?: string | undefined;
+    /** When the caller closed its connection before the answer was complete. */
+    readonly leftAtMs?: number | undefined;
 }
 
 /** A configuration sent by the operator. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -8,10 +8,10 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createRandom } from "../random.js";
-import { startCallers } from "./callers.js";
+import { deadlineMs, startCallers } from "./callers.js";
 import { type Bounds, findViolations, type Finding } from "./checks.js";
 import type { Call, History } from "./history.js";
-import { createSchedule, type Fault, type FaultKind } from "./schedule.js";
+import { createSchedule, type Fault, type FaultKind, isLoad } from "./schedule.js";
 import { coldPerSecond, logFileOf, startWorld } from "./world.js";
 
 export interface SoakOptions {
@@ -46,6 +46,7 @@
 /** The bounds that the smaller of the users' sites state. */
 const bounds: Bounds = {
     configurationAppliesMs: 2_000, contactMs: 3_000, drainMs: 2_000, recoveryMs: 12_000, coldPerSecond: coldPerSecond * 1.5 + 5,
+    deadlineMs, marginMs: 1_000,
 };
 /** Time after the recovery in which callers must be served again. */
 const servedMs = 3_000;
@@ -70,7 +71,7 @@
         });
         const applied = faults.map(async fault => {
             await pause(fault.atMs);
-            await world.apply(fault);
+            await (isLoad(fault.kind) ? callers.load(fault) : world.apply(fault));
         });
         await Promise.all([pause(lengthMs), ...applied]);
         const calmFromMs = performance.now();
--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -14,6 +14,7 @@
     "add-cold-upstream",
     "silence-link", "reset-link", "refuse-link",
     "publish", "revoke-key", "evacuate",
+    "burst", "leaving-callers", "slow-callers",
 ] as const;
 export type FaultKind = typeof faultKinds[number];
 
@@ -39,13 +40,18 @@
 /** How much longer than other faults a control daemon is frozen, so that changes are accepted without it. */
 const controlFreezeFactor = 3;
 /** How often a kind is drawn in comparison with the others. */
-const kindWeights: Partial<Record<FaultKind, number>> = { publish: 4, "revoke-key": 2, "push-back": 2 };
+const kindWeights: Partial<Record<FaultKind, number>> = { publish: 4, "revoke-key": 2, "push-back": 2, burst: 2 };
 /** Time from the end of a control daemon's fault to the next one. */
 const controlRestMs = 3_000;
 const maxReplacements = 2;
 const maxAdditions = 3;
 const maxTarget = 1 << 20;
 
+/** Whether an event concerns what callers do. */
+export function isLoad(kind: FaultKind): boolean {
+    return kind === "burst" || kind.endsWith("-callers");
+}
+
 function isControlFault(kind: FaultKind): boolean {
     return kind.endsWith("-control") || kind === "kill-all";
 }
--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -10,6 +10,7 @@
     callControlDaemon, configurationText, createSiteProcesses, type DaemonSpec, type Runner, type SiteProcesses, startRunner,
 } from "../../standin/platform/index.js";
 import { type Relay, startRelay } from "../../standin/relay.js";
+import { streamRoutes, tenants } from "./callers.js";
 import type { ConfigurationRead, History, Outage, Publication } from "./history.js";
 import type { Fault } from "./schedule.js";
 
@@ -25,6 +26,8 @@
 const controlCount = 3;
 const ordersCount = 3;
 const heartbeatMs = 400;
+/** Bursts exceed what four groups with this many slots serve. */
+const [slots, memoryLimitMb] = [4, 250];
 const joinMs = 150;
 const readinessTimeoutMs = 30_000;
 const readIntervalMs = 300;
@@ -72,7 +75,7 @@
 
 /** Starts the site; resolves once it has a configuration and its groups are open. */
 export async function startWorld(options: WorldOptions): Promise<World> {
-    const processes = createSiteProcesses({ ...options, controls: controlCount });
+    const processes = createSiteProcesses({ ...options, controls: controlCount, memoryLimitMb });
     const { controls, entries } = processes;
     const runners: Runner[] = [];
     const relays = new Map<string, Relay>();
@@ -92,7 +95,7 @@
         const isEngine = service === "pool";
         runners.push(await startRunner({
             id, service, zone: dataCentres[index % dataCentres.length]!, heartbeatMs, joinMs, coldForMs,
-            ...isEngine ? { domain: "d0" } : {},
+            ...isEngine ? { domain: "d0", slots } : {},
             controls: () => controls.map(processes.controlAddress),
             peer: peerId => runners.find(runner => runner.id === peerId),
             async advertise(address) {
@@ -120,7 +123,8 @@
         const extraKeys = [`extra-${nextKey}`];
         const publication = { version, sentAtMs: performance.now(), keys: extraKeys, acknowledgedAtMs: undefined as number | undefined };
         publications.push(publication);
-        const text = configurationText(version, { routes: routesOf(version), keys: ["key-1", ...extraKeys], coldPerSecond });
+        const routes = [...streamRoutes, ...routesOf(version)];
+        const text = configurationText(version, { routes, keys: ["key-1", ...extraKeys], coldPerSecond, slots, tenants });
         for (let attempt = 0; attempt < 20 && !isStopped; attempt++) {
             const control = controls[(target + attempt) % controls.length]!;
             const { status } = await callControlDaemon(processes.controlAddress(control), "POST", "/api/config/put", text);
--- a/standin/platform/callers.ts
+++ b/standin/platform/callers.ts
@@ -65,18 +65,20 @@
 export function configurationText(
     version: number,
     overrides: {
-        readonly size?: number; readonly routes?: readonly object[];
+        readonly size?: number; readonly slots?: number; readonly routes?: readonly object[];
         /** Keys of the only organisation. */
         readonly keys?: readonly string[];
         /** Requests per second that a cold upstream bears; no limit by default. */
         readonly coldPerSecond?: number;
+        /** Organisations beside the usual one. */
+        readonly tenants?: readonly object[];
     } = {},
 ): string {
     const { keys = ["key-1"], coldPerSecond } = overrides;
     const cold = coldPerSecond === undefined ? {} : { coldStartS: 3, coldPerS: coldPerSecond };
     const route = { host: "shop.example", timeoutMs: 4_000, targetLatencyMs: 400, priority: 1, maxAttempts: 2 };
     const engine = {
-        slots: 8, models: [{ name: "lm", size: overrides.size ?? 2, share: 1, pace: 1, loadS: 1, warmS: 0.3 }], step_ms: 5, read_per_s: 10_000,
+        slots: overrides.slots ?? 8, models: [{ name: "lm", size: overrides.size ?? 2, share: 1, pace: 1, loadS: 1, warmS: 0.3 }], step_ms: 5, read_per_s: 10_000,
         usual: { prompt: 50, answer: 30 }, loadsPerS: 3, loads_at_once: 4, formMs: 100,
     };
     return JSON.stringify({
@@ -89,7 +91,7 @@
         ],
         services: [{ name: "orders", maxConns: 50, ...cold }, { name: "pool", maxConns: 50, engine, ...cold }],
         limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
-        tenants: [{ name: "studio", apiKeys: keys, priority: 1 }],
+        tenants: [{ name: "studio", apiKeys: keys, priority: 1 }, ...overrides.tenants ?? []],
     });
 }
 
--- a/standin/platform/daemons.ts
+++ b/standin/platform/daemons.ts
@@ -51,10 +51,12 @@
     /** The second octet of the loopback addresses; distinct for each site that runs on the machine at the same time. */
     readonly net: number;
     readonly port: number;
+    /** The memory that each daemon may use, in MB; not stated by default. */
+    readonly memoryLimitMb?: number;
 }
 
 function formatSettings(daemon: DaemonSpec, seeds: readonly string[], firstStart: boolean, options: SiteProcessesOptions): string {
-    const { port } = options;
+    const { port, memoryLimitMb } = options;
     const listen = daemon.role === "entry"
         ? `callers = ${daemon.host}:${port}\nready = ${daemon.host}:${port + 1}\nmetrics = ${daemon.host}:${port + 4}`
         : `control = ${daemon.host}:${port + 2}\nrpc = ${daemon.host}:${port + 3}\nmetrics = ${daemon.host}:${port + 4}`;
@@ -72,7 +74,9 @@
 [repeats]
 ratio = 0.2
 slack = 160
-`;
+[overload]
+mode = auto
+${memoryLimitMb === undefined ? "" : `[memory]\nlimit_mb = ${memoryLimitMb}\n`}`;
 }
 
 /** Creates the layout of a site without starting any daemon. */
--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -12,6 +12,9 @@
 /** Events in a streamed answer; an event stands for five tokens. */
 export const eventsPerAnswer = 6;
 const eventMs = 30;
+/** Streams below this path have events of a mebibyte, more than a connection takes up whose reader has stopped. */
+export const bulkPath = "/bulk/";
+export const bulkPadding = `: ${"x".repeat(1 << 20)}\n`;
 const healthPath = "/";
 /** Downtime after a crash. */
 const restartMs = 300;
@@ -44,6 +47,9 @@
     let address = "";
     let isClosed = false;
     const sockets = new Set<Socket>();
+    /** Streams that run or wait, in order of arrival. */
+    const streams = new Set<ServerResponse>();
+    const { slots = Infinity } = options;
 
     const runner: Runner = {
         id: options.id,
@@ -223,13 +229,18 @@
             crash();
             return;
         }
-        streamEvents(response, commonHeaders, id, Number(message.headers["last-event-id"] ?? 0));
+        const padding = message.url?.startsWith(bulkPath) ? bulkPadding : "";
+        streamEvents(response, commonHeaders, id, Number(message.headers["last-event-id"] ?? 0), padding);
     }
 
-    function streamEvents(response: ServerResponse, commonHeaders: Record<string, string>, id: string, lastEventId: number) {
+    function streamEvents(
+        response: ServerResponse, commonHeaders: Record<string, string>, id: string, lastEventId: number, padding: string,
+    ) {
         response.writeHead(200, { ...commonHeaders, "content-type": "text/event-stream", "zinnialanding-upstream-signature": `${options.id}.${id}` });
         let nextEventId = lastEventId + 1;
         const initialMembership = membership;
+        streams.add(response);
+        response.on("close", () => streams.delete(response));
         const eventTimer = setInterval(() => {
             if (response.destroyed) {
                 clearInterval(eventTimer);
@@ -241,7 +252,7 @@
                 response.socket?.resetAndDestroy();
                 return;
             }
-            if (runner.isPoweredOff || !isGroupComplete()) {
+            if (runner.isPoweredOff || !isGroupComplete() || [...streams].indexOf(response) >= slots) {
                 return;
             }
             if (runner.resetAfterEvents !== undefined && nextEventId > lastEventId + runner.resetAfterEvents) {
@@ -249,7 +260,7 @@
                 response.socket?.resetAndDestroy();
                 return;
             }
-            response.write(`id: ${nextEventId}\ndata: ${id} ${nextEventId}\n\n`);
+            response.write(`id: ${nextEventId}\ndata: ${id} ${nextEventId}\n${padding}\n`);
             nextEventId++;
             if (nextEventId > eventsPerAnswer) {
                 clearInterval(eventTimer);
--- a/standin/platform/runnerTypes.ts
+++ b/standin/platform/runnerTypes.ts
@@ -28,6 +28,8 @@
     readonly joinMs: number;
     /** How long the runner is cold after its start; 0 by default. */
     readonly coldForMs?: number;
+    /** Streams that a head runs at a time; later ones wait for their events. No limit by default. */
+    readonly slots?: number;
     /** Returns the address to announce in place of the one at which the runner listens, such as that of a relay. */
     advertise?(address: string): Promise<string>;
 }
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -2,7 +2,10 @@
 import { type Bounds, findViolations } from "../../bench/soak/checks.js";
 import type { Call, History, UpstreamRecord } from "../../bench/soak/history.js";
 
-const bounds: Bounds = { configurationAppliesMs: 2_000, contactMs: 3_000, drainMs: 2_000, recoveryMs: 10_000, coldPerSecond: 20 };
+const bounds: Bounds = {
+    configurationAppliesMs: 2_000, contactMs: 3_000, drainMs: 2_000, recoveryMs: 10_000, coldPerSecond: 20,
+    deadlineMs: 3_000, marginMs: 1_000,
+};
 
 function call(id: string, change: Partial<Call> = {}): Call {
     return {
@@ -86,6 +89,35 @@
         expect(checksOf({ calls, upstreams: [upstream({ arrivals: arrivals.slice(1) })] })).to.deep.equal([]);
     });
 
+    it("find streams run after their callers left, unless the entry was disturbed, and requests held past their deadlines", () => {
+        const left = call("a", { kind: "urgent", status: undefined, isComplete: false, leftAtMs: 200, endedAtMs: 200 });
+        const upstreams = [upstream({ runs: [{ ...run("a"), atMs: 1_300 }] })];
+        const outages = [{ daemon: "entry-0", kind: "unplanned" as const, fromMs: 300, toMs: 900 }];
+        expect(checksOf({ calls: [left], upstreams })).to.deep.equal(["callersWhoLeftAreNotServed"]);
+        expect(checksOf({ calls: [left], upstreams, outages })).to.deep.equal([]);
+        expect(checksOf({ calls: [left], upstreams: [upstream({ runs: [{ ...run("a"), atMs: 1_100 }] })] })).to.deep.equal([]);
+        const held = call("a", { endedAtMs: 4_100, status: 504 });
+        expect(checksOf({ calls: [held] })).to.deep.equal(["deadlinesAreKept"]);
+        expect(checksOf({ calls: [held], outages })).to.deep.equal([]);
+    });
+
+    it("find an organisation that is never served, and urgent streams served less often than tolerant ones beyond chance", () => {
+        const body = "123456".replace(/./g, "id: $&\ndata: a $&\n\n");
+        const streams = (kind: "urgent" | "tolerant", organisation: string, served: number) => Array.from({ length: 100 }, (_, index) =>
+            call("a", { kind, organisation, body, status: index < served ? 200 : 504 }));
+        expect(checksOf({ calls: [...streams("urgent", "x", 50), ...streams("urgent", "y", 0)] })).to.deep.equal(["organisationsAreServed"]);
+        expect(checksOf({ calls: [...streams("urgent", "x", 28), ...streams("tolerant", "x", 50)] }))
+            .to.deep.equal(["urgentOnesAreServedAsOften"]);
+        expect(checksOf({ calls: [...streams("urgent", "x", 32), ...streams("tolerant", "x", 50)] })).to.deep.equal([]);
+    });
+
+    it("find a slow reader's answer that lacks bytes and looks complete", () => {
+        const whole = "123456".replace(/./g, "id: $&\ndata: a $&\n: whole\n\n");
+        expect(checksOf({ calls: [call("a", { kind: "bulk", body: whole })] })).to.deep.equal([]);
+        expect(checksOf({ calls: [call("a", { kind: "bulk", body: whole.replace(": whole", ": xx") })] }))
+            .to.deep.equal(["answersAreWholeAndOwn"]);
+    });
+
     it("find requests cut off by a planned stop, unsound groups, and a site that doesn't recover", () => {
         const outages = [{ daemon: "entry-0", kind: "planned" as const, fromMs: 2, toMs: 500 }];
         const cutOff = call("a", { status: undefined, isComplete: false, body: "" });
