--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -21,7 +21,9 @@
     readonly recoveryMs: number;
     /** Within it a request ends; callers send it along. */
     readonly deadlineMs: number;
-    /** What a busy machine and what is under way may add to the times of other processes. */
+    /** What may still reach an upstream after its caller has left. In 114 cases of seeds 301 to 306 the latest was 1 ms. */
+    readonly inFlightMs: number;
+    /** What a busy machine may add to the time in which a request ends. */
     readonly marginMs: number;
 }
 
@@ -175,10 +177,10 @@
     });
 };
 
-const callersWhoLeftAreNotServed: Check = ({ calls, upstreams, outages }, { marginMs }) => {
+const callersWhoLeftAreNotServed: Check = ({ calls, upstreams, outages }, { inFlightMs }) => {
     const runs = upstreams.flatMap(upstream => upstream.runs);
     const lastRunAtMs = new Map(runs.map(({ id, atMs }) => [id, atMs]));
-    return calls.filter(({ id, entry, leftAtMs = Infinity, sentAtMs }) => (lastRunAtMs.get(id) ?? 0) > leftAtMs + marginMs &&
+    return calls.filter(({ id, entry, leftAtMs = Infinity, sentAtMs }) => (lastRunAtMs.get(id) ?? 0) > leftAtMs + inFlightMs &&
         !isDisturbed(outages, entry, sentAtMs, lastRunAtMs.get(id)!))
         .map(({ id, entry, leftAtMs }) => `${entry} had ${id} run ${Math.round(lastRunAtMs.get(id)! - leftAtMs!)} ms after its caller left`);
 };
