--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -21,7 +21,10 @@
     readonly recoveryMs: number;
     /** Within it a request ends; callers send it along. */
     readonly deadlineMs: number;
-    /** What may still reach an upstream after its caller has left. In 114 cases of seeds 301 to 306 the latest was 1 ms. */
+    /**
+     * Time after a caller has left in which its request may still reach an upstream. The latest of 114 in sound runs was after 1 ms; of 26
+     * in a run in which the queue didn't cancel, after 297 ms.
+     */
     readonly inFlightMs: number;
     /** What a busy machine may add to the time in which a request ends. */
     readonly marginMs: number;
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -46,7 +46,7 @@
 /** The bounds that the smaller of the users' sites state. */
 const bounds: Bounds = {
     configurationAppliesMs: 2_000, contactMs: 3_000, drainMs: 2_000, recoveryMs: 12_000, coldPerSecond: coldPerSecond * 1.5 + 5,
-    deadlineMs, inFlightMs: 300, marginMs: 1_000,
+    deadlineMs, inFlightMs: 150, marginMs: 1_000,
 };
 /** Time after the recovery in which callers must be served again. */
 const servedMs = 3_000;
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -4,7 +4,7 @@
 
 const bounds: Bounds = {
     configurationAppliesMs: 2_000, contactMs: 3_000, drainMs: 2_000, recoveryMs: 10_000, coldPerSecond: 20,
-    deadlineMs: 3_000, inFlightMs: 300, marginMs: 1_000,
+    deadlineMs: 3_000, inFlightMs: 150, marginMs: 1_000,
 };
 
 function call(id: string, change: Partial<Call> = {}): Call {
@@ -91,11 +91,11 @@
 
     it("find streams run after their callers left, unless the entry was disturbed, and requests held past their deadlines", () => {
         const left = call("a", { kind: "urgent", status: undefined, isComplete: false, leftAtMs: 200, endedAtMs: 200 });
-        const upstreams = [upstream({ runs: [{ ...run("a"), atMs: 550 }] })];
+        const upstreams = [upstream({ runs: [{ ...run("a"), atMs: 400 }] })];
         const outages = [{ daemon: "entry-0", kind: "unplanned" as const, fromMs: 300, toMs: 900 }];
         expect(checksOf({ calls: [left], upstreams })).to.deep.equal(["callersWhoLeftAreNotServed"]);
         expect(checksOf({ calls: [left], upstreams, outages })).to.deep.equal([]);
-        expect(checksOf({ calls: [left], upstreams: [upstream({ runs: [{ ...run("a"), atMs: 450 }] })] })).to.deep.equal([]);
+        expect(checksOf({ calls: [left], upstreams: [upstream({ runs: [{ ...run("a"), atMs: 340 }] })] })).to.deep.equal([]);
         const held = call("a", { endedAtMs: 4_100, status: 504 });
         expect(checksOf({ calls: [held] })).to.deep.equal(["deadlinesAreKept"]);
         expect(checksOf({ calls: [held], outages })).to.deep.equal([]);
