Send to a group as long as a request is more likely on time than late

Two causes: the part of the on-time throughput that had to be kept is reached there already, and factors above 1 at all groups counted as slowness of each. Factors are relative to the median of the model's groups now, and the limit is the largest number at which most requests are on time: a lower one refuses callers whom the group probably serves on time.

--- a/src/gateway/latencyTracker.ts
+++ b/src/gateway/latencyTracker.ts
@@ -46,7 +46,7 @@
      * the speed factor `factor`.
      */
     predictMs(model: TrackedModel, upstream: Upstream, requests: number, request: ParsedRequest, factor: number, atMs: number): number;
-    /** Returns the speed factor of a group; 1 if nothing has been observed of it. */
+    /** Returns the speed factor of a group relative to the usual one of its model; 1 if nothing has been observed of it. */
     factorOf(upstream: Upstream, atMs: number): number;
     /** The network's round trip between this entry and a data centre. */
     roundTripMs(model: TrackedModel, dataCentre: string): number;
@@ -85,6 +85,8 @@
     factorUntilMs: number;
 }
 
+/** With fewer groups in use, their median says little about the model. */
+const minGroupsForMedian = 3;
 /** A factor changes by less than a hundredth within this time, unless there is a new sample. */
 const factorRetentionMs = 50;
 
@@ -145,13 +147,25 @@
         return state;
     }
 
+    /**
+     * The median speed factor of the groups of a model that are in use, at least 1. All groups are slower than predicted where the engine's
+     * stated costs are too low; that is part of the learned differences, and must not count a second time as the slowness of each group.
+     */
+    function medianFactor(model: string, atMs: number): number {
+        const factors = [...heads.values()]
+            .filter(head => head.model === model && atMs - head.speed.atMs < gaugeRetentionMs)
+            .map(({ speed }) => speedFactor(speed, atMs))
+            .sort((a, b) => a - b);
+        return factors.length < minGroupsForMedian ? 1 : Math.max(1, factors[Math.floor((factors.length - 1) / 2)]!);
+    }
+
     function factorOf(upstream: Upstream, atMs: number): number {
         const known = heads.get(upstream.id);
         if (known === undefined || !isCurrent(known.speed, upstream)) {
             return 1;
         }
         if (atMs >= known.factorUntilMs) {
-            known.factor = speedFactor(known.speed, atMs);
+            known.factor = speedFactor(known.speed, atMs) / medianFactor(known.model, atMs);
             known.factorUntilMs = atMs + factorRetentionMs;
         }
         return known.factor;
--- a/src/latency/onTimeLimit.ts
+++ b/src/latency/onTimeLimit.ts
@@ -1,5 +1,5 @@
 /**
- * The number of requests at a group beyond which a further one costs more than it brings.
+ * The number of requests at a group up to which a further one is probably on time.
  *
  * @module
  */
@@ -21,31 +21,28 @@
     readonly factor: number;
 }
 
-/**
- * Returns the requests per ms that a group completes on time while it runs `requests`, up to a factor that is the same for any number of
- * them.
- */
-export function onTimeThroughput(costs: ModelCosts, requests: number, terms: OnTimeTerms): number {
+/** A further request is sent to a group as long as it is more likely to be on time than not. */
+const minOnTimeShare = 0.5;
+
+/** Returns the share of requests that are expected to be on time at a group that runs `requests`, from 0 to 1. */
+export function onTimeShare(costs: ModelCosts, requests: number, terms: OnTimeTerms): number {
     const { latenessMs, networkMs, differences, factor } = terms;
     const firstMs = predictFirstEventMs(costs, requests, costs.usualPromptTokens, usualUnreadTokens(costs, requests));
-    const pass = passMs(costs, requests);
-    return requests / pass * shareUpTo(differences, latenessMs - networkMs - firstMs * factor, pass * factor);
+    return shareUpTo(differences, latenessMs - networkMs - firstMs * factor, passMs(costs, requests) * factor);
 }
 
-/** The part of the highest on-time throughput that a group has to keep. */
-const keptPart = 0.95;
-
 /**
- * Returns the largest number of requests, at least 1 and at most the slots, at which a group completes nearly as many on time as it can.
- * With fewer it completes fewer in all, and refuses callers whom it could serve; with more, most are late. No pass takes longer than the
- * pause. Where none can be on time, it is as many as the pause allows.
+ * Returns the largest number of requests, at least 1 and at most the slots, at which most of them are on time and no pass takes longer
+ * than the pause. With a lower limit, callers would be refused whom the group can probably serve on time. Where most are late at any
+ * number, it is as many as the pause allows.
  */
 export function onTimeLimit(costs: ModelCosts, terms: OnTimeTerms): number {
     const { pauseMs = Infinity, factor } = terms;
-    const throughputs: number[] = [];
+    let limit = 0;
+    let allowed = 1;
     for (let requests = 1; requests <= costs.slots && (requests === 1 || passMs(costs, requests) * factor <= pauseMs); requests++) {
-        throughputs.push(onTimeThroughput(costs, requests, terms));
+        allowed = requests;
+        limit = onTimeShare(costs, requests, terms) >= minOnTimeShare ? requests : limit;
     }
-    const enough = Math.max(...throughputs) * keptPart;
-    return throughputs.findLastIndex(throughput => throughput >= enough) + 1;
+    return limit === 0 ? allowed : limit;
 }
