--- a/src/admission/allowance.ts
+++ b/src/admission/allowance.ts
@@ -46,7 +46,7 @@
 
 export interface Allowance {
     readonly state: AllowanceState;
-    /** The number of requests that may be sent now; one may be sent while it is at least 1. It can be fractional or negative. */
+    /** The number of requests that may be sent now, fractional or negative. An entry adds up those of all groups of a model. */
     readonly allowance: number;
 }
 
--- a/src/latency/quantiles.ts
+++ b/src/latency/quantiles.ts
@@ -23,7 +23,7 @@
 
 /** Differences of an earlier load are forgotten after this time. */
 const retentionMs = 10_000;
-/** With fewer differences the upper quantile is not usable. As many are kept even if they are old. */
+/** With fewer differences no share of them is usable. As many are kept even if they are old. */
 const minCount = 20;
 /** Bounds the cost of an observation. */
 const maxCount = 128;
