Log the requests and prompt parts in flight when an upstream crashes

Change: an entry logs 'upstream crashed under requests' with the shared parts of the prompts in flight, the leader 'crash reported' with the highest count of one fingerprint. No decision depends on it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -116,7 +116,7 @@
         pushbackLeftMs: candidates => pushbackLeftMs(candidates, pushbacks),
         isActive,
     });
-    const crashes = createCrashLog(nowMs);
+    const crashes = createCrashLog(nowMs, logger);
     const workload = createWorkload();
     const memory = options.memoryLimitMb === undefined
         ? unboundedMemory
@@ -249,6 +249,7 @@
         setInterval(() => {
             loopTicks.tick();
             sharedLoads.checkAge();
+            crashes.logCollected();
             report();
         }, suspectCheckIntervalMs),
         setInterval(() => connections.sweep(view.addresses), sweepIntervalMs),
--- a/src/gateway/headers.ts
+++ b/src/gateway/headers.ts
@@ -30,6 +30,8 @@
     readonly coldForMs: string;
     readonly model: string;
     readonly tokens: string;
+    /** The parts of the prompt in order, as ID:TOKENS entries separated by commas. Requests share parts, except the last. */
+    readonly promptParts: string;
     readonly lastEventId: string;
     readonly priority: string;
 }
--- a/src/gateway/parsedRequest.ts
+++ b/src/gateway/parsedRequest.ts
@@ -8,6 +8,7 @@
 import type { Route, SiteTable } from "../site/index.js";
 import type { HeaderNames } from "./headers.js";
 import type { BodyReading, Holder } from "./memory/index.js";
+import { parseSharedParts } from "./sharedParts.js";
 
 /** A request that has passed all checks. */
 export interface ParsedRequest {
@@ -24,6 +25,8 @@
     readonly priority: number;
     readonly model: string | undefined;
     readonly promptTokens: number;
+    /** Ids of the parts of the prompt that other requests may have too, each once. */
+    readonly sharedParts: readonly string[];
     /** Maximum number of tokens of the answer. */
     readonly answerTokens: number;
     readonly arrivedAtMs: number;
@@ -96,6 +99,7 @@
             priority: holder?.priority ?? route.priority,
             model: messageHeader(message, names.model),
             promptTokens: parseNumber(prompt) ?? 0,
+            sharedParts: parseSharedParts(messageHeader(message, names.promptParts)),
             answerTokens: parseNumber(answer) ?? 0,
             arrivedAtMs: nowMs,
             deadlineAtMs: nowMs + deadlineMs,
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -181,7 +181,7 @@
             pushbacks.merge(received.pushbacks);
         }
         publishChanged(received.draining.flatMap(incarnation => directory.markDraining(incarnation)));
-        void recordCrashes(log, received.crashes);
+        void recordCrashes(log, logger, received.crashes);
     }
 
     const watcher: FeedWatcher = createFeedWatcher({
--- a/test/gateway/memory/world.ts
+++ b/test/gateway/memory/world.ts
@@ -207,7 +207,7 @@
             const parsed: ParsedRequest = {
                 attemptId: id, method: "POST", path: `/${routeKind}/1`, rawHeaders: ["Zinnialanding-Attempt-Id", id], body: Buffer.alloc(bodyBytes),
                 route: table.route("shop.example", `/${routeKind}/1`)!, table, organisation: "studio", priority: 0,
-                model: isResumable ? "lm" : undefined, promptTokens: 1, answerTokens: 1, arrivedAtMs: nowMs(),
+                model: isResumable ? "lm" : undefined, promptTokens: 1, sharedParts: [], answerTokens: 1, arrivedAtMs: nowMs(),
                 deadlineAtMs: nowMs() + timeoutMs, giveUpAtMs: nowMs() + timeoutMs,
             };
             running = startRequest(parsed, answer, holder, {
--- a/test/gateway/workload.test.ts
+++ b/test/gateway/workload.test.ts
@@ -7,7 +7,7 @@
 /** Creates an attempt whose caller waits for `leftMs`; its work is `attemptVmMs`, on two VMs. */
 function attempt(leftMs: number): ParsedRequest {
     return {
-        route: { name: "captions" }, model: "small", promptTokens: 100, answerTokens: 400, arrivedAtMs: 0, deadlineAtMs: leftMs,
+        route: { name: "captions" }, model: "small", promptTokens: 100, sharedParts: [], answerTokens: 400, arrivedAtMs: 0, deadlineAtMs: leftMs,
     } as unknown as ParsedRequest;
 }
 
--- a/test/support/admissionModel.ts
+++ b/test/support/admissionModel.ts
@@ -31,7 +31,7 @@
     const route = { ...table.site.routes[2]!, name: `route-${priority}`, priority, latenessMs, patienceMs: 1_500, timeoutMs: 4_000 };
     return {
         attemptId: "a", method: "POST", path: "/", rawHeaders: [], body: Buffer.alloc(bodyBytes), route, table, organisation, priority,
-        model: "lm", promptTokens: 100, answerTokens: 20, arrivedAtMs: nowMs, deadlineAtMs: nowMs + 4_000, giveUpAtMs: nowMs + 4_000,
+        model: "lm", promptTokens: 100, sharedParts: [], answerTokens: 20, arrivedAtMs: nowMs, deadlineAtMs: nowMs + 4_000, giveUpAtMs: nowMs + 4_000,
     };
 }
 
