Failing test: a prompt part that crashes engines reaches them without end

Callers saw one group after the other lost: every engine that begins to write an answer on the part crashes, and the requests with it are all different.

--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -31,7 +31,7 @@
 export async function startRunner(options: RunnerOptions): Promise<Runner> {
     let startedAtMs = Date.now();
     const coldUntilMs = performance.now() + (options.coldForMs ?? 0);
-    let crashes = 0;
+    const crashTimesMs: number[] = [];
     let isDown = false;
     const runs: Run[] = [];
     const arrivals: Arrival[] = [];
@@ -71,13 +71,15 @@
         orderDelayMs: 0,
         resetAfterEvents: undefined,
         crashPath: undefined,
+        crashPart: undefined,
         limitPerSecond: undefined,
         pushbackS: undefined,
         saysLeaving: false,
         losesAnswers: false,
         get crashes() {
-            return crashes;
+            return crashTimesMs.length;
         },
+        crashTimesMs,
         async drain() {
             state = "draining";
             await sendHeartbeat();
@@ -230,11 +232,14 @@
             return;
         }
         const padding = message.url?.startsWith(bulkPath) ? bulkPadding : "";
-        streamEvents(response, commonHeaders, id, Number(message.headers["last-event-id"] ?? 0), padding);
+        const parts = String(message.headers["zinnialanding-prefix-hash"] ?? "").split(",").map(entry => entry.split(":")[0]!);
+        const isCrashing = runner.crashPart !== undefined && parts.includes(runner.crashPart);
+        streamEvents(response, commonHeaders, id, { lastEventId: Number(message.headers["last-event-id"] ?? 0), padding, isCrashing });
     }
 
     function streamEvents(
-        response: ServerResponse, commonHeaders: Record<string, string>, id: string, lastEventId: number, padding: string,
+        response: ServerResponse, commonHeaders: Record<string, string>, id: string,
+        { lastEventId, padding, isCrashing }: { lastEventId: number; padding: string; isCrashing: boolean },
     ) {
         response.writeHead(200, { ...commonHeaders, "content-type": "text/event-stream", "zinnialanding-upstream-signature": `${options.id}.${id}` });
         let nextEventId = lastEventId + 1;
@@ -262,6 +267,11 @@
             }
             response.write(`id: ${nextEventId}\ndata: ${id} ${nextEventId}\n${padding}\n`);
             nextEventId++;
+            if (isCrashing) {
+                clearInterval(eventTimer);
+                crash();
+                return;
+            }
             if (nextEventId > eventsPerAnswer) {
                 clearInterval(eventTimer);
                 response.end();
@@ -271,7 +281,7 @@
 
     /** Simulates a crash and a restart under the same id and address; only the models staged on the VM's disk survive. */
     function crash() {
-        crashes++;
+        crashTimesMs.push(performance.now());
         isDown = true;
         sockets.forEach(socket => socket.resetAndDestroy());
         server.close();
--- a/standin/platform/runnerTypes.ts
+++ b/standin/platform/runnerTypes.ts
@@ -81,6 +81,8 @@
     losesAnswers: boolean;
     /** Simulates a crash whenever a request with this path begins to run; the runner restarts under the same id. */
     crashPath: string | undefined;
+    /** Simulates a crash whenever a request with this part of its prompt begins to write its answer. */
+    crashPart: string | undefined;
     /** The limit in requests per second that answers state in the `server-limit` header; undefined for no header. */
     limitPerSecond: number | undefined;
     /** While set, requests are turned away with 503 and this `Retry-After`, in seconds. */
@@ -89,6 +91,8 @@
     saysLeaving: boolean;
     /** The number of crashes so far. */
     readonly crashes: number;
+    /** The times of the crashes on the clock of `performance.now()`. */
+    readonly crashTimesMs: readonly number[];
     drain(): Promise<void>;
     close(): Promise<void>;
 }
