Find the prompt parts under which engines crash, and refuse requests that have them

Cause: a crash was attributed to whole requests by a hash of method, path, organisation and body. These requests are all different, so none reached three crashes and nothing was ever barred (highest count 2). Change: entries report the shared parts in flight at a crash, which of them had completed answers before, and completed answers on suspected parts since. The leader records crashes in the replicated log, half a second after the first report, without the parts completed in the meantime. src/crashes infers the causes: the part that explains the most crashes, from three separate ones on; parts that crashes can't tell apart are a cause together; a part proven before needs seven. Every control daemon sends the causes to entries, which refuse such requests at once and withdraw those that no engine has begun to answer. Why it works: a part that crashes engines is in flight at each crash and no answer on it is ever completed; shared parts are cleared by the answers that go on elsewhere.

--- a/src/cluster/reducer.ts
+++ b/src/cluster/reducer.ts
@@ -6,6 +6,7 @@
 
 import { applyClaimCommand } from "./claims.js";
 import { applyConfigurationChange } from "./configuration.js";
+import { applyCrashEvidence, emptyCrashEvidence } from "../crashes/index.js";
 import { applyPublishedCommand } from "./published.js";
 import { applyReplicaCommand } from "./replicas.js";
 import { applySuspectCommand } from "./suspects.js";
@@ -35,6 +36,11 @@
             const { state: suspects, result } = applySuspectCommand(state.suspects, command);
             return { state: { ...state, suspects }, result };
         }
+        case "report-crashed-parts":
+        case "clear-crashed-parts": {
+            const crashEvidence = applyCrashEvidence(state.crashEvidence ?? emptyCrashEvidence, command);
+            return { state: { ...state, crashEvidence }, result: { outcome: "recorded" } };
+        }
         case "publish-site":
         case "evacuate": {
             const { state: published, result } = applyPublishedCommand(state.published, command);
--- a/src/cluster/state.ts
+++ b/src/cluster/state.ts
@@ -6,6 +6,7 @@
 
 import { z } from "zod";
 import { type ClaimResult, type ClaimsState, claimSchema, finishClaimSchema, emptyClaims } from "./claims.js";
+import { clearPartsSchema, type CrashEvidenceResult, type CrashEvidenceState, emptyCrashEvidence, reportPartsSchema } from "../crashes/index.js";
 import { type ChangeResult, type ConfigurationState, changeConfigurationSchema, emptyConfiguration } from "./configuration.js";
 import { emptyPublished, evacuateSchema, type PublishedResult, type PublishedState, publishSiteSchema } from "./published.js";
 import { dissolveReplicaSchema, formReplicaSchema, freeVmSchema, emptyReplicas, type ReplicaResult, type ReplicasState } from "./replicas.js";
@@ -23,6 +24,8 @@
     reportCrashSchema,
     trySuspectSchema,
     clearSuspectSchema,
+    reportPartsSchema,
+    clearPartsSchema,
     publishSiteSchema,
     evacuateSchema,
 ]);
@@ -33,15 +36,18 @@
     readonly replicas: ReplicasState;
     readonly claims: ClaimsState;
     readonly suspects: SuspectsState;
+    /** Absent in snapshots of daemons that did not have it. */
+    readonly crashEvidence?: CrashEvidenceState;
     readonly published: PublishedState;
 }
 
-export type CommandResult = ChangeResult | ReplicaResult | ClaimResult | SuspectResult | PublishedResult;
+export type CommandResult = ChangeResult | ReplicaResult | ClaimResult | SuspectResult | CrashEvidenceResult | PublishedResult;
 
 export const emptyCluster: ClusterState = {
     configuration: emptyConfiguration,
     replicas: emptyReplicas,
     claims: emptyClaims,
     suspects: emptySuspects,
+    crashEvidence: emptyCrashEvidence,
     published: emptyPublished,
 };
--- a/src/control/stamp.ts
+++ b/src/control/stamp.ts
@@ -17,6 +17,8 @@
         case "report-crash":
         case "try-suspect":
         case "clear-suspect":
+        case "report-crashed-parts":
+        case "clear-crashed-parts":
             return { ...command, atMs: Date.now() };
         default:
             return command;
--- /dev/null
+++ b/src/crashes/index.ts
@@ -0,0 +1,5 @@
+export { type CrashCause, findCrashCauses, hasCrashCause } from "./causes.js";
+export {
+    applyCrashEvidence, clearPartsSchema, type CrashEvidenceCommand, type CrashEvidenceResult, type CrashEvidenceState, emptyCrashEvidence,
+    type EngineCrash, maxPartsPerCrash, reportPartsSchema, suspectedParts,
+} from "./evidence.js";
--- a/src/feed/frames.ts
+++ b/src/feed/frames.ts
@@ -65,9 +65,21 @@
 /** Pushbacks that the control daemon on the VM `vm` has received, for the entry on the same VM. */
 const pushbacksFrameSchema = z.strictObject({ kind: z.literal("pushbacks"), vm: z.string(), pushbacks: z.array(relayedPushbackSchema) });
 
+/**
+ * Parts of prompts that crash engines. `index` orders these frames like those of evacuated data centres. Older entries skip the frame.
+ */
+const crashCausesFrameSchema = z.strictObject({
+    kind: z.literal("crash-causes"),
+    index: z.number().int(),
+    /** A request with all the shared parts of one cause is refused. */
+    causes: z.array(z.array(z.string()).min(1)),
+    /** Parts that were in flight at a crash. Entries report when answers on them are completed. */
+    suspectedParts: z.array(z.string()),
+});
+
 export const frameSchema = z.discriminatedUnion("kind", [
     siteFrameSchema, evacuatedFrameSchema, upstreamsFrameSchema, heardFrameSchema, aliveFrameSchema, controlsFrameSchema, judgedFrameSchema,
-    limitsFrameSchema, pushbacksFrameSchema,
+    limitsFrameSchema, pushbacksFrameSchema, crashCausesFrameSchema,
 ]);
 export type Frame = z.infer<typeof frameSchema>;
 
--- a/src/feed/loads.ts
+++ b/src/feed/loads.ts
@@ -43,23 +43,3 @@
     shares: z.record(z.string(), z.number().min(0).max(1)),
 });
 export type SharedLoadsAnswer = z.infer<typeof sharedLoadsSchema>;
-
-/** Decodes messages of one schema. Empty bytes are undefined; so are unreadable ones, of which only the first calls `onUnreadable`. */
-export function createLoadsDecoder<T>(schema: z.ZodType<T>, onUnreadable: (error: string) => void) {
-    let hasReported = false;
-    return (bytes: Uint8Array): T | undefined => {
-        if (bytes.length === 0) {
-            return undefined;
-        }
-        try {
-            return schema.parse(JSON.parse(Buffer.from(bytes).toString("utf8")));
-        }
-        catch (error) {
-            if (!hasReported) {
-                hasReported = true;
-                onUnreadable(String(error).slice(0, 300));
-            }
-            return undefined;
-        }
-    };
-}
--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -11,8 +11,10 @@
     type WatchSiteRequest, WatchScope,
 } from "../rpc/index.js";
 import { createAsyncQueue } from "../runtime/index.js";
+import { type CrashReport, crashReportSchema } from "./crashReports.js";
 import { type Frame, type Report, reportSchema } from "./frames.js";
-import { createLoadsDecoder, type EntryLoads, entryLoadsSchema } from "./loads.js";
+import { createLenientDecoder } from "./lenientDecoder.js";
+import { type EntryLoads, entryLoadsSchema } from "./loads.js";
 
 /** How long an entry is still counted after it was last seen. An entry that is cut off keeps serving and using its share of limits. */
 const entryRetentionMs = 600_000;
@@ -74,10 +76,12 @@
     /** How long ago an upstream was heard; undefined if it is unknown or gone. */
     heardAgoMs?(id: string): number | undefined;
     onReport(daemonId: string, report: Report): void;
+    /** Records what a report states about crashes. */
+    onCrashes?(daemonId: string, crashes: CrashReport): void;
     /** Records the loads of a report. Returns the encoded answer; undefined if this daemon does not answer about loads. */
     onLoads?(daemonId: string, loads: EntryLoads): Uint8Array | undefined;
-    /** Called once, with the first loads that can't be read. The rest of their report counts. */
-    onUnreadableLoads?(error: string): void;
+    /** Called once for each of loads and crashes, with the first that can't be read. The rest of their report counts. */
+    onUnreadablePart?(error: string): void;
     nowMs(): number;
 }
 
@@ -86,7 +90,7 @@
 /** The frame kinds of `WatchScope.CONTENT`. */
 const contentKinds: readonly FrameKind[] = ["site", "upstreams", "heard"];
 /** The frame kinds of `WatchScope.SIGNS`. */
-const signKinds: readonly FrameKind[] = ["controls", "evacuated", "judged", "alive", "limits", "pushbacks"];
+const signKinds: readonly FrameKind[] = ["controls", "evacuated", "judged", "alive", "limits", "pushbacks", "crash-causes"];
 
 function kindsForScope({ isEntry, scope }: WatchSiteRequest): readonly FrameKind[] {
     if (!isEntry) {
@@ -141,7 +145,8 @@
     /** Entries that are watching or have watched, with the time at which they were last seen. */
     const entriesSeenAtMs = new Map<string, number>();
     const watchingEntries = new Map<Watcher, string>();
-    const decodeLoads = createLoadsDecoder(entryLoadsSchema, error => options.onUnreadableLoads?.(error));
+    const decodeLoads = createLenientDecoder(entryLoadsSchema, error => options.onUnreadablePart?.(error));
+    const decodeCrashes = createLenientDecoder(crashReportSchema, error => options.onUnreadablePart?.(error));
     /** Functions that end the open streams of reports. */
     const reportStreamEnds = new Set<() => void>();
 
@@ -223,6 +228,10 @@
 
     function report(request: SiteReport): SiteReportSummary {
         options.onReport(request.daemonId, reportSchema.parse(JSON.parse(Buffer.from(request.report).toString("utf8"))));
+        const crashes = decodeCrashes(request.crashes);
+        if (crashes !== undefined) {
+            options.onCrashes?.(request.daemonId, crashes);
+        }
         const loads = decodeLoads(request.loads);
         return create(SiteReportSummarySchema, { loads: loads && options.onLoads?.(request.daemonId, loads) });
     }
--- a/src/feed/watcher.ts
+++ b/src/feed/watcher.ts
@@ -11,8 +11,10 @@
 import { createClient } from "@connectrpc/connect";
 import { createPeerConnection, type PeerConnection, SiteService, WatchScope } from "../rpc/index.js";
 import { chooseDaemonToFollow, type FollowCandidate, type FollowedDaemon, newestSiteVersion } from "./follow.js";
+import type { CrashReport } from "./crashReports.js";
 import { type AliveFrame, decodeFrame, type Frame, type Report } from "./frames.js";
-import { createLoadsDecoder, type EntryLoads, type SharedLoadsAnswer, sharedLoadsSchema } from "./loads.js";
+import { createLenientDecoder } from "./lenientDecoder.js";
+import { type EntryLoads, type SharedLoadsAnswer, sharedLoadsSchema } from "./loads.js";
 import { createReportSender, type ReportSender } from "./reportStream.js";
 import type { DirectoryPosition } from "./server.js";
 
@@ -37,10 +39,10 @@
     /** Stops watching all control daemons that are not in `addresses`. */
     keepOnly(addresses: readonly string[]): void;
     /**
-     * Sends a report, with the loads if given, to the control daemons that claim to lead. Lost reports are not sent again. `onLoads` gets
-     * the answer of each daemon that leads and is not older than this message.
+     * Sends a report, with the parts given, to the control daemons that claim to lead. Lost reports are not sent again. `onLoads` gets the
+     * answer of each daemon that leads and is not older than this message.
      */
-    report(report: Report, loads?: EntryLoads, onLoads?: (answer: SharedLoadsAnswer) => void): void;
+    report(report: Report, parts?: ReportParts, onLoads?: (answer: SharedLoadsAnswer) => void): void;
     /** Asks the followed control daemon when upstreams were last heard. Its answer comes as a `heard` frame; a lost one is not repeated. */
     askHeard(ids: readonly string[]): void;
     /** Addresses of the control daemons that are currently heard. */
@@ -50,6 +52,12 @@
     close(): void;
 }
 
+/** Parts of a report that older control daemons ignore. */
+export interface ReportParts {
+    readonly loads?: EntryLoads | undefined;
+    readonly crashes?: CrashReport | undefined;
+}
+
 export interface FeedWatcherOptions {
     readonly daemonId: string;
     /** An entry receives sites and upstreams from one control daemon; a control daemon receives upstreams from every other one. */
@@ -92,7 +100,7 @@
 export function createFeedWatcher(options: FeedWatcherOptions): FeedWatcher {
     const { daemonId, isEntry } = options;
     const daemons = new Map<string, WatchedDaemon>();
-    const decodeLoads = createLoadsDecoder(sharedLoadsSchema, error => options.onUnreadableLoads?.(error));
+    const decodeLoads = createLenientDecoder(sharedLoadsSchema, error => options.onUnreadableLoads?.(error));
     /** What has been received of the directories of control daemons, by address. */
     const positions = new Map<string, DirectoryPosition>();
     const unknownKinds = new Set<string>();
@@ -277,9 +285,9 @@
                 }
             }
         },
-        report(report, loads, onLoads) {
-            const bytes = Buffer.from(JSON.stringify(report));
-            const loadsBytes = loads === undefined ? undefined : Buffer.from(JSON.stringify(loads));
+        report(report, { loads, crashes } = {}, onLoads) {
+            const encode = (part: object | undefined) => part === undefined ? undefined : Buffer.from(JSON.stringify(part));
+            const message = { daemonId, report: encode(report), loads: encode(loads), crashes: encode(crashes) };
             const applyAnswer = (answer: SharedLoadsAnswer | undefined) => {
                 if (answer !== undefined) {
                     onLoads?.(answer);
@@ -289,7 +297,7 @@
                 if (daemon.isHeard && daemon.alive?.leads === true && daemon.connection !== undefined) {
                     daemon.reports ??= createReportSender(daemon.connection);
                     // A lost report is followed by the next one within a second.
-                    daemon.reports.send({ daemonId, report: bytes, loads: loadsBytes })
+                    daemon.reports.send(message)
                         .then(summary => applyAnswer(decodeLoads(summary.loads)))
                         .catch(() => undefined);
                 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -7,6 +7,7 @@
 
 import type { Pushbacks, Upstream, UpstreamSignals } from "../fleet/index.js";
 import type { CallerAnswer } from "./answer.js";
+import type { AttemptFailure } from "./attemptFailure.js";
 import type { ParsedRequest } from "./parsedRequest.js";
 import type { Balancer } from "./balancer.js";
 import type { Connections, ExchangeRequest } from "./connections.js";
@@ -17,21 +18,6 @@
 import { readSignals } from "./signals.js";
 import type { SiteView } from "./siteView.js";
 
-export interface UpstreamAnswer {
-    readonly status: number;
-    readonly rawHeaders: string[];
-    readonly body: Buffer;
-}
-
-/** Why an attempt brought no answer, classified by whether the request may have run. */
-export type AttemptFailure =
-    /** The request has certainly not run and will not. `isUnsent`: no byte of it was sent to the upstream. */
-    | { readonly kind: "not-run"; readonly reason: string; readonly isUpstreamAtFault: boolean; readonly isUnsent: boolean }
-    /** The request may have run, and no usable answer came. `isCrash`: the connection broke, as it does when the upstream crashes. */
-    | { readonly kind: "unknown"; readonly reason: string; readonly isCrash: boolean }
-    /** The upstream ran the request and reports a failure. */
-    | { readonly kind: "ran-failed"; readonly answer: UpstreamAnswer };
-
 export interface AttemptDependencies {
     readonly names: HeaderNames;
     readonly view: SiteView;
@@ -71,6 +57,8 @@
 
 export interface RunningAttempt {
     readonly upstream: Upstream;
+    /** Whether events of a stream have come. */
+    readonly hasEvents: boolean;
     /** Ends the attempt without calling `onDelivered` or `onFailed`. */
     abort(): void;
     resume(): void;
@@ -337,6 +325,9 @@
     });
     return {
         upstream,
+        get hasEvents() {
+            return hasEvents;
+        },
         abort() {
             if (!isOver) {
                 exchange.abort();
--- a/src/gateway/crashes.ts
+++ b/src/gateway/crashes.ts
@@ -6,7 +6,10 @@
  */
 
 import { createHash } from "node:crypto";
+import { maxPartsPerCrash } from "../crashes/index.js";
+import type { CrashReport } from "../feed/index.js";
 import type { Upstream } from "../fleet/index.js";
+import { createRecentSet } from "../runtime/index.js";
 import type { Logger } from "../telemetry/index.js";
 import type { ParsedRequest } from "./parsedRequest.js";
 
@@ -14,6 +17,8 @@
 const reportForMs = 6_000;
 /** Connections to an upstream that break within this time of one another have broken in the same crash. */
 const collectForMs = 250;
+/** Parts on which answers have been completed, of which so many are remembered. */
+const maxProvenParts = 4_096;
 
 interface Crash {
     /** Id and incarnation of the upstream. */
@@ -21,8 +26,10 @@
     lastBreakAtMs: number;
     readonly fingerprints: Set<string>;
     requests: number;
-    /** Number of requests by shared part of their prompts. */
-    readonly parts: Map<string, number>;
+    /** Shared parts of the prompts of these requests. */
+    readonly parts: Set<string>;
+    readonly provenParts: Set<string>;
+    isReported: boolean;
     isLogged: boolean;
 }
 
@@ -33,45 +40,98 @@
 }
 
 export interface CrashLog {
+    /** Records that the connection to an upstream broke while it had the request. */
     record(request: ParsedRequest, upstream: Upstream): void;
-    /** The crashes to include in a report now. */
+    /** Records that the answer to a request has been completed: no part of its prompt crashes upstreams. */
+    completed(request: ParsedRequest): void;
+    /** Whether a report should be sent at once, because it states a crash that none has stated. */
+    readonly hasNews: boolean;
+    /** The fingerprints in flight at crashes, to include in a report now. */
     readonly recent: readonly { readonly fingerprint: string; readonly upstream: string }[];
+    /** Returns the parts of prompts to include in a report now; undefined if there are none. */
+    drain(): CrashReport | undefined;
     /** Logs the crashes whose requests are all known. */
     logCollected(): void;
 }
 
+export interface CrashLogOptions {
+    readonly logger: Logger;
+    nowMs(): number;
+    /** The parts for whose completion the control leader waits. */
+    suspectedParts(): ReadonlySet<string>;
+}
+
 /** Creates an empty log. */
-export function createCrashLog(nowMs: () => number, logger: Logger): CrashLog {
+export function createCrashLog({ logger, nowMs, suspectedParts }: CrashLogOptions): CrashLog {
     let crashes: Crash[] = [];
+    let completedParts = new Set<string>();
+    const proven = createRecentSet<string>(maxProvenParts);
 
     function findOrAdd(upstream: string): Crash {
         const known = crashes.find(crash => crash.upstream === upstream && nowMs() - crash.lastBreakAtMs <= collectForMs);
         if (known !== undefined) {
             return known;
         }
-        const added: Crash = { upstream, lastBreakAtMs: nowMs(), fingerprints: new Set(), requests: 0, parts: new Map(), isLogged: false };
+        const added: Crash = {
+            upstream, lastBreakAtMs: nowMs(), fingerprints: new Set(), requests: 0, parts: new Set(), provenParts: new Set(),
+            isReported: false, isLogged: false,
+        };
         crashes.push(added);
         return added;
     }
 
+    function dropOld() {
+        crashes = crashes.filter(crash => nowMs() - crash.lastBreakAtMs < reportForMs);
+    }
+
     return {
         record(request, { id, bornMs }) {
             const crash = findOrAdd(`${id}@${bornMs}`);
             crash.lastBreakAtMs = nowMs();
             crash.fingerprints.add(fingerprintOf(request));
             crash.requests++;
-            request.sharedParts.forEach(part => crash.parts.set(part, (crash.parts.get(part) ?? 0) + 1));
+            for (const part of request.sharedParts.slice(0, maxPartsPerCrash - crash.parts.size)) {
+                crash.parts.add(part);
+                if (proven.has(part)) {
+                    crash.provenParts.add(part);
+                }
+            }
+        },
+        completed({ sharedParts }) {
+            sharedParts.forEach(part => proven.add(part));
+            const awaited = sharedParts.filter(part => suspectedParts().has(part) || crashes.some(crash => crash.parts.has(part)));
+            awaited.forEach(part => completedParts.add(part));
+        },
+        get hasNews() {
+            return crashes.some(crash => !crash.isReported);
         },
         get recent() {
-            crashes = crashes.filter(crash => nowMs() - crash.lastBreakAtMs < reportForMs);
+            dropOld();
             return crashes.flatMap(({ upstream, fingerprints }) => [...fingerprints].map(fingerprint => ({ fingerprint, upstream })));
         },
+        drain() {
+            dropOld();
+            if (crashes.length === 0 && completedParts.size === 0) {
+                return undefined;
+            }
+            const report: CrashReport = {
+                crashes: crashes.map(crash => ({
+                    upstream: crash.upstream, parts: [...crash.parts], provenParts: [...crash.provenParts],
+                })),
+                completedParts: [...completedParts],
+            };
+            crashes.forEach(crash => {
+                crash.isReported = true;
+            });
+            completedParts = new Set();
+            return report;
+        },
         logCollected() {
             for (const crash of crashes) {
                 if (!crash.isLogged && nowMs() - crash.lastBreakAtMs > collectForMs) {
                     crash.isLogged = true;
-                    const { upstream, requests, parts } = crash;
-                    logger.info("upstream crashed under requests", { upstream, requests, parts: Object.fromEntries(parts) });
+                    const { upstream, requests, parts, provenParts } = crash;
+                    logger.info("upstream crashed under requests", { upstream, requests, parts: [...parts], provenParts: [...provenParts] });
                 }
             }
         },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -116,7 +116,7 @@
         pushbackLeftMs: candidates => pushbackLeftMs(candidates, pushbacks),
         isActive,
     });
-    const crashes = createCrashLog(nowMs, logger);
+    const crashes = createCrashLog({ logger, nowMs, suspectedParts: () => view.suspectedParts });
     const workload = createWorkload();
     const memory = options.memoryLimitMb === undefined
         ? unboundedMemory
@@ -131,7 +131,7 @@
 
     function report() {
         const { suspectIds, movingIds } = balancer;
-        const isNew = suspectIds.some(id => !reportedSuspects.includes(id));
+        const isNew = crashes.hasNews || suspectIds.some(id => !reportedSuspects.includes(id));
         if (!isNew && nowMs() - reportedAtMs < loadReports.intervalMs(reportIntervalMs)) {
             return;
         }
@@ -145,7 +145,7 @@
             workByModel: workload.drain(), requests, suspectIds: [...suspectIds], movingIds: [...movingIds], crashes: [...crashes.recent],
             limits: limits.observedLimits(), draining: [...view.observedDraining],
             vm, pushbacks: pushbacks.relayed(),
-        }, loads, answer => {
+        }, { loads, crashes: crashes.drain() }, answer => {
             sharedLoads.apply(answer);
             admission.roomChanged();
         });
@@ -172,6 +172,8 @@
         return newBudget;
     }
 
+    /** Has no effect until the entry listens. */
+    let endBarred: () => void = () => undefined;
     const watcher = createFeedWatcher({
         daemonId: options.daemonId,
         isEntry: true,
@@ -183,6 +185,9 @@
             }
             startHold.controlHeard();
             startHold.viewChanged();
+            if (frame.kind === "crash-causes" || frame.kind === "judged") {
+                endBarred();
+            }
             if (frame.kind === "limits") {
                 limits.applyDivision(frame);
             }
@@ -210,11 +215,14 @@
         recordLimit: limits.limitSeen,
         recordCrash: (request, upstream) => crashes.record(request, upstream),
         recordArrival: loadReports.requestArrived,
-        isBarred: request => view.barred.size > 0 && view.barred.has(fingerprintOf(request)),
+        isBarred: request => view.crashesEngines(request.sharedParts) || (view.barred.size > 0 && view.barred.has(fingerprintOf(request))),
         countFailedAttempt: kind => metrics.recordAttemptWithoutAnswer(kind),
         countEarlyRefusal: status => metrics.recordRefusal(status),
         countWhileStopping: labels => metrics.recordStoppingRequest(labels),
         recordOutcome(outcome, request, tookMs, firstMs) {
+            if (outcome === "delivered") {
+                crashes.completed(request);
+            }
             metrics.recordRequest(request.route.name, outcome, tookMs, firstMs);
             requests++;
             const target = request.route.targets[0]!.service;
@@ -226,6 +234,8 @@
         },
     });
 
+    ({ endBarred } = server);
+    metrics.registerGauge("zinnialanding_crash_causes", () => view.crashCauseCount);
     metrics.registerGauge("zinnialanding_requests_running", () => server.running);
     metrics.registerGauge("zinnialanding_callers_held", () => startHold.heldCount);
     metrics.registerGauge("zinnialanding_caller_connections", () => server.connections.open);
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -12,59 +12,31 @@
  */
 
 import type { Upstream } from "../fleet/index.js";
-import type { Logger } from "../telemetry/index.js";
-import type { Admission } from "./admission.js";
 import type { AdmissionDecision } from "./admissionTypes.js";
 import type { CallerAnswer } from "./answer.js";
 import type { ParsedRequest } from "./parsedRequest.js";
-import { type AttemptDependencies, type AttemptFailure, type RunningAttempt, startAttempt } from "./attempt.js";
+import { type RunningAttempt, startAttempt } from "./attempt.js";
+import type { AttemptFailure } from "./attemptFailure.js";
 import { chooseService } from "./chooseService.js";
 import { createEventSplitter } from "./events.js";
 import { answerHeaders } from "./headers.js";
-import type { PredictingGroupRoom } from "./groupRoom.js";
-import { type BoundsDependencies, isOnTimeQueueFull, mayQueueLate, queueLogFields } from "./lateQueue.js";
+import { isOnTimeQueueFull, mayQueueLate, queueLogFields } from "./lateQueue.js";
 import type { Holder } from "./memory/index.js";
 import { outgoingHeaders } from "./outgoingHeaders.js";
+import type { Outcome, RequestDependencies, RunningRequest } from "./requestTypes.js";
 import { retryAfterMs } from "./retryAfter.js";
 import type { Candidate } from "./siteView.js";
 import { stallTimeoutMs } from "./stallTimeout.js";
 import { pushbackLeftMs, reasonWithoutCandidate } from "./withoutCandidate.js";
 
-export interface RequestDependencies extends AttemptDependencies, BoundsDependencies {
-    /** Admits streams where overload control acts; undefined if it never does. */
-    readonly admission?: Admission;
-    readonly logger: Logger;
-    readonly dataCentre: string;
-    random(): number;
-    /** Takes one retry from the budget of `service`. False: the budget is exhausted. */
-    mayRetry(service: string): boolean;
-    /** The room at groups while overload control is active; undefined to choose by load. */
-    readonly groupRoom?: PredictingGroupRoom;
-    recordOutcome(outcome: Outcome, request: ParsedRequest, tookMs: number, firstMs: number | undefined): void;
-    countFailedAttempt(failure: AttemptFailure["kind"]): void;
-    /** Records that the connection to an upstream broke while it ran the request. */
-    recordCrash(request: ParsedRequest, upstream: Upstream): void;
-    /** Whether so many upstreams have crashed while running this request that it must not be sent to another. */
-    isBarred(request: ParsedRequest): boolean;
-}
-
-export type Outcome = "delivered" | "refused" | "failed" | "upstream-failed" | "caller-left";
-
-export interface RunningRequest {
-    /** Handles a caller that has disconnected. */
-    callerLeft(): void;
-    resume(): void;
-    /** Ends the request now, with an answer that does not say whether it has run, unless it has only waited for room. */
-    endNow(reason: string): void;
-    /** The upstream of the current attempt. */
-    readonly upstreamId: string | undefined;
-}
-
 /** With less time left than this, another attempt can't produce an answer. */
 const minAttemptMs = 40;
 /** Extra attempts in place of those that did not run: during a repair two stale heads may be tried before the new one. */
 const maxExtraAttempts = 2;
 
+/** How long callers whose requests crash upstreams are asked to stay away: longer than a deadline, so that the same caller gives up. */
+const barredRetryMs = 60_000;
+
 /** Starts serving a request. */
 export function startRequest(
     request: ParsedRequest, answer: CallerAnswer, holder: Holder, dependencies: RequestDependencies,
@@ -157,7 +129,15 @@
         });
     }
 
+    function refuseBarred() {
+        giveUp("upstreams have crashed under this request or a part of its prompt", barredRetryMs);
+    }
+
     function startFirstAttempt() {
+        if (dependencies.isBarred(request)) {
+            refuseBarred();
+            return;
+        }
         if (admission === undefined) {
             startNextAttempt();
             return;
@@ -179,7 +159,7 @@
                 ({ waitedMs } = decision);
                 if (dependencies.isBarred(request)) {
                     decision.released();
-                    giveUp("upstreams have crashed under this request");
+                    refuseBarred();
                 }
                 else {
                     startAttemptAt(decision.candidate.upstream, decision.isLate, decision.released);
@@ -189,7 +169,7 @@
 
     function startNextAttempt() {
         if (dependencies.isBarred(request)) {
-            giveUp("upstreams have crashed under this request");
+            refuseBarred();
             return;
         }
         const all = listCandidates();
@@ -207,9 +187,9 @@
     }
 
     /** Sends the final answer without a further attempt. It promises "not run" only if that is certain. */
-    function giveUp(reason: string) {
+    function giveUp(reason: string, delayMs?: number) {
         if (isCertainlyNotRun) {
-            refuse(reason);
+            refuse(reason, {}, delayMs);
         }
         else {
             fail(502, reason);
@@ -340,6 +320,16 @@
             currentAttempt?.abort();
             fail(502, reason, upstream);
         },
+        endIfBarred() {
+            const isUnanswered = currentAttempt?.hasEvents === false && (isStream || isRepeatable);
+            if (isOver || !(isWaiting || isUnanswered) || !dependencies.isBarred(request)) {
+                return;
+            }
+            ticket?.cancel();
+            isCertainlyNotRun &&= currentAttempt === undefined;
+            currentAttempt?.abort();
+            refuseBarred();
+        },
         get upstreamId() {
             return currentAttempt?.upstream.id;
         },
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -15,7 +15,8 @@
 import {
     hasContent, headersSize, type ParsedRequest, messageHeader, readBody, readHead, type Refusal, whenBodyRead,
 } from "./parsedRequest.js";
-import { type RequestDependencies, type RunningRequest, startRequest } from "./request.js";
+import { startRequest } from "./request.js";
+import type { RequestDependencies, RunningRequest } from "./requestTypes.js";
 import { retryAfterMs } from "./retryAfter.js";
 import type { StartHold } from "./startHold.js";
 import { createStopRecord, type StopLabels } from "./stopRecord.js";
@@ -54,6 +55,8 @@
     closeListener(): Promise<number>;
     /** Ends the requests that are still running. */
     endRunning(): void;
+    /** Ends the requests that must not be sent to upstreams any more, where none has begun to answer. */
+    endBarred(): void;
     readonly running: number;
     readonly connections: { readonly open: number; readonly unused: number };
     /** The number of log lines dropped during the shutdown. */
@@ -305,6 +308,7 @@
                 }
             });
         },
+        endBarred: () => [...running].forEach(({ runningRequest: request }) => request?.endIfBarred()),
         get running() {
             return running.size;
         },
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -6,6 +6,7 @@
  * @module
  */
 
+import { type CrashCause, hasCrashCause } from "../crashes/index.js";
 import type { Frame } from "../feed/index.js";
 import { createDirectory, type Incarnation, reportedGroups, type Upstream } from "../fleet/index.js";
 import { createSiteTable, type SiteDialect, type SiteTable } from "../site/index.js";
@@ -41,6 +42,11 @@
     readonly addresses: ReadonlySet<string>;
     /** Fingerprints of requests under which several upstreams have crashed. */
     readonly barred: ReadonlySet<string>;
+    /** Whether engines crash on the prompts of requests with these shared parts. */
+    crashesEngines(sharedParts: readonly string[]): boolean;
+    readonly crashCauseCount: number;
+    /** Parts of prompts that were in flight at a crash. */
+    readonly suspectedParts: ReadonlySet<string>;
     readonly controls: readonly string[];
 }
 
@@ -51,6 +57,8 @@
     let evacuated: { index: number; dataCentres: readonly string[] } = { index: -1, dataCentres: [] };
     let lostIds: ReadonlySet<string> = new Set();
     let barred: ReadonlySet<string> = new Set();
+    let crashCauses: { index: number; causes: readonly CrashCause[] } = { index: -1, causes: [] };
+    let suspectedParts: ReadonlySet<string> = new Set();
     let controls: readonly string[] = [];
     let candidateLists: Map<string, Candidate[]> | undefined;
     let observedDraining: readonly Incarnation[] = [];
@@ -70,6 +78,17 @@
         table = createSiteTable(decoded.site);
     }
 
+    function applyCrashCauses({ index, causes, suspectedParts: suspected }: Extract<Frame, { kind: "crash-causes" }>) {
+        if (index < crashCauses.index) {
+            return;
+        }
+        if (JSON.stringify(causes) !== JSON.stringify(crashCauses.causes)) {
+            logger.info("prompt parts that crash engines", { causes, index });
+        }
+        crashCauses = { index, causes };
+        suspectedParts = new Set(suspected);
+    }
+
     /**
      * Whether an upstream has refused a connection and not been heard since. A later heartbeat clears the refusal, since a fault on the
      * path may refuse connections for a while although the upstream is alive.
@@ -138,6 +157,9 @@
                     directory.updateHeardTimes(frame.heard, performance.now());
                     clearRefusals();
                     return;
+                case "crash-causes":
+                    applyCrashCauses(frame);
+                    return;
                 case "alive":
                 case "limits":
                 case "pushbacks":
@@ -209,6 +231,13 @@
         get barred() {
             return barred;
         },
+        crashesEngines: sharedParts => hasCrashCause(sharedParts, crashCauses.causes),
+        get crashCauseCount() {
+            return crashCauses.causes.length;
+        },
+        get suspectedParts() {
+            return suspectedParts;
+        },
         get controls() {
             return controls;
         },
--- a/src/gateway/workload.ts
+++ b/src/gateway/workload.ts
@@ -10,7 +10,7 @@
 
 import type { EngineSpec } from "../site/index.js";
 import type { ParsedRequest } from "./parsedRequest.js";
-import type { Outcome } from "./request.js";
+import type { Outcome } from "./requestTypes.js";
 import { expectedAnswerTokens, estimateWork } from "./work.js";
 
 /** Weight of an attempt that brought no answer. The caller's retry counts for the rest. */
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -3,4 +3,5 @@
 export { type Clock, createLeaseClock } from "./clock.js";
 export { createHost, type Host } from "./host.js";
 export { type AsyncQueue, createAsyncQueue } from "./queue.js";
+export { createRecentSet, type RecentSet } from "./recentSet.js";
 export { emptyMap, mapDelete, mapEntries, mapGet, mapSet, type PersistentMap } from "./persistentMap.js";
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -4,18 +4,18 @@
  * @module
  */
 
-import type { ConsensusNode, FileOperations } from "../consensus/index.js";
 import {
     aliveIntervalMs, createFeedServer, createFeedWatcher, type DirectoryPosition, type FeedServer, type FeedWatcher, type Frame,
     type FrameKind, type PositionedFrame, type Report,
 } from "../feed/index.js";
 import { type Announcement, createDirectory, createPushbacks, type Incarnation, type Upstream, type UpstreamSignals } from "../fleet/index.js";
-import { type PeerConnections, splitAddress } from "../rpc/index.js";
-import type { DecodedSite, OverloadMode, SiteDialect, SiteFinding } from "../site/index.js";
-import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import { splitAddress } from "../rpc/index.js";
+import type { DecodedSite } from "../site/index.js";
 import { barredFingerprints, recordCrashes } from "./crashRecords.js";
+import { createCrashCauses } from "./crashCauses.js";
+import { createCrashCollector } from "./crashCollector.js";
 import { createCurrentTable } from "./currentTable.js";
-import { createGroupLeader, type EngineClient } from "./groupLeader.js";
+import { createGroupLeader } from "./groupLeader.js";
 import { createLimitDistributor } from "./limitDistributor.js";
 import { createDirectoryFeed } from "./directoryFeed.js";
 import { createLoadTable } from "./loadTable.js";
@@ -25,48 +25,7 @@
 import { createPlanPacer } from "./planPacer.js";
 import { createProposer, operatorTimeoutMs } from "./proposals.js";
 import { createRecovery } from "./recovery.js";
-import type { UpstreamInquirer } from "./restoration.js";
-import type { UpstreamHints } from "./upstreamHints.js";
-
-export interface SiteControlOptions {
-    readonly daemonId: string;
-    readonly dataCentre: string;
-    /** The address on which this daemon listens for other daemons. */
-    readonly address: string;
-    readonly log: ConsensusNode;
-    readonly dialect: SiteDialect;
-    readonly engines: EngineClient & UpstreamInquirer;
-    /** The daemon's data folder, and the upstreams that its previous process has remembered there. */
-    readonly memory: { readonly files: FileOperations; readonly folder: string; readonly remembered: UpstreamHints };
-    readonly connections: PeerConnections;
-    readonly logger: Logger;
-    readonly metrics: SiteMetrics;
-    /** Whether the site starts for the first time, in which case loads are quick until the first requests arrive. */
-    readonly isFirstStart: boolean;
-    /** The interval at which upstreams announce themselves. */
-    readonly heartbeatMs: number;
-    /** For which services overload control acts; `auto` if absent. */
-    readonly overloadMode?: OverloadMode | undefined;
-}
-
-export type PublishOutcome =
-    | { readonly outcome: "accepted"; readonly version: number }
-    | { readonly outcome: "refused"; readonly findings: readonly SiteFinding[] }
-    | { readonly outcome: "unavailable" };
-
-export interface SiteControl {
-    readonly feed: FeedServer;
-    publish(text: string): Promise<PublishOutcome>;
-    /** Resolves to the newest published text; undefined if this daemon can't confirm that it is the newest. */
-    readSite(): Promise<string | undefined>;
-    /** Resolves to whether the change was accepted. */
-    evacuate(dataCentre: string, isOut: boolean): Promise<boolean>;
-    /** Records an announcement. Returns false if it must be made to another daemon because this one may be cut off from the entries. */
-    recordAnnouncement(announcement: Announcement): boolean;
-    recordDeparture(id: string): boolean;
-    start(): void;
-    stop(): void;
-}
+import type { SiteControl, SiteControlOptions } from "./siteControlTypes.js";
 
 /** How often groups are planned if nothing changes. Lost orders are repeated by these steps. */
 const planIntervalMs = 150;
@@ -105,6 +64,9 @@
         ...options, nowMs, directory: () => directory.upstreams, pushbacks, recordSignals, requestPlanning,
     });
 
+    const crashCollector = createCrashCollector(log, logger);
+    const crashCauses = createCrashCauses(log);
+
     const recovery = createRecovery({
         ...options, ...options.memory, nowMs, directory, pushbacks, inquirer: options.engines, isInTouch, table: currentTable,
         evacuated: () => log.state.published.evacuated, onSignals: recordSignals, onRestored: acceptAnnouncement,
@@ -147,6 +109,7 @@
 
     function* initialFrames(kinds: readonly FrameKind[], known?: DirectoryPosition): Generator<Frame | PositionedFrame> {
         yield { kind: "controls", addresses: controlAddresses() };
+        yield crashCauses.frame();
         yield* siteFrames(log.state.published.site);
         yield { kind: "evacuated", index: log.appliedIndex, dataCentres: [...log.state.published.evacuated] };
         if (kinds.includes("upstreams")) {
@@ -170,8 +133,9 @@
 
     const feed: FeedServer = createFeedServer({
         initialFrames, heardAgoMs: directoryFeed.heardAgoMs, onReport, nowMs,
+        onCrashes: (_daemonId, report) => crashCollector.report(report),
         onLoads: loadTable.report,
-        onUnreadableLoads: error => logger.warn("loads in a report ignored", { error }),
+        onUnreadablePart: error => logger.warn("part of a report ignored", { error }),
     });
 
     function onReport(daemonId: string, received: Report) {
@@ -227,6 +191,7 @@
             feed.publish({ kind: "evacuated", index: log.appliedIndex, dataCentres: [...evacuated] });
             logger.info("evacuated data centres applied", { dataCentres: evacuated });
         }
+        crashCauses.changed().forEach(frame => feed.publish(frame, "entry"));
         const addresses = controlAddresses();
         if (addresses.join(",") !== lastPublished.controls) {
             feed.publish({ kind: "controls", addresses });
@@ -336,6 +301,7 @@
         },
         stop() {
             recovery.stop();
+            crashCollector.stop();
             timers.forEach(timer => clearInterval(timer));
             clearTimeout(planTimer);
             limitsPublication.cancel();
--- /dev/null
+++ b/src/siteControl/siteControlTypes.ts
@@ -0,0 +1,55 @@
+/**
+ * What the control role of a site is created with, and what a daemon can do with it.
+ *
+ * @module
+ */
+
+import type { ConsensusNode, FileOperations } from "../consensus/index.js";
+import type { FeedServer } from "../feed/index.js";
+import type { Announcement } from "../fleet/index.js";
+import type { PeerConnections } from "../rpc/index.js";
+import type { OverloadMode, SiteDialect, SiteFinding } from "../site/index.js";
+import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import type { EngineClient } from "./groupLeader.js";
+import type { UpstreamInquirer } from "./restoration.js";
+import type { UpstreamHints } from "./upstreamHints.js";
+
+export interface SiteControlOptions {
+    readonly daemonId: string;
+    readonly dataCentre: string;
+    /** The address on which this daemon listens for other daemons. */
+    readonly address: string;
+    readonly log: ConsensusNode;
+    readonly dialect: SiteDialect;
+    readonly engines: EngineClient & UpstreamInquirer;
+    /** The daemon's data folder, and the upstreams that its previous process has remembered there. */
+    readonly memory: { readonly files: FileOperations; readonly folder: string; readonly remembered: UpstreamHints };
+    readonly connections: PeerConnections;
+    readonly logger: Logger;
+    readonly metrics: SiteMetrics;
+    /** Whether the site starts for the first time, in which case loads are quick until the first requests arrive. */
+    readonly isFirstStart: boolean;
+    /** The interval at which upstreams announce themselves. */
+    readonly heartbeatMs: number;
+    /** For which services overload control acts; `auto` if absent. */
+    readonly overloadMode?: OverloadMode | undefined;
+}
+
+export type PublishOutcome =
+    | { readonly outcome: "accepted"; readonly version: number }
+    | { readonly outcome: "refused"; readonly findings: readonly SiteFinding[] }
+    | { readonly outcome: "unavailable" };
+
+export interface SiteControl {
+    readonly feed: FeedServer;
+    publish(text: string): Promise<PublishOutcome>;
+    /** Resolves to the newest published text; undefined if this daemon can't confirm that it is the newest. */
+    readSite(): Promise<string | undefined>;
+    /** Resolves to whether the change was accepted. */
+    evacuate(dataCentre: string, isOut: boolean): Promise<boolean>;
+    /** Records an announcement. Returns false if it must be made to another daemon because this one may be cut off from the entries. */
+    recordAnnouncement(announcement: Announcement): boolean;
+    recordDeparture(id: string): boolean;
+    start(): void;
+    stop(): void;
+}
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -47,6 +47,7 @@
 
 const gaugeHelp = {
     zinnialanding_requests_running: "Requests of callers that have no final answer yet.",
+    zinnialanding_crash_causes: "Combinations of prompt parts that crash engines, whose requests are refused.",
     zinnialanding_callers_held: "Callers held after a start until the site or the upstreams arrive.",
     zinnialanding_caller_connections: "Open connections of callers.",
     zinnialanding_caller_connections_unused: "Open connections of callers that have carried no request yet.",
--- a/test/feed/loads.test.ts
+++ b/test/feed/loads.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import {
-    createFeedServer, createFeedWatcher, createLoadsDecoder, type EntryLoads, entryLoadsSchema, type Report, type SharedLoadsAnswer,
+    createFeedServer, createFeedWatcher, createLenientDecoder, type EntryLoads, entryLoadsSchema, type Report, type SharedLoadsAnswer,
     sharedLoadsSchema,
 } from "../../src/feed/index.js";
 import { createRpcServer } from "../../src/rpc/index.js";
@@ -26,7 +26,7 @@
             seen.loads.push(received);
             return answerBytes;
         },
-        onUnreadableLoads: () => void seen.unreadable++,
+        onUnreadablePart: () => void seen.unreadable++,
         nowMs: () => performance.now(),
     });
     const rpc = await createRpcServer("127.0.0.1:0", feed.routes);
@@ -37,7 +37,7 @@
     watcher.watch([rpc.address]);
     await waitUntil("the daemon is heard", () => watcher.heard.length > 0);
     for (let index = 0; index < count; index++) {
-        watcher.report(report, sent, received => seen.answers.push(received));
+        watcher.report(report, { loads: sent }, received => seen.answers.push(received));
     }
     await waitUntil("the reports have come", () => seen.reports === count);
     await new Promise(resolve => setTimeout(resolve, 50));
@@ -69,7 +69,7 @@
         // JSON has null in place of NaN.
         const counts = [-1, 0.5, Number.NaN, "3", 1e9];
         const isRead = (value: unknown, schema: typeof entryLoadsSchema | typeof sharedLoadsSchema) => {
-            const decode = createLoadsDecoder<unknown>(schema, () => undefined);
+            const decode = createLenientDecoder<unknown>(schema, () => undefined);
             return decode(typeof value === "string" ? Buffer.from(value) : encode(value)) !== undefined;
         };
         const bad = [
--- a/test/gateway/memory/world.ts
+++ b/test/gateway/memory/world.ts
@@ -8,7 +8,8 @@
 import { headerValue } from "../../../src/gateway/headers.js";
 import type { Memory } from "../../../src/gateway/memory/index.js";
 import type { ParsedRequest } from "../../../src/gateway/parsedRequest.js";
-import { type RunningRequest, startRequest } from "../../../src/gateway/request.js";
+import { startRequest } from "../../../src/gateway/request.js";
+import type { RunningRequest } from "../../../src/gateway/requestTypes.js";
 import { createSiteView } from "../../../src/gateway/siteView.js";
 import { createLogger } from "../../../src/telemetry/index.js";
 import { headerNames } from "../../../platform/headers.js";
--- a/test/gateway/workload.test.ts
+++ b/test/gateway/workload.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import type { ParsedRequest } from "../../src/gateway/parsedRequest.js";
-import type { Outcome } from "../../src/gateway/request.js";
+import type { Outcome } from "../../src/gateway/requestTypes.js";
 import { createWorkload } from "../../src/gateway/workload.js";
 import { engine } from "../groups/builders.js";
 
--- a/test/support/controlledEntry.ts
+++ b/test/support/controlledEntry.ts
@@ -7,7 +7,7 @@
 import { PassThrough } from "node:stream";
 import { freePorts } from "../../bench/processes.js";
 import { headerNames } from "../../platform/headers.js";
-import { createFeedServer, type EntryLoads, type Frame, type Report } from "../../src/feed/index.js";
+import { type CrashReport, createFeedServer, type EntryLoads, type Frame, type Report } from "../../src/feed/index.js";
 import { createGateway, type Gateway } from "../../src/gateway/index.js";
 import { createRpcServer } from "../../src/rpc/index.js";
 import type { OverloadMode } from "../../src/site/index.js";
@@ -23,6 +23,8 @@
     readonly reports: readonly Report[];
     /** The loads in its reports, oldest first. The control daemon answers them by its own table. */
     readonly loads: readonly EntryLoads[];
+    /** What its reports say about crashes, oldest first. */
+    readonly crashes: readonly CrashReport[];
     readonly metrics: SiteMetrics;
     publish(frame: Frame): void;
     /** Stops the control daemon. The entry is stopped through its gateway. */
@@ -48,6 +50,7 @@
     const port = (await freePorts(1))[0]!;
     const reports: Report[] = [];
     const loads: EntryLoads[] = [];
+    const crashes: CrashReport[] = [];
     const nowMs = () => performance.now();
     const loadTable = createLoadTable({ daemonId: "control-1", leads: () => true, nowMs });
     const metrics = createSiteMetrics();
@@ -59,6 +62,7 @@
             ];
     const feed = createFeedServer({
         initialFrames: () => initialFrames, heardAgoMs, onReport: (_daemonId, report) => void reports.push(report), nowMs,
+        onCrashes: (_daemonId, crash) => void crashes.push(crash),
         onLoads(daemonId, received) {
             loads.push(received);
             return loadTable.report(daemonId, received);
@@ -73,7 +77,7 @@
     });
     await waitUntil("the entry is ready", () => isStarting || gateway.isReady);
     return {
-        gateway, port, reports, loads, metrics,
+        gateway, port, reports, loads, crashes, metrics,
         publish: frame => feed.publish(frame),
         async stopControl() {
             feed.close();
