Refuse chats whose shared messages crash engines, at entries and sidecars

Cause: suspects are counted by a hash of the whole body. Change: the messages of a chat but the last are its shared parts. Sidecars report those in flight at a crash with the fingerprints, entries clear the suspected ones with each answer delivered, and the control leader sends the causes of src/crashes in sessions, also through relays.

--- a/src/attempt/registry.ts
+++ b/src/attempt/registry.ts
@@ -55,7 +55,13 @@
         /** The engine boot that ended, for the entry's own crash report. */
         readonly engineBootId: string;
     }
-    | { readonly kind: "report-crash"; readonly engineBootId: string; readonly fingerprints: readonly string[] };
+    | {
+        readonly kind: "report-crash";
+        readonly engineBootId: string;
+        readonly fingerprints: readonly string[];
+        /** The shared parts of the prompts in flight, each once. */
+        readonly parts: readonly string[];
+    };
 
 /** The retry delay given with a refusal that states none. */
 const defaultRetryAfterMs = 500;
@@ -115,7 +121,7 @@
 }
 
 function run(state: RegistryState, dispatch: DispatchParams, admission: AdmissionContext): Result {
-    const { attemptId, idempotent, fingerprint, suspect } = dispatch;
+    const { attemptId, idempotent, fingerprint, sharedParts, suspect } = dispatch;
     const past = pastStateOf(state, attemptId);
     if (state.live.has(attemptId) || past === "ended") {
         return step<RegistryState, RegistryEffect>(state, { kind: "attach", attemptId });
@@ -131,7 +137,7 @@
     if (admission.pushbackLeftMs > 0) {
         return refuse(state, attemptId, "upstream-busy", admission.pushbackLeftMs);
     }
-    const live = new Map(state.live).set(attemptId, { state: "asking", idempotent, fingerprint, suspect });
+    const live = new Map(state.live).set(attemptId, { state: "asking", idempotent, fingerprint, sharedParts, suspect });
     return step<RegistryState, RegistryEffect>({ ...state, live }, { kind: "ask-limiter", attemptId });
 }
 
@@ -186,9 +192,10 @@
     }
     const attemptIds = [...state.live.keys()];
     const fingerprints = [...new Set([...state.live.values()].map(attempt => attempt.fingerprint))].filter(name => name !== "");
+    const parts = [...new Set([...state.live.values()].flatMap(attempt => attempt.sharedParts))];
     return step<RegistryState, RegistryEffect>(
         attemptIds.reduce((next, attemptId) => retire(next, attemptId, "ended"), state),
-        { kind: "report-crash", engineBootId, fingerprints },
+        { kind: "report-crash", engineBootId, fingerprints, parts },
         ...attemptIds.map((attemptId): RegistryEffect =>
             ({ kind: "fail", attemptId, code: "engine-crashed", execution: "unknown", engineBootId })),
     );
--- a/src/attempt/registryAdmission.ts
+++ b/src/attempt/registryAdmission.ts
@@ -18,6 +18,8 @@
     readonly deadlineMs: number;
     readonly idempotent: boolean;
     readonly fingerprint: string;
+    /** Ids of the parts of the prompt that other requests may have too. */
+    readonly sharedParts: readonly string[];
     readonly suspect: boolean;
 }
 
@@ -32,7 +34,7 @@
     readonly configurationLive: boolean;
     /** Whether this data centre is drained in the configuration in force. */
     readonly drained: boolean;
-    /** Whether the fingerprint of the request is barred. */
+    /** Whether the fingerprint of the request is barred, or its prompt has parts that crash engines. */
     readonly barred: boolean;
     /** How much longer the upstream wants no requests, as it has stated when it turned one away; 0 if it accepts them. */
     readonly pushbackLeftMs: number;
--- a/src/attempt/registryState.ts
+++ b/src/attempt/registryState.ts
@@ -11,6 +11,7 @@
     readonly state: "asking" | "running";
     readonly idempotent: boolean;
     readonly fingerprint: string;
+    readonly sharedParts: readonly string[];
     readonly suspect: boolean;
 }
 
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -29,7 +29,7 @@
 import { createMeters, type Meters } from "./meters.js";
 import { createPlacer } from "./placer.js";
 import { withTimestamp } from "./stamp.js";
-import { diffSuspects } from "./suspects.js";
+import { diffSuspects, toCrashCauses } from "./suspects.js";
 import { createVmTable, type VmTable } from "./vmTable.js";
 
 const tickIntervalMs = 250;
@@ -83,6 +83,7 @@
     let lastSilentSessionCount = 0;
     let sessionEndedAtMs = -Infinity;
     let lastSentSuspects = log.state.suspects.byFingerprint;
+    let lastSentEvidence = log.state.crashEvidence;
 
     function isLeader(): boolean {
         return log.role === "leader" && log.leaseHeld;
@@ -108,6 +109,7 @@
         grantableLeaseMs: () => isLeader() ? configLeaseMs : 0,
         initialMessage: hello => ({
             suspects: diffSuspects({}, log.state.suspects.byFingerprint, Date.now()),
+            crashCauses: toCrashCauses(log.state.crashEvidence),
             ...(hello.wantsDirectory ? { directory: directory.initialUpdate(clock.nowMs()) } : {}),
         }),
         onReports: handleReports,
@@ -121,9 +123,22 @@
         },
     }, () => clock.nowMs());
 
-    async function reportCrash({ engineBootId, fingerprints }: CrashReport) {
+    async function reportCrash({ engineBootId, fingerprints, parts, provenParts }: CrashReport) {
+        const atMs = Date.now();
         if (fingerprints.length > 0) {
-            await propose({ kind: "report-crash", engineBootId, fingerprints, atMs: Date.now() });
+            await propose({ kind: "report-crash", engineBootId, fingerprints, atMs });
+        }
+        if (parts.length > 0) {
+            await propose({ kind: "report-crashed-parts", engineBootId, parts, provenParts, atMs });
+        }
+    }
+
+    /** Sends every daemon the parts of prompts that crash engines, if these have changed. */
+    function pushCrashCauses() {
+        const { crashEvidence } = log.state;
+        if (crashEvidence !== lastSentEvidence) {
+            lastSentEvidence = crashEvidence;
+            sessions.broadcast({ crashCauses: toCrashCauses(crashEvidence) });
         }
     }
 
@@ -234,6 +249,7 @@
         updateRole();
         sessions.pushConfiguration();
         pushSuspects();
+        pushCrashCauses();
     });
     const timer = setInterval(tick, tickIntervalMs);
     updateRole();
--- a/src/control/suspects.ts
+++ b/src/control/suspects.ts
@@ -1,9 +1,11 @@
 /**
- * Computes the crash suspect updates to send to daemons as the difference between two states.
+ * What daemons are sent about requests and parts of prompts that crash engines: the changes of crash suspects as the difference between two
+ * states, and the causes of crashes as a whole.
  *
  * @module
  */
 
+import { type CrashEvidenceState, emptyCrashEvidence, findCrashCauses, suspectedParts } from "../crashes/index.js";
 import { barDurationMs, type Suspect, type SuspectsState, suspectStatus } from "../cluster/index.js";
 
 /** A change of one fingerprint's state. */
@@ -32,3 +34,8 @@
     const retryAfterMs = isBarred ? suspect.lastCrashAtMs + barDurationMs - nowMs : 0;
     return { fingerprint, state: isBarred ? "barred" : "suspect", crashes: suspect.crashes, retryAfterMs };
 }
+
+/** Returns the parts of prompts that crash engines by this evidence. */
+export function toCrashCauses(evidence: CrashEvidenceState = emptyCrashEvidence) {
+    return { causes: findCrashCauses(evidence).map(parts => ({ parts: [...parts] })), suspectedParts: suspectedParts(evidence) };
+}
--- a/src/crashes/causes.ts
+++ b/src/crashes/causes.ts
@@ -17,7 +17,7 @@
 export type CrashCause = readonly string[];
 
 /** Crashes within this time of the first one count once: engines lost together, with a domain or data centre, have another cause. */
-const windowMs = 200;
+const windowMs = 100;
 /** A part that only shares engines with a cause is rarely in flight at so many crashes without an answer completed meanwhile. */
 const minCrashes = 3;
 /**
--- a/src/entry/callerRequest.ts
+++ b/src/entry/callerRequest.ts
@@ -13,6 +13,8 @@
     readonly service: Service;
     readonly model?: string;
     readonly prompt?: string;
+    /** Ids of the parts of the prompt that other requests may have too. */
+    readonly sharedParts?: readonly string[];
     readonly maxTokens?: number;
     /** Whether the caller reads the answer as a stream of server-sent events. */
     readonly eventStream?: boolean;
--- a/src/entry/completion.ts
+++ b/src/entry/completion.ts
@@ -4,10 +4,14 @@
  * @module
  */
 
+import { createHash } from "node:crypto";
 import { z } from "zod";
 import { badRequest } from "./problem.js";
 
 const maxTokensLimit = 131_072;
+const partIdChars = 16;
+/** Later messages of a long conversation are rarely shared, and each one makes crash reports larger. */
+const maxSharedParts = 16;
 
 const messageSchema = z.looseObject({ role: z.string(), content: z.union([z.string(), z.array(z.looseObject({ type: z.string() }))]) });
 
@@ -40,6 +44,16 @@
     return completion.prompt ?? contents?.join("\n") ?? "";
 }
 
+/**
+ * Returns an id for each part of the prompt that other requests may have too: the messages of a chat but the last, which belongs to the
+ * request itself.
+ */
+export function sharedPartsOf({ messages = [] }: Completion): string[] {
+    const idOf = ({ role, content }: NonNullable<Completion["messages"]>[number]) =>
+        createHash("sha256").update(JSON.stringify([role, content])).digest("hex").slice(0, partIdChars);
+    return [...new Set(messages.slice(0, -1).slice(0, maxSharedParts).map(idOf))];
+}
+
 interface StreamedChoice {
     readonly delta?: { readonly content?: string };
     readonly text?: string;
--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -11,7 +11,7 @@
 import { splitAddress } from "../rpc/index.js";
 import type { Session } from "../session/index.js";
 import { authenticate, resolveClass } from "./caller.js";
-import { type Completion, joinParts, parseCompletion, promptOf } from "./completion.js";
+import { type Completion, joinParts, parseCompletion, promptOf, sharedPartsOf } from "./completion.js";
 import { badRequest, problemDocument, ProblemError, unavailable } from "./problem.js";
 import type { Answer } from "./answer.js";
 import type { CallerRequest } from "./callerRequest.js";
@@ -135,7 +135,8 @@
     const body = Buffer.from(JSON.stringify({ ...completion, stream: true }));
     const path = isChat ? "/v1/chat/completions" : "/v1/completions";
     const modelFields = {
-        model: completion.model, prompt: promptOf(completion), eventStream: completion.stream, ...maxTokensOf(completion),
+        model: completion.model, prompt: promptOf(completion), sharedParts: sharedPartsOf(completion), eventStream: completion.stream,
+        ...maxTokensOf(completion),
     };
     const answer = await options.runner.run({ ...callerRequest, ...modelFields, method: "POST", path, body }, closeSignal(reply));
     if (answer.status >= 400) {
--- a/src/entry/requestShell.ts
+++ b/src/entry/requestShell.ts
@@ -27,6 +27,9 @@
     readonly upstreams: () => ReadonlyMap<string, Upstream>;
     /** Whether the quorum lists this request's fingerprint as a crash suspect. */
     readonly isSuspect: () => boolean;
+    /** Whether engines crash on parts of the request's prompt. */
+    readonly crashesEngines: () => boolean;
+    readonly onDelivered: () => void;
     readonly createLink: (attemptId: string, upstream: ChosenUpstream) => AttemptLink;
     readonly dispatchRequest: (effect: DispatchEffect, traceparent: string | undefined) => Parameters<AttemptLink["run"]>[0];
     readonly observer: RequestObserver;
@@ -43,6 +46,8 @@
 }
 
 const noUpstreamRetryMs = 1_000;
+/** How long callers whose prompts crash engines are asked to stay away. */
+const crashingPartRetryMs = 60_000;
 
 /** Admits the request and runs it to completion. */
 export function startRequest(options: RequestShellOptions): RequestShell {
@@ -85,6 +90,7 @@
                 return sink.writeChunk(effect.data);
             case "deliver-end":
                 observer.delivered();
+                options.onDelivered();
                 return sink.end();
             case "deliver-problem":
                 observer.refused(effect.problem);
@@ -102,6 +108,10 @@
 
     async function choose({ excluded, retry, suspect }: Extract<RequestEffect, { kind: "choose" }>) {
         ticket.attemptEnded("failed");
+        if (options.crashesEngines()) {
+            dispatchEvent({ kind: "upstream-lacking", code: "crash-suspect", retryAfterMs: crashingPartRetryMs });
+            return;
+        }
         observer.waitStarted();
         const trialAnswer = suspect || options.isSuspect() ? await trial.acquire(crashedEngineBootId) : undefined;
         crashedEngineBootId = undefined;
--- a/src/entry/runner.ts
+++ b/src/entry/runner.ts
@@ -6,6 +6,7 @@
 
 import { createHash } from "node:crypto";
 import { defaultRequestLimits, type RequestParams } from "../attempt/index.js";
+import { hasCrashCause } from "../crashes/index.js";
 import { prefixKeyOf } from "../routing/index.js";
 import type { PeerConnections } from "../rpc/index.js";
 import type { Session } from "../session/index.js";
@@ -21,6 +22,8 @@
 import { createTrial } from "./trial.js";
 
 const defaultAnswerTokens = 256;
+/** A clearance that is lost is followed by that of the next answer. */
+const clearTimeoutMs = 2_000;
 const promptCharsPerWorkUnit = 40;
 const fingerprintChars = 32;
 /** The margin between the last moment an outcome can arrive and the claim's change to unknown. */
@@ -125,6 +128,7 @@
             organisation: request.organisation.name,
             serviceClass: request.serviceClass.name,
             fingerprint,
+            sharedParts: [...request.sharedParts ?? []],
             suspect,
             idempotent: params.idempotent,
             method: request.method,
@@ -139,6 +143,14 @@
         };
     }
 
+    /** A part on which an answer has been completed crashes no engine. */
+    function clearSuspectedParts(sharedParts: readonly string[]) {
+        const parts = sharedParts.filter(part => session().view.suspectedParts.has(part));
+        if (parts.length > 0) {
+            options.propose({ kind: "clear-crashed-parts", parts, atMs: Date.now() }, clearTimeoutMs).catch(() => undefined);
+        }
+    }
+
     function onClose() {
         running--;
         if (running === 0) {
@@ -162,6 +174,8 @@
                 trial: createTrial(fingerprint, requestId, request.serviceClass.deadlineMs, options.propose),
                 upstreams: () => session().view.upstreams,
                 isSuspect: () => session().view.suspects.has(fingerprint),
+                crashesEngines: () => hasCrashCause(request.sharedParts ?? [], session().view.crashCauses),
+                onDelivered: () => clearSuspectedParts(request.sharedParts ?? []),
                 createLink: (attemptId, upstream) => createAttemptLink(options.connections, attemptId, upstream),
                 dispatchRequest: (effect, traceparent) => dispatchRequest(request, params, fingerprint, effect, traceparent),
                 observer: observeRequest(options, request, requestId),
--- a/src/session/relay.ts
+++ b/src/session/relay.ts
@@ -88,7 +88,11 @@
         },
         // Never longer than the relay's own lease. The holder counts from its request, so its lease expires before the relay's.
         grantableLeaseMs: () => options.session().leaseRemainingMs(),
-        initialMessage: () => ({ suspects: [...options.session().view.suspects.values()] }),
+        initialMessage() {
+            const { suspects, crashCauses, suspectedParts } = options.session().view;
+            const causes = crashCauses.map(parts => ({ parts: [...parts] }));
+            return { suspects: [...suspects.values()], crashCauses: { causes, suspectedParts: [...suspectedParts] } };
+        },
         onReports(reports, sessionId) {
             reports.forEach(report => recordReport(report, sessionId));
         },
@@ -148,6 +152,9 @@
             if (message.suspects.length > 0) {
                 server.broadcast({ suspects: message.suspects });
             }
+            if (message.crashCauses !== undefined) {
+                server.broadcast({ crashCauses: message.crashCauses });
+            }
             for (const order of message.orders) {
                 const vm = vms.get(order.vmId);
                 if (vm !== undefined) {
--- a/src/sidecar/attempts.ts
+++ b/src/sidecar/attempts.ts
@@ -42,7 +42,9 @@
     readonly admissionContext: (request: RunRequest) => Omit<AdmissionContext, "pushbackLeftMs">;
     /** Whether an answer of this epoch may be forwarded now. */
     readonly mayForward: (epoch: number) => boolean;
-    readonly reportCrash: (engineBootId: string, fingerprints: readonly string[]) => void;
+    readonly reportCrash: (engineBootId: string, fingerprints: readonly string[], parts: readonly string[]) => void;
+    /** Called when the upstream has completed an answer. */
+    readonly onCompleted: (request: RunRequest) => void;
     readonly onIdle: () => void;
 }
 
@@ -92,7 +94,7 @@
                 });
                 return [];
             case "report-crash":
-                options.reportCrash(effect.engineBootId, effect.fingerprints);
+                options.reportCrash(effect.engineBootId, effect.fingerprints, effect.parts);
                 return [];
             case "attach":
             case "refuse":
@@ -120,6 +122,7 @@
                 pushbackUntilMs = Math.max(pushbackUntilMs, nowMs() + forMs);
             },
             onBroken: detail => void answerBroken(job, detail),
+            onCompleted: () => options.onCompleted(request),
             onFinished: () => finishAttempt(attemptId),
         });
         jobs.set(attemptId, job);
@@ -218,8 +221,9 @@
     }
 
     async function* run(request: RunRequest, signal: AbortSignal): AsyncGenerator<RunEvent> {
-        const { attemptId, sidecarBootId, deadlineMs, idempotent, fingerprint, suspect } = request;
-        const dispatch = { attemptId, sidecarBootId, epoch: Number(request.epoch), deadlineMs, idempotent, fingerprint, suspect };
+        const { attemptId, sidecarBootId, deadlineMs, idempotent, fingerprint, sharedParts, suspect } = request;
+        const epoch = Number(request.epoch);
+        const dispatch = { attemptId, sidecarBootId, epoch, deadlineMs, idempotent, fingerprint, sharedParts, suspect };
         const admission = { ...options.admissionContext(request), pushbackLeftMs: Math.max(0, Math.ceil(pushbackUntilMs - nowMs())) };
         const effects = apply({ kind: "run", nowMs: nowMs(), dispatch, admission }, request);
         const refusal = effects.find(effect => effect.kind === "refuse");
--- a/src/sidecar/job.ts
+++ b/src/sidecar/job.ts
@@ -20,6 +20,8 @@
     /** Called when the upstream broke the answer off. The log is still open. */
     readonly onBroken: (detail: string) => void;
     /** Called once the log and the connection to the upstream are closed. */
+    /** Called before `onFinished` if the answer is complete. */
+    readonly onCompleted: () => void;
     readonly onFinished: () => void;
 }
 
@@ -111,6 +113,7 @@
             await waitWhileFull();
         }
         append({ kind: "end", chunks, bytes });
+        options.onCompleted();
     }
 
     /** Reads the answer in a separate span that covers the upstream's share. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -11,6 +11,7 @@
 import type { AdmissionContext } from "../attempt/index.js";
 import type { Configuration } from "../cluster/index.js";
 import type { Settings } from "../config/index.js";
+import { hasCrashCause, maxPartsPerCrash } from "../crashes/index.js";
 import {
     AcknowledgeResponseSchema,
     type PeerCertificates,
@@ -20,7 +21,7 @@
     type VmOrder,
     type VmReportSchema,
 } from "../rpc/index.js";
-import type { Clock } from "../runtime/index.js";
+import { type Clock, createRecentSet } from "../runtime/index.js";
 import type { Session } from "../session/index.js";
 import type { Metrics, Tracing } from "../telemetry/index.js";
 import { type Attempts, createAttempts } from "./attempts.js";
@@ -31,6 +32,8 @@
 const defaultCapacities = { capacity: 1, coldCapacity: 1 };
 /** Entries open a new connection after one second of silence. */
 const resumeGraceMs = 2_000;
+/** Parts of prompts on which answers have been completed, of which so many are remembered. */
+const maxProvenParts = 4_096;
 /** An epoch that no replica has. */
 const noEpoch = -1;
 
@@ -116,6 +119,8 @@
         };
     }
 
+    /** Parts of prompts on which this VM has completed answers. */
+    const provenParts = createRecentSet<string>(maxProvenParts);
     const attempts: Attempts = createAttempts({
         bootId: options.bootId,
         engine: () => engine,
@@ -126,8 +131,12 @@
         onFirstToken: latencyMs => options.metrics.distribution("sidecar.first_token_ms", latencyMs, { service: vm.service }),
         admissionContext,
         mayForward: epoch => vm.kind === "plain" || membership.mayServe(epoch),
-        reportCrash(engineBootId, fingerprints) {
-            options.session().reportCrash({ vmId: vm.id, engineBootId, fingerprints: [...fingerprints] });
+        onCompleted: ({ sharedParts }) => sharedParts.forEach(part => provenParts.add(part)),
+        reportCrash(engineBootId, fingerprints, inFlight) {
+            const parts = inFlight.slice(0, maxPartsPerCrash);
+            options.session().reportCrash({
+                vmId: vm.id, engineBootId, fingerprints: [...fingerprints], parts, provenParts: parts.filter(part => provenParts.has(part)),
+            });
             options.metrics.count("sidecar.crashes", { service: vm.service });
             options.onChange("engine-crashed", { engineBootId, inFlight: fingerprints.length });
         },
@@ -180,7 +189,7 @@
             membersLive: isPlain || membership.mayAdmit(epoch),
             configurationLive: run.configLeaseMs > 0 || options.session().leaseRemainingMs() > 0,
             drained: view.configuration.dataCentres.some(item => item.name === settings.daemon.dataCentre && item.drained),
-            barred: view.suspects.get(run.fingerprint)?.state === "barred",
+            barred: view.suspects.get(run.fingerprint)?.state === "barred" || hasCrashCause(run.sharedParts, view.crashCauses),
         };
     }
 
