Close new connections unread while an entry's processor is saturated

What callers would see: a load balancer may hand most new connections of a data centre to one entry for some seconds. Beyond what its processor bears, requests wait unread, or are read too late to be served. Cause: an entry accepted and read every connection whatever its load. Change: samples of the busy part of the event loop, four a second. Others are reset before anything is read, so their requests have not run and the retry meets another entry. Log line, counter and gauge. The decision needs no network.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,8 @@
 import { createAdmission } from "./admission.js";
 import { createAllowances } from "./allowances.js";
 import { createBalancer } from "./balancer.js";
+import { createBusyShare } from "./busyShare.js";
+import { createConnectionShedding } from "./connectionShedding.js";
 import { createConnections } from "./connections.js";
 import { createCrashLog, fingerprintOf } from "./crashes.js";
 import { createEntryCount, shareOfSlack } from "./entryCount.js";
@@ -73,6 +75,7 @@
 const askHeardIntervalMs = 500;
 /** How often slow callers are looked for. It is short compared with the 500 ms after which one may be disconnected. */
 const memoryCheckIntervalMs = 100;
+const busySampleIntervalMs = 250;
 /** How often a shutdown checks whether requests are still running. */
 const drainPollMs = 50;
 /**
@@ -121,6 +124,10 @@
     const memory = options.memoryLimitMb === undefined
         ? unboundedMemory
         : createMemory({ limitMb: options.memoryLimitMb, logger, nowMs, count: metrics.recordMemoryAction });
+    const shedding = createConnectionShedding({
+        busyShare: createBusyShare(),
+        onChanged: (isShedding, busyShare) => logger.info(isShedding ? "closing new connections" : "accepting all connections", { busyShare }),
+    });
     const vm = splitAddress(options.callerAddress).host;
     const { ratio, slack } = options.retries;
     const budgets = new Map<string, RetryBudget>();
@@ -217,6 +224,13 @@
         recordArrival: loadReports.requestArrived,
         isBarred: request => view.crashesEngines(request.sharedParts) || (view.barred.size > 0 && view.barred.has(fingerprintOf(request))),
         countFailedAttempt: kind => metrics.recordAttemptWithoutAnswer(kind),
+        acceptsConnection() {
+            const isAccepted = shedding.accepts();
+            if (!isAccepted) {
+                metrics.recordConnectionClosed();
+            }
+            return isAccepted;
+        },
         countEarlyRefusal: status => metrics.recordRefusal(status),
         countWhileStopping: labels => metrics.recordStoppingRequest(labels),
         recordOutcome(outcome, request, tookMs, firstMs) {
@@ -236,6 +250,7 @@
 
     ({ endBarred } = server);
     metrics.registerGauge("zinnialanding_crash_causes", () => view.crashCauseCount);
+    metrics.registerGauge("zinnialanding_connections_shedding", () => Number(shedding.isShedding));
     metrics.registerGauge("zinnialanding_requests_running", () => server.running);
     metrics.registerGauge("zinnialanding_callers_held", () => startHold.heldCount);
     metrics.registerGauge("zinnialanding_caller_connections", () => server.connections.open);
@@ -265,6 +280,7 @@
         setInterval(() => connections.sweep(view.addresses), sweepIntervalMs),
         setInterval(askHeard, askHeardIntervalMs),
         setInterval(() => memory.check(), memoryCheckIntervalMs),
+        setInterval(() => shedding.sample(), busySampleIntervalMs),
     ];
 
     function activityLogFields() {
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -68,6 +68,8 @@
     /** Holds callers while the entry starts; without it they are refused at once. */
     readonly startHold?: StartHold;
     readonly memory: Memory;
+    /** Whether a new connection is accepted. One that isn't is closed unread, so that its caller knows that its request has not run. */
+    acceptsConnection?(): boolean;
     /** Counts a request that was refused before an upstream was chosen. */
     countEarlyRefusal(status: number): void;
     /** Counts a request that was read completely, before an upstream is chosen. */
@@ -263,6 +265,12 @@
             response.destroy();
         });
     });
+    // Must come before the listener that reads.
+    server.prependListener("connection", socket => {
+        if (dependencies.acceptsConnection?.() === false) {
+            socket.resetAndDestroy();
+        }
+    });
     connections.watch(server);
     server.on("connection", socket => {
         const servedOnSocket = new Set<ServedRequest>();
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -23,6 +23,8 @@
     recordOrder(kind: string, outcome: string): void;
     /** Counts a report of this entry that carried its loads. */
     recordLoadReport(): void;
+    /** Counts a new connection that was closed unread because the processor is saturated. */
+    recordConnectionClosed(): void;
     /** Counts a pause of reading, a refusal or a cut-off because of the bytes held for callers and upstreams. */
     recordMemoryAction(action: string, reason: string): void;
     /** Registers the bytes held for callers and upstreams, by kind. */
@@ -48,6 +50,7 @@
 const gaugeHelp = {
     zinnialanding_requests_running: "Requests of callers that have no final answer yet.",
     zinnialanding_crash_causes: "Combinations of prompt parts that crash engines, whose requests are refused.",
+    zinnialanding_connections_shedding: "1 while some new connections are closed unread because the processor is saturated, else 0.",
     zinnialanding_callers_held: "Callers held after a start until the site or the upstreams arrive.",
     zinnialanding_caller_connections: "Open connections of callers.",
     zinnialanding_caller_connections_unused: "Open connections of callers that have carried no request yet.",
@@ -108,6 +111,7 @@
     const stoppingCounter = new Counter({ name: "zinnialanding_stopping_requests_total", help: "Requests that came or were cut off while the entry stops.", labelNames: ["listener", "connection", "outcome"], registers });
     const orderCounter = new Counter({ name: "zinnialanding_orders_total", help: "Orders to engines.", labelNames: ["kind", "outcome"], registers });
     const loadReportCounter = new Counter({ name: "zinnialanding_load_reports_total", help: "Reports that carried this entry's loads.", registers });
+    const closedConnectionCounter = new Counter({ name: "zinnialanding_connections_closed_unread_total", help: "New connections closed because the processor is saturated.", registers });
     const memoryCounter = new Counter({ name: "zinnialanding_memory_actions_total", help: "Pauses, refusals and cut-offs because of held bytes.", labelNames: ["action", "reason"], registers });
     const admissionSeconds = new Histogram({ name: "zinnialanding_admission_wait_seconds", help: "From arrival to the decision on a stream that asked for room.", labelNames: ["route", "outcome"], buckets: bucketBoundsS, registers });
     const admissionRefusals = new Counter({ name: "zinnialanding_admission_refused_total", help: "Streams refused for want of room.", labelNames: ["cause", "priority"], registers });
@@ -142,6 +146,7 @@
         },
         recordOrder: (kind, outcome) => orderCounter.inc({ kind, outcome }),
         recordLoadReport: () => loadReportCounter.inc(),
+        recordConnectionClosed: () => closedConnectionCounter.inc(),
         recordMemoryAction: (action, reason) => memoryCounter.inc({ action, reason }),
         registerHeldBytes: read => registerLabelled("zinnialanding_held_bytes", "Bytes held for callers and upstreams.", "kind", read),
         registerGauge(name, read) {
--- a/test/platform/crashingPart.test.ts
+++ b/test/platform/crashingPart.test.ts
@@ -68,4 +68,31 @@
         const usualShare = servedShare(sound.ended, 0, startedAtMs);
         expect(servedShare(sound.ended, knownAtMs + contactMs, endedAtMs - contactMs / 2)).to.be.at.least(usualShare / 2);
     });
+
+    // Guards against a restarted entry or a new control leader that sends the part to engines again because it has forgotten the crashes.
+    it("stays refused at an entry that starts again, under another control leader", async () => {
+        const countCrashes = () => site.poolRunners().reduce((sum, runner) => sum + runner.crashes, 0);
+        const { processes } = site;
+        const leads = (id: string) => /zinnialanding_leads 1/.test(metricsOf.get(id) ?? "");
+        const metricsOf = new Map<string, string>();
+        const leader = async () => {
+            for (const control of processes.controls) {
+                metricsOf.set(control.id, await fetch(`http://${processes.metricsAddress(control)}/metrics`).then(answer => answer.text(), () => ""));
+            }
+            return processes.controls.find(({ id }) => leads(id))?.id;
+        };
+        const [before, crashes] = [await leader(), countCrashes()];
+        const entry = processes.entries[0]!.id;
+        await Promise.all([processes.signal(before!, "SIGKILL"), processes.signal(entry, "SIGKILL")]);
+        processes.start(entry);
+        await waitUntil("another control daemon leads", async () => ![undefined, before].includes(await leader()));
+        await waitUntil("the entry serves again", async () => {
+            calls += calls % 2 === 0 ? 1 : 0;
+            return (await requestWithParts(`sound-again-${calls}`, systemPart).catch(() => undefined))?.status === 200;
+        });
+        const answers = await Promise.all(Array.from({ length: 20 }, (_, index) => requestWithParts(`crashing-again-${index}`, systemPart, crashingPart)));
+        expect(new Set(answers.map(({ status }) => status))).to.deep.equal(new Set([503]));
+        expect(countCrashes()).to.equal(crashes);
+        processes.start(before!);
+    });
 });
