Sidecars tell a reset answer without a length from a whole one

What callers saw: half of a plain answer as a whole one, if the upstream's answer had neither a length nor chunks and its connection was reset. Change: an engine counts the connections that are reset, and an answer without a length during which one was is incomplete.

--- a/src/sidecar/engine.ts
+++ b/src/sidecar/engine.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { Agent, request } from "undici";
+import { Agent, buildConnector, request } from "undici";
 import { z } from "zod";
 
 const pollIntervalMs = 250;
@@ -34,6 +34,8 @@
     readonly isGone: boolean;
     /** Connections for requests. Streams are unbounded, and there is no timeout between tokens. */
     readonly agent: Agent;
+    /** Number of connections of `agent` that have been reset. */
+    readonly resets: number;
     /** Polls immediately, or joins a poll in progress. Used after a connection to the upstream was reset. */
     poll(): Promise<void>;
     /** Sends an order, fenced by its epoch; resolves to false if the engine refused it or did not answer. */
@@ -41,12 +43,46 @@
     stop(): void;
 }
 
+/**
+ * Returns a connector that calls back for each connection that is reset. The library reports a reset during an answer without a length as
+ * its regular end. A reset that comes together with the last bytes is reported as the end of the stream, and leaves no remote address.
+ */
+function createCountingConnector(onReset: () => void): buildConnector.connector {
+    const connect = buildConnector({});
+    return (options, callback) => connect(options, (...[error, socket]) => {
+        if (socket === null) { // eslint-disable-line no-restricted-syntax -- the library passes it for an absent socket
+            callback(error!, socket);
+            return;
+        }
+        let isReset = false;
+        const reset = () => {
+            if (!isReset) {
+                isReset = true;
+                onReset();
+            }
+        };
+        // The library's own error for a connection that was closed in order has another code.
+        socket.on("error", (error: NodeJS.ErrnoException) => {
+            if (error.code === "ECONNRESET") {
+                reset();
+            }
+        });
+        socket.on("end", () => {
+            if (socket.remoteAddress === undefined) {
+                reset();
+            }
+        });
+        callback(error as never, socket);
+    });
+}
+
 /**
  * Starts polling. Calls `onPoll` after each poll; `isChanged` is true if the upstream appeared, disappeared or restarted, or if its
  * loaded or loading models changed.
  */
 export function createEngine(address: string, onPoll: (state: EngineState | undefined, isChanged: boolean) => void): Engine {
-    const agent = new Agent({ pipelining: 0, headersTimeout: 0, bodyTimeout: 0 });
+    let resets = 0;
+    const agent = new Agent({ pipelining: 0, headersTimeout: 0, bodyTimeout: 0, connect: createCountingConnector(() => resets++) });
     const pollAgent = new Agent({
         headersTimeout: pollTimeoutMs,
         bodyTimeout: pollTimeoutMs,
@@ -98,6 +134,9 @@
             return isGone;
         },
         agent,
+        get resets() {
+            return resets;
+        },
         poll,
         async order(body) {
             try {
--- a/src/sidecar/upstream.ts
+++ b/src/sidecar/upstream.ts
@@ -80,12 +80,17 @@
             signal,
         });
         hasResponse = true;
+        const resetsBefore = engine.resets;
         yield { kind: "started", status: answer.statusCode, headers: answerHeaders(answer) };
         const isEventStream = String(answer.headers["content-type"]).startsWith("text/event-stream");
         const parts = isEventStream ? serverSentData(answer.body) : answer.body as AsyncIterable<Uint8Array>;
         for await (const data of parts) {
             yield { kind: "chunk", data };
         }
+        const isFramed = answer.headers["content-length"] !== undefined || answer.headers["transfer-encoding"] !== undefined;
+        if (!isFramed && engine.resets > resetsBefore) {
+            throw new Error("a connection to the upstream was reset before the answer's end");
+        }
     }
     catch (error) {
         const code = (error as { code?: string }).code ?? "";
--- a/test/sidecar/pushback.test.ts
+++ b/test/sidecar/pushback.test.ts
@@ -12,7 +12,7 @@
 
 function createEngineAt(address: string, agent: Agent): Engine {
     return {
-        address, agent, state: undefined, isGone: false,
+        address, agent, resets: 0, state: undefined, isGone: false,
         poll: () => Promise.resolve(), order: () => Promise.resolve(false), stop: () => undefined,
     };
 }
