Soak: callers whose prompts crash engines, and a check that few of their requests reach upstreams

Change: crashing-callers send a stream every 120 ms whose prompts have one part in common, under which the stand-in engines crash; every other call shares its first part with them. crashingPartsAreRefused counts those that reach upstreams later than contactMs after the fifth crash at entries in touch (3 allowed).

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -22,6 +22,8 @@
 const weights: readonly (readonly [CallKind, number])[] = [["charge", 3], ["read", 2], ["caption", 5], ["route", 2], ["keyed", 2]];
 /** Organisations of bursts; the first one sends most requests. */
 const organisations = ["atelier", "workshop"];
+/** Routes of the kinds of calls that have none of their own name. */
+const pathOf: Partial<Record<CallKind, string>> = { keyed: "read", crashing: "caption" };
 /** Streams that differ only in priority, and streams with large events. */
 export const streamRoutes = [["urgent", 0], ["tolerant", 2], ["bulk", 0]].map(([name, priority]) => ({
     name, host: "shop.example", pathPrefix: `/${name}/`, kind: "streaming", service: "pool", timeoutMs: 4_000, targetLatencyMs: 400,
@@ -33,6 +35,9 @@
 /** Part of the callers of `leaving-callers` that leave, and the longest time after which they do. */
 const [leaverShare, maxStayMs] = [0.5, 600];
 const slowCallers = 4;
+/** Under requests with this part of their prompts engines crash. */
+export const crashingPart = "c4a51991";
+const crashingIntervalMs = 120;
 
 export interface EntryAddresses {
     readonly id: string;
@@ -110,7 +115,8 @@
         const routeVersion = kind === "route" ? options.routeVersion() : undefined;
         const key = kind === "keyed" ? options.key() : undefined;
         // Requests with the same path, caller and body would count as one that crashes upstreams when links are reset under it.
-        const path = kind === "route" ? `/v${routeVersion}/${id}` : `/${kind === "keyed" ? "read" : kind}/${id}`;
+        const path = kind === "route" ? `/v${routeVersion}/${id}` : `/${pathOf[kind] ?? kind}/${id}`;
+        const parts = ["system", ...kind === "crashing" ? [crashingPart] : [], id].map(part => `${part}:10`).join(",");
         const body = ["read", "route", "keyed"].includes(kind) ? undefined : "x";
         const [host, port] = entry.callers.split(":");
         const sentAtMs = performance.now();
@@ -131,7 +137,7 @@
                 host, port, agent, method: body === undefined ? "GET" : "POST", path, timeout: deadlineMs + answerMarginMs,
                 headers: {
                     host: "shop.example", "api-key": key ?? (organisation === undefined ? "key-1" : `key-of-${organisation}`), "zinnialanding-attempt-id": id, "zinnialanding-deadline-ms": String(deadlineMs),
-                    "zinnialanding-model": "lm", "zinnialanding-token-usage": "20,30",
+                    "zinnialanding-model": "lm", "zinnialanding-token-usage": "20,30", "zinnialanding-prefix-hash": parts,
                     ...body === undefined ? {} : { "content-length": String(body.length) },
                 },
             }, response => {
@@ -169,6 +175,12 @@
         if (kind === "slow-callers") {
             Array.from({ length: slowCallers }, () => add("bulk", { stopsReadingMs: forMs }));
         }
+        else if (kind === "crashing-callers") {
+            for (let leftMs = forMs; leftMs > 0; leftMs -= crashingIntervalMs) {
+                add("crashing", {});
+                await pause(crashingIntervalMs);
+            }
+        }
         else {
             const startedAtMs = performance.now();
             for (let atMs = 0; atMs < forMs; atMs += nextArrivalMs(draw, burstPerSecond)) {
--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -228,6 +228,23 @@
         : [];
 };
 
+/** So many crashes show that a part of prompts causes them, and so many further requests with it may reach upstreams. */
+const [crashesUntilKnown, crashingAllowance] = [5, 3];
+
+/** Counts requests at entries in touch: neither they nor a control daemon were disturbed in the time before. */
+const crashingPartsAreRefused: Check = ({ upstreams, calls, outages }, { contactMs }) => {
+    const entryOf = new Map(calls.filter(({ kind }) => kind === "crashing").map(({ id, entry }) => [id, entry]));
+    const fifthAtMs = upstreams.flatMap(({ crashTimesMs }) => crashTimesMs).sort((a, b) => a - b)[crashesUntilKnown - 1] ?? Infinity;
+    const daemons = [...new Set(outages.map(({ daemon }) => daemon))];
+    const isInTouch = (entry: string, atMs: number) => !daemons.some(daemon =>
+        (daemon === entry || daemon.startsWith("control")) && isDisturbed(outages, daemon, atMs - contactMs, atMs));
+    const late = upstreams.flatMap(({ arrivals }) => arrivals).filter(({ id, atMs }) => {
+        const entry = entryOf.get(id);
+        return entry !== undefined && atMs > fifthAtMs + contactMs && isInTouch(entry, atMs);
+    });
+    return late.length > crashingAllowance ? [`${late.length} requests with a part that crashes upstreams reached them after it was known`] : [];
+};
+
 const groupsAreSound: Check = ({ upstreams }) => upstreams.flatMap(({ anomalies }) => anomalies);
 
 const recovers: Check = ({ calls, calmFromMs, endedAtMs }, { recoveryMs }) => {
@@ -242,7 +259,7 @@
     runsAtMostOnce, refusalsAreTrue, answersAreWholeAndOwn, pushbacksAreKept, leavingUpstreamsGetNothing, coldUpstreamsAreSpared,
     revokedKeysAreRefused, readsAreNotStale,
     configurationsNeverRevert, configurationsApply, plannedStopsLoseNothing, groupsAreSound, recovers,
-    callersWhoLeftAreNotServed, deadlinesAreKept, organisationsAreServed, urgentOnesAreServedAsOften,
+    callersWhoLeftAreNotServed, deadlinesAreKept, crashingPartsAreRefused, organisationsAreServed, urgentOnesAreServedAsOften,
 };
 export type CheckName = keyof typeof checks;
 
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -6,7 +6,7 @@
 
 import type { Arrival, Pushback, Run } from "../../standin/platform/index.js";
 
-export type CallKind = "charge" | "read" | "caption" | "route" | "keyed" | "urgent" | "tolerant" | "bulk";
+export type CallKind = "charge" | "read" | "caption" | "route" | "keyed" | "urgent" | "tolerant" | "bulk" | "crashing";
 
 /** A request of a caller. All times are on one clock. */
 export interface Call {
@@ -64,6 +64,7 @@
     readonly runs: readonly Run[];
     readonly pushbacks: readonly Pushback[];
     readonly anomalies: readonly string[];
+    readonly crashTimesMs: readonly number[];
 }
 
 export interface History {
--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -14,7 +14,7 @@
     "add-cold-upstream",
     "silence-link", "reset-link", "refuse-link",
     "publish", "revoke-key", "evacuate",
-    "burst", "leaving-callers", "slow-callers",
+    "burst", "leaving-callers", "slow-callers", "crashing-callers",
 ] as const;
 export type FaultKind = typeof faultKinds[number];
 
--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -10,7 +10,7 @@
     callControlDaemon, configurationText, createSiteProcesses, type DaemonSpec, type Runner, type SiteProcesses, startRunner,
 } from "../../standin/platform/index.js";
 import { type Relay, startRelay } from "../../standin/relay.js";
-import { streamRoutes, tenants } from "./callers.js";
+import { crashingPart, streamRoutes, tenants } from "./callers.js";
 import type { ConfigurationRead, History, Outage, Publication } from "./history.js";
 import type { Fault } from "./schedule.js";
 
@@ -93,7 +93,7 @@
     async function startUpstream(service: string, index: number, coldForMs = 0) {
         const id = `i-${service}-${nextRunner++}`;
         const isEngine = service === "pool";
-        runners.push(await startRunner({
+        const runner = await startRunner({
             id, service, zone: dataCentres[index % dataCentres.length]!, heartbeatMs, joinMs, coldForMs,
             ...isEngine ? { domain: "d0", slots } : {},
             controls: () => controls.map(processes.controlAddress),
@@ -106,7 +106,9 @@
                 relays.set(id, relay);
                 return relay.address;
             },
-        }));
+        });
+        runner.crashPart = crashingPart;
+        runners.push(runner);
     }
 
     function routesOf(version: number): object[] {
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -14,7 +14,7 @@
 }
 
 function upstream(change: Partial<UpstreamRecord> = {}): UpstreamRecord {
-    return { id: "u1", arrivals: [], runs: [], pushbacks: [], anomalies: [], ...change };
+    return { id: "u1", arrivals: [], runs: [], pushbacks: [], anomalies: [], crashTimesMs: [], ...change };
 }
 
 /** A history without findings but for what `change` brings. */
@@ -101,6 +101,17 @@
         expect(checksOf({ calls: [held], outages })).to.deep.equal([]);
     });
 
+    it("find requests with a part that crashes upstreams, once it is known, unless a daemon was disturbed", () => {
+        const calls = [0, 1, 2, 3].map(index => call(`c${index}`, { kind: "crashing", status: undefined, isComplete: false }));
+        const crashTimesMs = [100, 200, 300, 400, 500];
+        const arrivals = (atMs: number) => [upstream({ crashTimesMs, arrivals: calls.map(({ id }, index) => at(id, atMs + index)) })];
+        expect(checksOf({ calls, upstreams: arrivals(3_600) })).to.deep.equal(["crashingPartsAreRefused"]);
+        expect(checksOf({ calls: calls.slice(1), upstreams: arrivals(3_600) })).to.deep.equal([]);
+        expect(checksOf({ calls, upstreams: arrivals(3_400) })).to.deep.equal([]);
+        const outages = [{ daemon: "control-1", kind: "unplanned" as const, fromMs: 0, toMs: 700 }];
+        expect(checksOf({ calls, upstreams: arrivals(3_600), outages })).to.deep.equal([]);
+    });
+
     it("find an organisation that is never served, and urgent streams served less often than tolerant ones beyond chance", () => {
         const body = "123456".replace(/./g, "id: $&\ndata: a $&\n\n");
         const streams = (kind: "urgent" | "tolerant", organisation: string, served: number) => Array.from({ length: 100 }, (_, index) =>
