Keep the crashes that a cause explains when others exceed the number remembered

Cause: the evidence keeps 64 crashes and dropped the oldest, so a part that crashes engines would have been forgotten, and its requests sent again, once 64 other engines had crashed since; on a site of thousands of upstreams that is minutes. Change: crashes that no cause explains are dropped first. The reducer moves to a module of its own.

--- a/src/crashes/evidence.ts
+++ b/src/crashes/evidence.ts
@@ -1,6 +1,6 @@
 /**
- * The crashes of engines with the parts of the prompts that were in flight, from which `causes.ts` infers the parts that crash engines.
- * A part of which an answer has been completed is cleared: one that crashes engines crashes each that begins to write on it.
+ * The crashes of engines with the parts of the prompts that were in flight, from which `causes.ts` infers the parts that crash engines,
+ * and the commands that change them.
  *
  * @module
  */
@@ -46,34 +46,8 @@
 
 export type CrashEvidenceResult = { readonly outcome: "recorded" };
 
-/** How long a crash counts. */
-export const crashTtlMs = 3_600_000;
-/** The maximum number of crashes; the oldest are dropped first. */
-export const maxCrashes = 64;
-
 export const emptyCrashEvidence: CrashEvidenceState = { crashes: [] };
 
-/** Applies one command. */
-export function applyCrashEvidence(state: CrashEvidenceState, command: CrashEvidenceCommand): CrashEvidenceState {
-    return command.kind === "report-crashed-parts" ? recordCrash(state, command) : clearParts(state, command.parts);
-}
-
-function recordCrash({ crashes }: CrashEvidenceState, { engineBootId, parts, provenParts, atMs }: ReportParts): CrashEvidenceState {
-    const others = crashes.filter(crash => crash.engineBootId !== engineBootId && atMs - crash.atMs < crashTtlMs);
-    const known = crashes.find(crash => crash.engineBootId === engineBootId);
-    const recorded: EngineCrash = { engineBootId, atMs: known?.atMs ?? atMs, parts, provenParts };
-    return { crashes: [...others, recorded].sort((a, b) => a.atMs - b.atMs).slice(-maxCrashes) };
-}
-
-function clearParts({ crashes }: CrashEvidenceState, cleared: readonly string[]): CrashEvidenceState {
-    const withoutCleared = (parts: readonly string[]) => parts.filter(part => !cleared.includes(part));
-    return {
-        crashes: crashes
-            .map(crash => ({ ...crash, parts: withoutCleared(crash.parts), provenParts: withoutCleared(crash.provenParts) }))
-            .filter(({ parts }) => parts.length > 0),
-    };
-}
-
 /** Lists the parts that were in flight at a crash and have not been cleared since. */
 export function suspectedParts({ crashes }: CrashEvidenceState): string[] {
     return [...new Set(crashes.flatMap(({ parts }) => parts))];
--- a/src/crashes/index.ts
+++ b/src/crashes/index.ts
@@ -1,5 +1,6 @@
 export { type CrashCause, findCrashCauses, hasCrashCause } from "./causes.js";
 export {
-    applyCrashEvidence, clearPartsSchema, type CrashEvidenceCommand, type CrashEvidenceResult, type CrashEvidenceState, emptyCrashEvidence,
+    clearPartsSchema, type CrashEvidenceCommand, type CrashEvidenceResult, type CrashEvidenceState, emptyCrashEvidence,
     type EngineCrash, maxPartsPerCrash, reportPartsSchema, suspectedParts,
 } from "./evidence.js";
+export { applyCrashEvidence } from "./reducer.js";
--- a/test/crashes/causes.test.ts
+++ b/test/crashes/causes.test.ts
@@ -53,6 +53,14 @@
         expect(causesOf(...first, ...second)).to.deep.equal([["bad1"], ["bad2"]]);
     });
 
+    // Guards against sending a part again that crashes engines, because so many other engines have crashed since.
+    it("are kept when further crashes exceed the number that is remembered", () => {
+        const crashes = [0, 300, 600].map(atMs => crash(atMs, ["bad"]));
+        const others = Array.from({ length: 100 }, (_, index) => crash(1_000 + 300 * index, [`other ${index}`]));
+        expect(causesOf(...crashes, ...others)).to.deep.equal([["bad"]]);
+        expect(apply(...crashes, ...others).crashes.length).to.equal(64);
+    });
+
     // Guards against evidence that grows without bound or forgets a cause because entries repeat their reports.
     it("are the same when reports are repeated, and the evidence is bounded", () => {
         const crashes = fc.array(fc.record({ atMs: fc.nat(60_000), parts: fc.uniqueArray(fc.constantFrom("a", "b", "c", "d"), { minLength: 1 }) }), { maxLength: 100 });
