Connection shedding: return to what the processor bears in half a second

Cause: after a saturated time the accepted connections grew by 1.5 at most for each quarter of a second, so an entry that had been busy with its start turned callers away for two seconds more. The growth towards the target follows from the busy part itself; the bound on one step is 4 now.

--- a/src/gateway/connectionShedding.ts
+++ b/src/gateway/connectionShedding.ts
@@ -14,7 +14,7 @@
 const targetShare = 0.9;
 /** Bounds on the factor by which the accepted connections change from one sample to the next. */
 const decrease = 0.6;
-const [minIncrease, maxIncrease] = [1.02, 1.5];
+const [minIncrease, maxIncrease] = [1.02, 4];
 /** An entry that is ready must not turn all callers away. */
 const minAccepted = 1;
 
