--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -281,6 +281,9 @@
 
     /** Simulates a crash and a restart under the same id and address; only the models staged on the VM's disk survive. */
     function crash() {
+        if (isDown) {
+            return;
+        }
         crashTimesMs.push(performance.now());
         isDown = true;
         sockets.forEach(socket => socket.resetAndDestroy());
