--- a/src/gateway/crashes.ts
+++ b/src/gateway/crashes.ts
@@ -15,6 +15,8 @@
 
 /** How long a crash is included in reports. This is longer than the election of a new leader takes. */
 const reportForMs = 6_000;
+/** Interval at which the parts of a crash are reported again, for a leader that has not received them. */
+const repeatPartsMs = 1_000;
 /** Connections to an upstream that break within this time of one another have broken in the same crash. */
 const collectForMs = 250;
 /** Parts on which answers have been completed, of which so many are remembered. */
@@ -29,7 +31,8 @@
     /** Shared parts of the prompts of these requests. */
     readonly parts: Set<string>;
     readonly provenParts: Set<string>;
-    isReported: boolean;
+    /** When the parts were last included in a report; undefined if some have not been yet. */
+    partsReportedAtMs: number | undefined;
     isLogged: boolean;
 }
 
@@ -74,7 +77,7 @@
         }
         const added: Crash = {
             upstream, lastBreakAtMs: nowMs(), fingerprints: new Set(), requests: 0, parts: new Set(), provenParts: new Set(),
-            isReported: false, isLogged: false,
+            partsReportedAtMs: undefined, isLogged: false,
         };
         crashes.push(added);
         return added;
@@ -90,6 +93,7 @@
             crash.lastBreakAtMs = nowMs();
             crash.fingerprints.add(fingerprintOf(request));
             crash.requests++;
+            crash.partsReportedAtMs = undefined;
             for (const part of request.sharedParts.slice(0, maxPartsPerCrash - crash.parts.size)) {
                 crash.parts.add(part);
                 if (proven.has(part)) {
@@ -103,7 +107,7 @@
             awaited.forEach(part => completedParts.add(part));
         },
         get hasNews() {
-            return crashes.some(crash => !crash.isReported);
+            return crashes.some(crash => crash.parts.size > 0 && crash.partsReportedAtMs === undefined);
         },
         get recent() {
             dropOld();
@@ -111,17 +115,17 @@
         },
         drain() {
             dropOld();
-            if (crashes.length === 0 && completedParts.size === 0) {
+            const due = crashes.filter(({ parts, partsReportedAtMs }) =>
+                parts.size > 0 && nowMs() - (partsReportedAtMs ?? Number.NEGATIVE_INFINITY) >= repeatPartsMs);
+            if (due.length === 0 && completedParts.size === 0) {
                 return undefined;
             }
             const report: CrashReport = {
-                crashes: crashes.map(crash => ({
-                    upstream: crash.upstream, parts: [...crash.parts], provenParts: [...crash.provenParts],
-                })),
+                crashes: due.map(({ upstream, parts, provenParts }) => ({ upstream, parts: [...parts], provenParts: [...provenParts] })),
                 completedParts: [...completedParts],
             };
-            crashes.forEach(crash => {
-                crash.isReported = true;
+            due.forEach(crash => {
+                crash.partsReportedAtMs = nowMs();
             });
             completedParts = new Set();
             return report;
