--- a/test/consensus/storage.test.ts
+++ b/test/consensus/storage.test.ts
@@ -4,7 +4,7 @@
 import { expect } from "chai";
 import { diskOperations, type FileOperations } from "../../src/consensus/files.js";
 import type { Entry, Snapshot } from "../../src/consensus/messages.js";
-import { CorruptionError } from "../../src/consensus/segment.js";
+import { CorruptionError, encodeRecord } from "../../src/consensus/segment.js";
 import { openStorage, type Storage, type StorageOptions } from "../../src/consensus/storage.js";
 import type { PersistEffect } from "../../src/consensus/state.js";
 
@@ -163,6 +163,31 @@
         expect((await openAndClose()).image).to.deep.equal(image);
     });
 
+    // Guards against a voter that an earlier version left with entries after a snapshot but none before it, and that can't start since.
+    it("opens a log with a gap that the snapshot covers, and closes the gap with its next write", async () => {
+        await writeThreeEntries();
+        const snapshot: Snapshot = { index: 9, term: 1, membership, data: {} };
+        const record = (content: object) => encodeRecord(Buffer.from(JSON.stringify(content)));
+        await fs.writeFile(path.join(folder, "snapshot-0000000000000009.snap"), record(snapshot));
+        await fs.writeFile(path.join(folder, "log-000000000002.seg"), record({ vote: { term: 1 }, parts: [[entry(10)]] }));
+        const storage = await open();
+        expect(storage.image).to.deep.equal({ term: 1, votedFor: undefined, snapshot, entries: [entry(10)], commitIndex: 0 });
+        await writeAll(storage, [{ entries: [entry(11)] }]);
+        await storage.close();
+        expect(await segmentNames()).to.deep.equal(["log-000000000003.seg"]);
+        expect((await openAndClose()).image.entries).to.deep.equal([entry(10), entry(11)]);
+    });
+
+    // Guards against a disk that fills up with the snapshots that a voter was writing each time it ended.
+    it("removes unfinished snapshots once the next one is written", async () => {
+        await fs.writeFile(path.join(folder, "snapshot-0000000000000007.snap.tmp"), "unfinished");
+        const storage = await open();
+        const snapshot: Snapshot = { index: 9, term: 1, membership, data: {} };
+        await writeAll(storage, [{ snapshot: { snapshot, after: [] } }]);
+        await storage.close();
+        expect(await fs.readdir(folder)).to.have.members(["identity.json", "log-000000000001.seg", "snapshot-0000000000000009.snap"]);
+    });
+
     // The disk fills up during a write. Nothing may be reported until there is space again; then every entry must be there exactly once.
     it("loses nothing on a full disk and continues when there is space", async () => {
         let refusals = 3;
