Sync what a voter reads at its start before it answers for it

What callers could see: a control daemon is killed between a write and its sync, starts again, and then loses power: a configuration that it had acknowledged after its restart is gone from its disk, or it votes a second time in a term. Found by ending a voter after each file operation, restarting it, and taking the power after each operation of its next life.

Cause: a restarted voter reads what its last process wrote from the page cache. It took that for durable and confirmed it to the leader without a write of its own, so a loss of power still took it back: the tail of the newest segment, the names of files just renamed, the identity.

Fix: after the start the storage first syncs the folder and the newest segment, and reports that like a write. Messages that promise durability wait for it, as they do for writes. If that sync fails, the log is written anew, as the disk may have dropped the pages.

--- a/src/consensus/folder.ts
+++ b/src/consensus/folder.ts
@@ -57,7 +57,8 @@
     /** Bytes truncated from the end of the log: a write that a crash interrupted. */
     readonly tornBytes: number;
     readonly nextSegment: number;
-    /** Whether the log on disk starts after the snapshot; otherwise the first write has to reset it. */
+    readonly newestSegment: string | undefined;
+    /** Whether the log on disk starts after the snapshot; otherwise it has to be reset before anything is written. */
     readonly isLogReset: boolean;
 }
 
@@ -169,5 +170,5 @@
     const image: DiskImage = { term: vote.term, votedFor: vote.votedFor, snapshot, entries: after, commitIndex };
     const nextSegment = segments.length === 0 ? 1 : Number(segmentPattern.exec(segments.at(-1)!)![1]) + 1;
     const isLogReset = snapshot === undefined || liveSegments[0]?.records[0]?.resetTo === base;
-    return { identity, image, tornBytes, nextSegment, isLogReset };
+    return { identity, image, tornBytes, nextSegment, newestSegment: segments.at(-1), isLogReset };
 }
--- a/src/consensus/recovery.ts
+++ b/src/consensus/recovery.ts
@@ -65,7 +65,7 @@
         lastLeaderContactAtMs: isEmptyDisk ? Number.NEGATIVE_INFINITY : nowMs,
         electionDeadlineMs: isOnlyVoter ? nowMs : nowMs + minMs + random * (maxMs - minMs),
         requestedSyncId: 0,
-        completedSyncId: 0,
+        completedSyncId: -1,
         heldMessages: [],
         storageFault: undefined,
         helloDueMs: nowMs,
--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -189,6 +189,7 @@
     readonly lastLeaderContactAtMs: number;
     readonly electionDeadlineMs: number;
     readonly requestedSyncId: number;
+    /** The last write known to be on disk; -1 until what was read from the disk at the start is known to be durable. */
     readonly completedSyncId: number;
     readonly heldMessages: readonly HeldMessage[];
     readonly storageFault: string | undefined;
--- a/src/consensus/storage.ts
+++ b/src/consensus/storage.ts
@@ -12,13 +12,16 @@
     type FolderContent, type LogRecord, openFolder, segmentName, segmentPattern, snapshotName, snapshotPattern,
     unfinishedSnapshotPattern, voteOf,
 } from "./folder.js";
-import type { Entry, Identity, Snapshot } from "./messages.js";
+import type { Entry, Identity } from "./messages.js";
 import { encodeRecord } from "./segment.js";
 import { type DiskImage, emptyDisk, type PersistEffect } from "./state.js";
 
 /** How the storage reports the results of writes. */
 export interface StorageCallbacks {
-    /** Every write up to `syncId` is on disk. `snapshotBytes`: the size of the snapshot among the writes, if any. */
+    /**
+     * Every write up to `syncId` is on disk; 0 stands for what was read from the folder. `snapshotBytes`: the size of the snapshot among
+     * the writes, if any.
+     */
     synced(syncId: number, snapshotBytes?: number): void;
     /** Called each time a write fails. */
     failed(reason: string): void;
@@ -52,7 +55,7 @@
         identity: { voterId, diskId: randomUUID() },
         image: emptyDisk,
         tornBytes: 0,
-        start: () => undefined,
+        start: ({ synced }) => synced(0),
         persist() {
             throw new Error("there is no data folder to write to");
         },
@@ -87,6 +90,7 @@
     let { nextSegment, isLogReset } = options;
     let { commitIndex } = options.image;
     let vote = voteOf(options.image);
+    let isSettled = false;
     let writing: Promise<void> | undefined;
     let closed = false;
     let endRetryDelay: (() => void) | undefined;
@@ -114,10 +118,7 @@
     }
 
     async function writeRecord(record: LogRecord): Promise<void> {
-        if (!isLogReset) {
-            await resetLog(options.image.snapshot!, options.image.entries);
-        }
-        else if (segment === undefined || syncedBytes >= segmentLimitBytes) {
+        if (segment === undefined || syncedBytes >= segmentLimitBytes) {
             await beginSegment({ vote, parts: [] });
         }
         const bytes = encodeRecord(Buffer.from(JSON.stringify(record)));
@@ -131,10 +132,9 @@
     }
 
     /** Begins the log anew after a snapshot that is on disk, and removes what both replace. */
-    async function resetLog({ index }: Snapshot, after: readonly Entry[]): Promise<void> {
+    async function resetLog(index: number, after: readonly Entry[]): Promise<void> {
         const current = nextSegment;
         await beginSegment({ resetTo: index, vote, commitIndex, parts: [[...after]] });
-        isLogReset = true;
         for (const old of await files.list(folder)) {
             const number = Number(segmentPattern.exec(old)?.[1] ?? current);
             const isOldSnapshot = snapshotPattern.test(old) && old < snapshotName(index);
@@ -148,10 +148,35 @@
     async function writeSnapshot({ snapshot, after }: NonNullable<PersistEffect["snapshot"]>): Promise<number> {
         const bytes = encodeRecord(Buffer.from(JSON.stringify(snapshot)));
         await replaceFile(files, path.join(folder, snapshotName(snapshot.index)), bytes);
-        await resetLog(snapshot, after);
+        await resetLog(snapshot.index, after);
         return bytes.byteLength;
     }
 
+    /**
+     * Makes durable what was read from the folder: the process before this one may have ended between a write and its sync, and a loss of
+     * power would still take that write back.
+     */
+    async function settle(): Promise<void> {
+        await files.syncFolder(folder);
+        if (!isLogReset) {
+            await resetLog(options.image.snapshot?.index ?? 0, options.image.entries);
+        }
+        else if (options.newestSegment !== undefined) {
+            // A failed sync may have dropped the written pages, so the next attempt writes the log anew.
+            isLogReset = false;
+            const newest = await files.openForAppend(path.join(folder, options.newestSegment));
+            try {
+                await newest.sync();
+            }
+            finally {
+                await newest.close();
+            }
+        }
+        isLogReset = true;
+        isSettled = true;
+        callbacks!.synced(0);
+    }
+
     /** Writes the queued effects up to the next snapshot as one batch, or that snapshot if it comes first. */
     async function writeBatch(): Promise<void> {
         const snapshotPosition = queue.findIndex(effect => effect.snapshot !== undefined);
@@ -178,9 +203,9 @@
     }
 
     async function writeAll(): Promise<void> {
-        while (queue.length > 0 && !closed) {
+        while ((!isSettled || queue.length > 0) && !closed) {
             try {
-                await writeBatch();
+                await (isSettled ? writeBatch() : settle());
             }
             catch (error) {
                 callbacks!.failed((error as Error).message);
@@ -193,7 +218,7 @@
     }
 
     function startWriting() {
-        if (writing !== undefined || callbacks === undefined || queue.length === 0 || closed) {
+        if (writing !== undefined || callbacks === undefined || (isSettled && queue.length === 0) || closed) {
             return;
         }
         writing = writeAll().finally(() => {
--- a/test/consensus/endedVoter.test.ts
+++ b/test/consensus/endedVoter.test.ts
@@ -114,57 +114,67 @@
     },
 };
 
-interface Lives {
-    readonly promises: Promises;
-    /** Whether the last of the ended lives did end, rather than play the whole script. */
-    readonly isLastEndReached: boolean;
-}
+/** What becomes of the disk when the last of several processes ends. */
+const lastEnds: Record<string, (disk: SimulatedDisk) => void> = {
+    "is killed": () => undefined,
+    "loses power, and all that was not synced": disk => disk.losePower("nothing"),
+    "loses power, and the content of files that was not synced": disk => disk.losePower("entries"),
+};
 
-/** Plays lives that end as stated, one after the other on one disk, and a last one that has to play the whole script. */
-async function playLives(script: Script, ends: readonly EndPoint[], afterEnd: (disk: SimulatedDisk) => void): Promise<Lives> {
-    const [disk, promises] = [createSimulatedDisk(), createPromises()];
-    let isLastEndReached = true;
+/** Plays lives that end as stated, one after the other on one disk. */
+async function playEndedLives(script: Script, ends: readonly EndPoint[], disk: SimulatedDisk, promises: Promises): Promise<void> {
     for (const end of ends) {
-        isLastEndReached = !await playLife(script, disk, promises, end);
-        afterEnd(disk);
+        await playLife(script, disk, promises, end);
     }
-    expect(await playLife(script, disk, promises), "the last life plays the whole script").to.equal(true);
-    // What the last life acknowledged has to be on its disk as well.
-    await playLife(script, disk, promises);
-    return { promises, isLastEndReached };
 }
 
-/** Ends the voter after each file operation, and after each one of its next life. Returns what it broke, at which operations. */
-async function findBrokenPromises(script: Script, afterEnd: (disk: SimulatedDisk) => void): Promise<string[]> {
+/** Returns where the life after `ends` can end. */
+async function findEndPoints(script: Script, ends: readonly EndPoint[]): Promise<readonly EndPoint[]> {
+    const disk = createSimulatedDisk();
+    await playEndedLives(script, ends, disk, createPromises());
+    await playLife(script, disk, createPromises());
+    return disk.endPoints;
+}
+
+function describeEnds(ends: readonly EndPoint[]): string {
+    return ends.map(({ afterOperations, isTorn }) => `${afterOperations}${isTorn ? " (torn)" : ""}`).join(", then ");
+}
+
+/** Ends the voter after each file operation, and after each one of its next life. Returns which promises it broke. */
+async function findBrokenPromises(script: Script, onLastEnd: (disk: SimulatedDisk) => void): Promise<string[]> {
     const found: string[] = [];
-    async function play(ends: readonly EndPoint[]): Promise<boolean> {
-        const description = ends.map(({ afterOperations, isTorn }) => `${afterOperations}${isTorn ? " (torn)" : ""}`).join(", then ");
+
+    async function check(ends: readonly EndPoint[]) {
+        const [disk, promises] = [createSimulatedDisk(), createPromises()];
         try {
-            const { promises, isLastEndReached } = await playLives(script, ends, afterEnd);
-            found.push(...promises.broken.map(text => `ended after ${description}: ${text}`));
-            return isLastEndReached;
+            await playEndedLives(script, ends, disk, promises);
+            onLastEnd(disk);
+            await playLife(script, disk, promises);
+            // What that life has acknowledged has to be on the disk as well.
+            await playLife(script, disk, promises);
         }
         catch (error) {
-            found.push(`ended after ${description}: ${(error as Error).message}`);
-            return false;
+            promises.broken.push((error as Error).message);
         }
+        found.push(...promises.broken.map(text => `ended after operation ${describeEnds(ends)}: ${text}`));
     }
-    for (const isTorn of [false, true]) {
-        for (let first = 1; await play([{ afterOperations: first, isTorn }]); first++) {
-            let second = 1;
-            while (await play([{ afterOperations: first, isTorn }, { afterOperations: second, isTorn }])) {
-                second++;
-            }
+
+    for (const first of await findEndPoints(script, [])) {
+        await check([first]);
+        for (const second of await findEndPoints(script, [first])) {
+            await check([first, second]);
         }
     }
     return found;
 }
 
 describe("a voter that ends after any file operation, also twice in a row", () => {
-    for (const [name, script] of Object.entries(scripts)) {
-        // Guards against a voter that never starts again, or forgets what it acknowledged, since its process ended between two operations.
-        it(`starts again, forgets nothing and votes once a term: ${name}`, async () => {
-            expect((await findBrokenPromises(script, () => undefined)).slice(0, 10)).to.deep.equal([]);
-        });
+    for (const [lastEnd, onLastEnd] of Object.entries(lastEnds)) {
+        for (const [name, script] of Object.entries(scripts)) {
+            // Guards against a voter that never starts again, or forgets what it acknowledged, since it ended between two operations.
+            it(`starts again, forgets nothing and votes once a term if it ${lastEnd}: ${name}`, async () => {
+                expect((await findBrokenPromises(script, onLastEnd)).slice(0, 3)).to.deep.equal([]);
+            });
+        }
     }
 });
--- a/test/consensus/storage.test.ts
+++ b/test/consensus/storage.test.ts
@@ -47,7 +47,7 @@
         const storage = await open();
         for (const [index, entryIndex] of [1, 2, 3].entries()) {
             await new Promise<void>(resolve => {
-                storage.start({ synced: () => resolve(), failed: () => undefined });
+                storage.start({ synced: syncId => syncId === index + 1 && resolve(), failed: () => undefined });
                 storage.persist({ kind: "persist", syncId: index + 1, entries: [entry(entryIndex)] });
             });
         }
@@ -164,7 +164,7 @@
     });
 
     // Guards against a voter that an earlier version left with entries after a snapshot but none before it, and that can't start since.
-    it("opens a log with a gap that the snapshot covers, and closes the gap with its next write", async () => {
+    it("opens a log with a gap that the snapshot covers, and closes the gap", async () => {
         await writeThreeEntries();
         const snapshot: Snapshot = { index: 9, term: 1, membership, data: {} };
         const record = (content: object) => encodeRecord(Buffer.from(JSON.stringify(content)));
@@ -188,6 +188,32 @@
         expect(await fs.readdir(folder)).to.have.members(["identity.json", "log-000000000001.seg", "snapshot-0000000000000009.snap"]);
     });
 
+    // Guards against a voter that takes the log of its last process for durable although the disk has dropped what was never synced.
+    it("writes the log anew if the first sync after a restart fails", async () => {
+        await writeThreeEntries();
+        let failures = 1;
+        const files: FileOperations = {
+            ...diskOperations,
+            async openForAppend(file) {
+                const handle = await diskOperations.openForAppend(file);
+                return {
+                    ...handle,
+                    async sync() {
+                        if (failures-- > 0) {
+                            await handle.truncate(0);
+                            throw Object.assign(new Error("sync failed"), { code: "EIO" });
+                        }
+                        await handle.sync();
+                    },
+                };
+            },
+        };
+        const storage = await open({ files });
+        await new Promise<void>(resolve => storage.start({ synced: syncId => syncId === 0 && resolve(), failed: () => undefined }));
+        await storage.close();
+        expect((await openAndClose()).image.entries).to.deep.equal([entry(1), entry(2), entry(3)]);
+    });
+
     // The disk fills up during a write. Nothing may be reported until there is space again; then every entry must be there exactly once.
     it("loses nothing on a full disk and continues when there is space", async () => {
         let refusals = 3;
--- a/test/support/consensusWorld.ts
+++ b/test/support/consensusWorld.ts
@@ -101,6 +101,7 @@
         };
         node.lives++;
         node.state = createInitialState(startOptions, machine, node.disk, clockOf(node), random());
+        dispatch(node, { kind: "synced", syncId: 0 });
     }
 
     function dispatch(node: Node, event: EventBody) {
--- a/test/support/simulatedDisk.ts
+++ b/test/support/simulatedDisk.ts
@@ -18,7 +18,7 @@
     syncedNames: Map<string, SimulatedFile>;
 }
 
-/** When a process ends: after its operation number `afterOperations`; if `isTorn` and that is an append, with half of the bytes written. */
+/** When a process ends: after its operation number `afterOperations`; if `isTorn`, with half of the bytes that it appends written. */
 export interface EndPoint {
     readonly afterOperations: number;
     readonly isTorn: boolean;
@@ -30,14 +30,14 @@
 export interface SimulatedDisk {
     /** The operations of a new process; `onEnded` is called when it ends. Operations of an ended process never complete. */
     startProcess(endPoint?: EndPoint, onEnded?: () => void): FileOperations;
-    /** The number of operations of the newest process. */
-    readonly operationCount: number;
+    /** Every point at which the newest process could have ended. */
+    readonly endPoints: readonly EndPoint[];
     losePower(kept: PowerLoss): void;
 }
 
 export function createSimulatedDisk(): SimulatedDisk {
     const folders = new Map<string, SimulatedFolder>([[path.sep, { names: new Map(), syncedNames: new Map() }]]);
-    let operationCount = 0;
+    let endPoints: EndPoint[] = [];
 
     function folderOf(file: string): SimulatedFolder {
         const folder = folders.get(path.dirname(file));
@@ -48,17 +48,23 @@
     }
 
     function startProcess(endPoint?: EndPoint, onEnded?: () => void): FileOperations {
-        operationCount = 0;
+        const possibleEnds: EndPoint[] = [];
+        endPoints = possibleEnds;
+        let operationCount = 0;
         let isEnded = false;
 
-        /** Performs one operation, `torn` in its place if the process ends in the middle of it. */
-        async function perform<Result>(operation: () => Result, torn = operation): Promise<Result> {
+        /** Performs one operation, or `torn` in its place if the process ends in the middle of it. */
+        async function perform<Result>(operation: () => Result, torn?: () => Result): Promise<Result> {
             if (isEnded) {
                 return new Promise<never>(() => undefined);
             }
             operationCount++;
+            possibleEnds.push({ afterOperations: operationCount, isTorn: false });
+            if (torn !== undefined) {
+                possibleEnds.push({ afterOperations: operationCount, isTorn: true });
+            }
             isEnded = operationCount === endPoint?.afterOperations;
-            const result = isEnded && endPoint!.isTorn ? torn() : operation();
+            const result = isEnded && endPoint!.isTorn ? torn!() : operation();
             if (isEnded) {
                 onEnded?.();
                 return new Promise<never>(() => undefined);
@@ -105,8 +111,8 @@
 
     return {
         startProcess,
-        get operationCount() {
-            return operationCount;
+        get endPoints() {
+            return endPoints;
         },
         losePower(kept) {
             for (const folder of folders.values()) {
