Create the data folder level by level, each durable before the next

What callers could see: a voter whose data folder has just been made loses power, and the whole folder with what it acknowledged is gone.

Cause: `mkdir` made all missing levels at once and only the parent of the outermost was synced. After an end in between, the next process found the folder there and synced no parent at all.

Fix: each level is made only in a durable parent, and the entry of the innermost existing one is synced at each start. A parent that this process may not read was made by somebody else and is left out.

Evidence: the simulated disk now forgets folders whose entry was never synced.

--- a/src/consensus/files.ts
+++ b/src/consensus/files.ts
@@ -1,5 +1,6 @@
 /**
- * The file operations that the storage needs, as an interface, so that tests can simulate a full or slow disk.
+ * The file operations that the storage needs, as an interface, so that tests can simulate a full or slow disk, and a process that ends
+ * after any of them.
  *
  * @module
  */
@@ -17,7 +18,8 @@
 }
 
 export interface FileOperations {
-    makeFolder(folder: string): Promise<void>;
+    /** Creates a folder in an existing one. */
+    makeFolder(folder: string): Promise<"made" | "exists" | "no-parent">;
     list(folder: string): Promise<string[]>;
     /** Returns the content; undefined when the file does not exist. */
     read(file: string): Promise<Buffer | undefined>;
@@ -28,8 +30,8 @@
     syncFolder(folder: string): Promise<void>;
 }
 
-function isMissing(error: unknown): boolean {
-    return error instanceof Error && "code" in error && error.code === "ENOENT";
+function hasCode(error: unknown, ...codes: readonly string[]): boolean {
+    return error instanceof Error && "code" in error && codes.includes(error.code as string);
 }
 
 async function appendAll(handle: fs.FileHandle, bytes: Uint8Array): Promise<void> {
@@ -43,9 +45,18 @@
 /** The operations on the real disk. */
 export const diskOperations: FileOperations = {
     async makeFolder(folder) {
-        const created = await fs.mkdir(folder, { recursive: true });
-        if (created !== undefined) {
-            await diskOperations.syncFolder(path.dirname(created));
+        try {
+            await fs.mkdir(folder);
+            return "made";
+        }
+        catch (error) {
+            if (hasCode(error, "EEXIST")) {
+                return "exists";
+            }
+            if (hasCode(error, "ENOENT")) {
+                return "no-parent";
+            }
+            throw error;
         }
     },
     list: folder => fs.readdir(folder),
@@ -54,7 +65,7 @@
             return await fs.readFile(file);
         }
         catch (error) {
-            if (isMissing(error)) {
+            if (hasCode(error, "ENOENT")) {
                 return undefined;
             }
             throw error;
@@ -82,6 +93,34 @@
     },
 };
 
+/** Makes the entry of a folder in its parent durable. A folder whose parent this process may not read was made by somebody else. */
+async function syncEntryOf(files: FileOperations, folder: string): Promise<void> {
+    try {
+        await files.syncFolder(path.dirname(folder));
+    }
+    catch (error) {
+        if (!hasCode(error, "EACCES", "EPERM")) {
+            throw error;
+        }
+    }
+}
+
+/**
+ * Creates a folder and its parents durably. Each is made only once its parent is durable, so if a process ends in between, only the
+ * innermost existing one may not be.
+ */
+export async function makeFolders(files: FileOperations, folder: string): Promise<void> {
+    const outcome = await files.makeFolder(folder);
+    if (outcome === "no-parent") {
+        await makeFolders(files, path.dirname(folder));
+        return makeFolders(files, folder);
+    }
+    if (outcome === "made") {
+        await syncEntryOf(files, path.dirname(folder));
+    }
+    await syncEntryOf(files, folder);
+}
+
 /** Replaces a file atomically: after a crash it has either the old content or the new one. */
 export async function replaceFile(files: FileOperations, file: string, bytes: Uint8Array): Promise<void> {
     const temporary = `${file}.tmp`;
--- a/src/consensus/folder.ts
+++ b/src/consensus/folder.ts
@@ -9,7 +9,7 @@
 import { randomUUID } from "node:crypto";
 import * as path from "node:path";
 import { z } from "zod";
-import { type FileOperations, replaceFile } from "./files.js";
+import { type FileOperations, makeFolders, replaceFile } from "./files.js";
 import { type Entry, entrySchema, type Identity, identitySchema, type Snapshot, snapshotSchema } from "./messages.js";
 import { CorruptionError, decodeSegment } from "./segment.js";
 import type { DiskImage } from "./state.js";
@@ -131,7 +131,7 @@
 
 /** Opens the folder, creating it if necessary. Truncates a torn write at the end and rejects a damaged log. */
 export async function openFolder(files: FileOperations, folder: string, voterId: string): Promise<FolderContent> {
-    await files.makeFolder(folder);
+    await makeFolders(files, folder);
     const names = await files.list(folder);
     const segments = names.filter(name => segmentPattern.test(name)).sort();
     const snapshot = await readSnapshot(files, folder, names);
--- a/test/siteControl/builders.ts
+++ b/test/siteControl/builders.ts
@@ -27,7 +27,7 @@
     const contents = new Map<string, Buffer>();
     const state = { isFull: false, writes: 0 };
     const files: FileOperations = {
-        makeFolder: async () => undefined,
+        makeFolder: async () => "exists",
         list: async () => [...contents.keys()],
         read: async file => contents.get(file),
         async openForAppend(file) {
--- a/test/support/simulatedDisk.ts
+++ b/test/support/simulatedDisk.ts
@@ -14,6 +14,8 @@
 }
 
 interface SimulatedFolder {
+    /** Whether its own entry in its parent is synced. */
+    isSynced: boolean;
     names: Map<string, SimulatedFile>;
     syncedNames: Map<string, SimulatedFile>;
 }
@@ -36,7 +38,7 @@
 }
 
 export function createSimulatedDisk(): SimulatedDisk {
-    const folders = new Map<string, SimulatedFolder>([[path.sep, { names: new Map(), syncedNames: new Map() }]]);
+    const folders = new Map<string, SimulatedFolder>([[path.sep, { isSynced: true, names: new Map(), syncedNames: new Map() }]]);
     let endPoints: EndPoint[] = [];
 
     function folderOf(file: string): SimulatedFolder {
@@ -47,6 +49,15 @@
         return folder;
     }
 
+    function childrenOf(folder: string): SimulatedFolder[] {
+        return [...folders].filter(([name]) => name !== folder && path.dirname(name) === folder).map(([, child]) => child);
+    }
+
+    /** Whether a folder and all of its parents are synced. */
+    function isReachable(folder: string): boolean {
+        return folders.get(folder)?.isSynced === true && (folder === path.sep || isReachable(path.dirname(folder)));
+    }
+
     function startProcess(endPoint?: EndPoint, onEnded?: () => void): FileOperations {
         const possibleEnds: EndPoint[] = [];
         endPoints = possibleEnds;
@@ -84,9 +95,14 @@
 
         return {
             makeFolder: folder => perform(() => {
-                if (!folders.has(folder)) {
-                    folders.set(folder, { names: new Map(), syncedNames: new Map() });
+                if (!folders.has(path.dirname(folder))) {
+                    return "no-parent";
+                }
+                if (folders.has(folder)) {
+                    return "exists";
                 }
+                folders.set(folder, { isSynced: false, names: new Map(), syncedNames: new Map() });
+                return "made";
             }),
             list: folder => perform(() => [...folderOf(path.join(folder, "x")).names.keys()].sort()),
             read: file => perform(() => folderOf(file).names.get(path.basename(file))?.bytes),
@@ -105,6 +121,7 @@
             syncFolder: folder => perform(() => {
                 const synced = folderOf(path.join(folder, "x"));
                 synced.syncedNames = new Map(synced.names);
+                childrenOf(folder).forEach(child => void (child.isSynced = true));
             }),
         };
     }
@@ -115,6 +132,10 @@
             return endPoints;
         },
         losePower(kept) {
+            if (kept === "nothing") {
+                const lost = [...folders.keys()].filter(name => !isReachable(name));
+                lost.forEach(name => folders.delete(name));
+            }
             for (const folder of folders.values()) {
                 folder.names = new Map(kept === "entries" ? folder.names : folder.syncedNames);
                 folder.syncedNames = new Map(folder.names);
