Free no member of a group whose head may serve it again

Cause: a group that the leader had seen end counted as ended for good, and its members as free, whatever its head reported. Engines reject a late join of an earlier epoch, but not one of the last group that they were in.

Fix: - The leader knows which joins and opens engines have not answered. The head of an ending group is out of it only once it can't be joined and opened again; until then each member has to leave before it is free, as when the head can't be reached. - A group that has ended is ended once more if its head reports it again. - No join is sent to a member of a group whose head is reported to serve. - A group with a member that may still join a later one is ended. A leader opens no group that an earlier one has formed, of whose orders it knows nothing; it forms a new one, as engines then refuse all older orders.

--- a/src/groups/lifecycle.ts
+++ b/src/groups/lifecycle.ts
@@ -3,13 +3,14 @@
  * has lost a member, and releases the members of a group that has ended.
  *
  * Invariants: a head is ordered to open only after every member has been seen ready in this group and epoch; a member is assigned to
- * another group only after the head has left the group or the head's process has ended, or after the member itself has left.
+ * another group only after the head has left the group for good or the head's process has ended, or after the member itself has left.
  *
  * @module
  */
 
 import type { Upstream } from "../fleet/index.js";
 import type { GroupsView, AddressedOrder, PlannedGroup } from "./types.js";
+import { maxOrderDelayMs } from "./unansweredOrders.js";
 
 /** A group that has not formed within twice the longest load plus this margin, which covers lost orders, is ended. */
 const formingMarginMs = 8_000;
@@ -40,6 +41,9 @@
         if (member.bornMs !== group.bornMs[rank]) {
             return `member ${id} has started again`;
         }
+        if (view.unansweredOrders.mayJoinAfter(id, member.bornMs, group.epoch)) {
+            return `member ${id} may still join a later group`;
+        }
         // The member may be unreachable only for this leader; progress of callers' requests shows that it still works.
         if (view.isLost(id) && !view.isMakingProgress(group.memberIds[0]!, id)) {
             return `member ${id} does not answer`;
@@ -73,16 +77,31 @@
     return group.memberIds.map(id => view.upstreams.get(id));
 }
 
+/** Whether a member has reported since the group began to end, and is not in it. */
+function isOut(group: PlannedGroup, member: Upstream | undefined, view: GroupsView): boolean {
+    return member !== undefined && !view.isLost(member.id) && member.heardAtMs > group.sinceMs && !isMemberOf(member, group);
+}
+
+/** Until when a member that is out of the group may be in it again or, as its head, may serve again. */
+function mayReturnUntilMs(group: PlannedGroup, rank: number, view: GroupsView): number {
+    const untilMs = (kind: "join" | "open") =>
+        view.unansweredOrders.mayRunUntilMs(kind, group.memberIds[rank]!, group.bornMs[rank]!, group.name) ?? Number.NEGATIVE_INFINITY;
+    return rank === 0 ? Math.min(untilMs("join"), untilMs("open")) : untilMs("join");
+}
+
 /**
- * Whether a member has reported since the group began to end and is no longer in it, or its process has ended. A refused connection proves
- * neither: something on the path may refuse connections to an engine that others can reach and that still serves.
+ * Whether a member can't be in the group any more: it is out of it and carries out no late order to join it, or its process has ended. A
+ * head that can't open the group again may be in it. An engine rejects a late order once it is in a later group. A refused connection
+ * proves nothing: something on the path may refuse connections to an engine that others can reach and that still serves.
  */
 function isReleased(group: PlannedGroup, rank: number, member: Upstream | undefined, view: GroupsView): boolean {
     const id = group.memberIds[rank]!;
-    if (view.hasIncarnationEnded(id) || (member !== undefined && member.bornMs !== group.bornMs[rank])) {
+    const bornMs = group.bornMs[rank]!;
+    if (view.hasIncarnationEnded(id) || (member !== undefined && member.bornMs !== bornMs)) {
         return true;
     }
-    return member !== undefined && !view.isLost(id) && member.heardAtMs > group.sinceMs && !isMemberOf(member, group);
+    const isInLaterGroup = (member?.group?.epoch ?? 0) > group.epoch;
+    return isOut(group, member, view) && (isInLaterGroup || member!.heardAtMs > mayReturnUntilMs(group, rank, view));
 }
 
 function advanceEnding(group: PlannedGroup, members: Members, view: GroupsView, reason: string): GroupUpdate {
@@ -91,7 +110,7 @@
     if (headId !== "" && isReleased(group, 0, head, view)) {
         return { group: undefined, orders: [], reason: "its head is out" };
     }
-    if (head !== undefined && !view.isLost(headId)) {
+    if (head !== undefined && !view.isLost(headId) && !isOut(group, head, view)) {
         const isServing = isMemberOf(head, group) && (head.group!.state === "open" || head.group!.state === "closing");
         if (isServing && group.isGraceful) {
             return { group, orders: [closeHeadOrder(group, reason)], reason };
@@ -103,10 +122,10 @@
 }
 
 /**
- * Ends a group whose head is unreachable or unknown. The head may be unreachable only for this leader and still serve, so each member has
- * to leave before it is free; an unreachable member stays assigned until it reports again or its process has ended. A group with only its
- * head left, whose address refuses connections, is dropped: the head has no member left to serve with. Since something on the path may be
- * refusing the connections, the head has to leave the group as well if it reappears.
+ * Ends a group whose head is unreachable or unknown, or may join it again. The head may be unreachable only for this leader and still
+ * serve, so each member has to leave before it is free; an unreachable member stays assigned until it reports again or its process has
+ * ended. A group with only its head left, whose address refuses connections, is dropped: the head has no member left to serve with. Since
+ * something on the path may be refusing the connections, the head has to leave the group as well if it reappears.
  */
 function releaseMembers(group: PlannedGroup, members: Members, view: GroupsView, reason: string): GroupUpdate {
     const orders: AddressedOrder[] = [];
@@ -128,6 +147,10 @@
 
 function advanceForming(group: PlannedGroup, members: Members, view: GroupsView): GroupUpdate {
     const isReady = members.every((member, rank) => isMemberOf(member, group) && member!.group!.rank === rank && member!.group!.state === "ready");
+    if (isReady && group.isAdopted && view.nowMs - view.leadsSinceMs < maxOrderDelayMs) {
+        // A late order of the earlier leader may take a member away once the head is open. Engines refuse it after a join of a new epoch.
+        return endGroup(group, view, "an earlier leader formed it", false);
+    }
     if (isReady) {
         return { group: { ...group, phase: "open", sinceMs: view.nowMs }, orders: [memberOrder(group, 0, "open", "every member is ready")], reason: "every member is ready" };
     }
--- a/src/groups/plan.ts
+++ b/src/groups/plan.ts
@@ -3,12 +3,12 @@
  * pure: the caller sends the orders and soon plans again, and an order that has had no visible effect by then is sent again.
  *
  * Epochs grow strictly across leaders, since each leader starts from an epoch derived from its term. Engines refuse a join of an earlier
- * epoch, so an order that is executed late does no harm.
+ * epoch than the last one, but not a late join of the last group that they were in, so a head that has left its group may be back in it.
  *
  * @module
  */
 
-import { modelOfGroup } from "../fleet/index.js";
+import { modelOfGroup, type ReportedGroup, reportedGroups, type Upstream } from "../fleet/index.js";
 import { adoptGroups } from "./adopt.js";
 import { type Coverage, summarizeCoverage } from "./coverage.js";
 import { formGroups } from "./form.js";
@@ -51,16 +51,28 @@
     return term * epochsPerTerm;
 }
 
-/** Leaves out orders that were sent recently, and those to upstreams that want no requests. */
+/**
+ * Whether the head of the group that an upstream reports serves, by its own report. The upstream must not join another group then, whatever
+ * this leader believes of that group.
+ */
+function isInServingGroup({ group }: Upstream, reported: ReadonlyMap<string, ReportedGroup>): boolean {
+    const head = group === undefined ? undefined : reported.get(group.name)?.members[0];
+    return head?.group?.epoch === group?.epoch && (head?.group?.state === "open" || head?.group?.state === "closing");
+}
+
+/** Leaves out orders that were sent recently, those to upstreams that want no requests, and joins of members of serving groups. */
 function filterDueOrders(
     orders: readonly AddressedOrder[], state: GroupsState, view: GroupsView,
 ): { due: AddressedOrder[]; lastOrders: Map<string, SentOrder> } {
     const lastOrders = new Map([...state.lastOrders].filter(([id]) => view.upstreams.has(id)));
+    const reported = orders.some(({ order }) => order.kind === "join") ? reportedGroups(view.upstreams.values()) : new Map();
     const due = orders.filter(({ upstreamId, order }) => {
-        if (view.hasPushedBack(upstreamId)) {
+        const upstream = view.upstreams.get(upstreamId);
+        const isHeldByGroup = order.kind === "join" && upstream !== undefined && isInServingGroup(upstream, reported);
+        if (view.hasPushedBack(upstreamId) || isHeldByGroup) {
             return false;
         }
-        const born = view.upstreams.get(upstreamId)?.bornMs;
+        const born = upstream?.bornMs;
         const serializedOrder = `${born} ${JSON.stringify(order)}`;
         const last = lastOrders.get(upstreamId);
         if (last?.serializedOrder === serializedOrder && view.nowMs - last.atMs < orderResendIntervals * view.heartbeatMs) {
@@ -136,7 +148,10 @@
         reservations: new Map([...state.reservations].filter(([, { untilMs }]) => view.nowMs < untilMs)),
     };
     if (view.nowMs - view.leadsSinceMs >= settleIntervals * view.heartbeatMs) {
-        adoptGroups(step.groupTable.groups, step.endedGroupNames, view).forEach(step.groupTable.put);
+        for (const group of adoptGroups(step.groupTable.groups, step.endedGroupNames, view)) {
+            step.groupTable.put(group);
+            step.endedGroupNames.delete(group.name);
+        }
         for (const group of [...step.groupTable.groups.values()]) {
             applyUpdate(group, advanceGroup(group, view), step, groupTransitions);
         }
--- a/src/groups/types.ts
+++ b/src/groups/types.ts
@@ -6,6 +6,7 @@
 
 import type { EngineSpec } from "../site/index.js";
 import type { Upstream } from "../fleet/index.js";
+import type { UnansweredOrders } from "./unansweredOrders.js";
 
 /** An order to one engine. All but `stage` name a group and its epoch and affect no other group. */
 export type EngineOrder =
@@ -36,6 +37,8 @@
     readonly sinceMs: number;
     /** Whether running requests are finished before the group ends. */
     readonly isGraceful: boolean;
+    /** Whether another leader has formed it, of whose orders to the members some may still be carried out. */
+    readonly isAdopted: boolean;
 }
 
 /** An order that was sent and may not have taken effect yet. */
@@ -82,7 +85,7 @@
     readonly reservations: ReadonlyMap<string, Reservation>;
     /** By domain: its usable VMs in the last step, and when their number last grew. */
     readonly arrivals: ReadonlyMap<string, { readonly usableVms: number; readonly grownAtMs: number }>;
-    /** The last groups that this leader has seen end. Members that still report one of them are free. */
+    /** The last groups that this leader has seen end. Members that still report one of them are free while its head does not. */
     readonly endedGroupNames: readonly string[];
 }
 
@@ -103,6 +106,8 @@
     readonly hasPushedBack: (id: string) => boolean;
     /** Whether an upstream's process has certainly ended: it is unknown, or another process or upstream has replaced it. */
     readonly hasIncarnationEnded: (id: string) => boolean;
+    /** The orders that this leader has sent and engines have not answered. */
+    readonly unansweredOrders: Pick<UnansweredOrders, "mayRunUntilMs" | "mayJoinAfter">;
     /** Whether requests at this head still make progress, which requires every member, although this leader can't reach member `lostId`. */
     readonly isMakingProgress: (headId: string, lostId: string) => boolean;
     /** Data centres that are being evacuated. */
--- a/src/siteControl/groupLeader.ts
+++ b/src/siteControl/groupLeader.ts
@@ -10,7 +10,7 @@
 import { type DirectoryState, hasIncarnationEnded, possiblyRunning, type Pushbacks, type Upstream, type UpstreamSignals } from "../fleet/index.js";
 import {
     type Coverage, type EngineOrder, firstEpochOf, type GroupPhase, type GroupsPlan, type GroupsState, type GroupsView, type ModelCoverage,
-    emptyGroupsState, type AddressedOrder, planGroups,
+    emptyGroupsState, type AddressedOrder, createUnansweredOrders, planGroups,
 } from "../groups/index.js";
 import { callsForOverloadControl, type EngineSpec, type OverloadMode, type SiteTable } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
@@ -75,6 +75,7 @@
     const { log, logger, engines, metrics, nowMs } = options;
     const plannedDemand = createPlannedDemand(nowMs, logger);
     const progress = createProgress(nowMs);
+    const unansweredOrders = createUnansweredOrders(nowMs);
     const stateByService = new Map<string, GroupsState>();
     const coverageByService = new Map<string, { readonly atMs: number; readonly coverage: Coverage }>();
     let isLeading = false;
@@ -135,7 +136,9 @@
     function sendOrder(upstream: Upstream, { order, reason }: AddressedOrder) {
         const sentAtMs = nowMs();
         const fields = { upstream: upstream.id, order, reason };
+        const onAnswered = unansweredOrders.recordSent(upstream.id, upstream.bornMs, order);
         engines.order(upstream, order).then(({ outcome, signals }) => {
+            onAnswered();
             recordSignals(upstream, signals);
             metrics.recordOrder(order.kind, outcome.slice(0, 3));
             logger.info("order answered", { ...fields, outcome, tookMs: Math.round(nowMs() - sentAtMs) });
@@ -158,6 +161,7 @@
             isRefusing: id => prober.isRefusing(id),
             hasPushedBack: id => options.pushbacks.leftMs(id) > 0,
             hasIncarnationEnded: id => hasIncarnationEnded(directory, id),
+            unansweredOrders,
             isMakingProgress: (headId, lostId) => progress.isMakingProgress(headId, prober.lostSinceMs(lostId) ?? nowMs()),
             evacuatedDataCentres: log.state.published.evacuated,
             demand,
--- a/test/groups/builders.ts
+++ b/test/groups/builders.ts
@@ -1,5 +1,5 @@
 import type { Upstream } from "../../src/fleet/index.js";
-import { type GroupsPlan, type GroupsState, type GroupsView, emptyGroupsState, type AddressedOrder, planGroups } from "../../src/groups/index.js";
+import { type GroupsPlan, type GroupsState, type GroupsView, emptyGroupsState, type AddressedOrder, createUnansweredOrders, planGroups } from "../../src/groups/index.js";
 import { type EngineSpec, siteServiceSchema } from "../../src/site/index.js";
 
 export const engine: EngineSpec = siteServiceSchema.parse({
@@ -94,6 +94,7 @@
         forecastDemand: horizonMs => fleet.forecastDemand?.(horizonMs) ?? fleet.demand,
         isLost: id => !isReached(fleet, id), isRefusing: id => fleet.refusing.has(id), hasPushedBack: id => fleet.pushingBack.has(id),
         hasIncarnationEnded: () => false,
+        unansweredOrders: createUnansweredOrders(() => fleet.nowMs),
         isMakingProgress: id => fleet.makingProgress.has(id),
     };
 }
--- a/test/groups/plan.test.ts
+++ b/test/groups/plan.test.ts
@@ -220,6 +220,25 @@
         expect(orders).to.include("join");
     });
 
+    // Guards against members that are free although the head of their group, which has left it, has carried out late orders and serves.
+    it("ends a group once more whose head serves it again, and assigns none of its members before", () => {
+        const fleet = createFleet({ a: 10 });
+        run(fleet, 8_000);
+        fleet.hasTraffic = true;
+        const { id: headId, group } = findHead(fleet, "big");
+        const { name, epoch } = group!;
+        const spares = [...fleet.upstreams.values()].filter(upstream => isStandby(upstream.group?.name ?? ""));
+        [findMember(fleet, name, 3), ...spares].forEach(({ id }) => fleet.lost.add(id));
+        run(fleet, 1_000);
+        expect(fleet.upstreams.get(headId)!.group).to.equal(undefined);
+        fleet.upstreams.set(headId, { ...fleet.upstreams.get(headId)!, group: group! });
+        spares.forEach(({ id }) => fleet.lost.delete(id));
+        fleet.executedOrders.length = 0;
+        run(fleet, 3_000);
+        expect(fleet.executedOrders[0]).to.deep.include({ upstreamId: headId, order: { kind: "leave", group: name, epoch } });
+        expect(openGroupsByModel(fleet).big).to.equal(1);
+    });
+
     // As long as callers' streams at a head make progress, every member of its group works, even if the leader can't reach it.
     it("keeps a group whose streams make progress", () => {
         const fleet = createFleet({ a: 10 });
