Keep running while the settings file is missing, and follow signals during a start

A SIGHUP 50 to 400 ms after the start of a process ended it as well, four times of four.

Cause: the file was read without handling errors, every second and at a SIGHUP. The handlers of signals were installed last, after the start.

Fix: a file that is missing, unreadable or incomplete leaves the settings in force; one log line and the gauge settings_file_unusable say so, and the file is read once it can be used again. Handlers are installed before the start and follow a signal after it, in both programs; before the bundled program is loaded a SIGHUP does nothing.

The handlers of the product's own daemon have no test of their own.

--- a/scripts/start.js
+++ b/scripts/start.js
@@ -6,6 +6,9 @@
 import { fileURLToPath } from "node:url";
 import { constants, Script } from "node:vm";
 
+// The program reads its settings once it is loaded, so a SIGHUP before that has nothing to do, and must not end the process.
+process.on("SIGHUP", () => undefined);
+
 const programPath = fileURLToPath(new URL("zinnialanding.cjs", import.meta.url));
 const cachePath = fileURLToPath(new URL("zinnialanding.cache", import.meta.url));
 // The bundle contains only ASCII characters. Read as latin1, it takes half the memory.
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -31,18 +31,20 @@
         console.log(`${values.settings}: no findings`);
         return;
     }
-    const daemon = await createDaemon(settings);
+    const started = Promise.resolve().then(() => createDaemon(settings));
     let isStopping = false;
     const stop = () => {
         if (isStopping) {
             return;
         }
         isStopping = true;
-        void daemon.stop().then(() => process.exit(0));
+        void started.then(daemon => daemon.stop()).then(() => process.exit(0));
     };
+    // Signals that come during the start are followed after it.
     process.on("SIGTERM", stop);
     process.on("SIGINT", stop);
-    process.on("SIGHUP", () => daemon.reloadCertificates());
+    process.on("SIGHUP", () => void started.then(daemon => daemon.reloadCertificates()));
+    const daemon = await started;
     console.log(JSON.stringify({ listening: daemon.rpcAddress, callers: daemon.callersAddress, operators: daemon.operatorsAddress }));
 }
 
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -33,6 +33,8 @@
 export interface SiteDaemon {
     /** Applies the settings that may change at run time: the addresses of the control daemons. */
     reload(settings: SiteSettings): void;
+    /** States why the settings file can't be used; without findings, that it can be used again. */
+    reportSettingsFile(findings: readonly string[]): void;
     stop(): Promise<void>;
 }
 
@@ -86,6 +88,8 @@
     });
     const { logger, metrics, output } = container.cradle;
     const stopHooks: (() => Promise<void>)[] = [];
+    let settingsFindings: readonly string[] = [];
+    metrics.registerGauge("zinnialanding_settings_file_unusable", () => settingsFindings.length === 0 ? 0 : 1);
     const isEntry = daemon.roles.includes("entry");
     logger.info("starting", { roles: daemon.roles, dataCentre: daemon.dataCentre });
 
@@ -157,6 +161,14 @@
             gateway?.addControlAddresses(controlRpcAddresses(newSettings));
             controlLog?.updateSeeds(consensusPeers(newSettings));
         },
+        reportSettingsFile(findings) {
+            settingsFindings = findings;
+            if (findings.length === 0) {
+                logger.info("settings file can be used again");
+                return;
+            }
+            logger.warn("settings file can't be used; the settings in force stay", { findings });
+        },
         async stop() {
             logger.info("stopping on request");
             await Promise.all(stopHooks.map(hook => hook()));
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -57,6 +57,7 @@
     zinnialanding_upstream_connections: "Open connections to upstreams.",
     zinnialanding_site_version: "Version of the site in force here.",
     zinnialanding_control_daemons_heard: "Control daemons from which something has come lately.",
+    zinnialanding_settings_file_unusable: "1 while the settings file can't be used and earlier settings stay in force, else 0.",
     zinnialanding_log_lines_left_out: "Log lines left out because nobody read them.",
     zinnialanding_upstreams_limited: "Upstreams that state a limit on the requests that they take.",
     zinnialanding_upstreams_pushing_back: "Upstreams that have turned a request away and want none from here for a while.",
