List scripts and seeds of the soak in KNOWN-RED.txt as kinds of their own

Cause: the list knew mocha tests alone, so failing scripts under review/ stood in comments that nothing checked, and a failing seed of the soak had no place at all.

--- a/test/support/ci.test.ts
+++ b/test/support/ci.test.ts
@@ -47,5 +47,15 @@
         expect(() => parseKnownRed("title | cause")).to.throw("expected");
         expect(() => parseKnownRed("t | c | 1\nt | c | 2")).to.throw("twice");
         expect(() => parseKnownRed("a | c | 1\nb | c | 1\nc | c | 1\nd | c | 1")).to.throw("3 at most");
+        expect(() => parseKnownRed("title | cause | none")).to.throw("number of the issue");
+        expect(() => parseKnownRed("script: scripts/missing.sh | c | 1")).to.throw("no script");
+        expect(() => parseKnownRed("soak: some | c | 1")).to.throw("a seed");
+    });
+
+    it("prints listed scripts and seeds of the soak, and runs none of them", () => {
+        const list = "script: scripts/test.sh | cause | 1\nsoak: 7 | cause | 2\nfixture fails | cause | 3\nfixture fails too | cause | 4";
+        const { status, stdout } = runFixture("red.ts", list);
+        expect(status).to.equal(0);
+        expect(stdout).to.contain("run by hand: script scripts/test.sh | cause | 1").and.to.contain("run by hand: soak 7 | cause | 2");
     });
 });
