Soak: second kills soon after a restart, and late orders that newer ones overtake

Cause: the soak delayed all orders of an engine by the same time, so none came after a newer one, and it killed no control daemon while it recovered from a kill.

--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -40,6 +40,8 @@
 const [leavingMs, drainingMs] = [1_000, 4_000];
 /** Time after a process was started or continued in which it counts as disturbed. */
 const startMs = 3_000;
+/** A control daemon that is killed twice is killed again this long after its restart at most. */
+const secondKillWithinMs = 800;
 /** Requests per second that a cold upstream bears. */
 export const coldPerSecond = 10;
 /** How long an upstream that starts during the run is cold. */
@@ -227,7 +229,13 @@
             case "terminate-control":
                 return restart(control, "SIGTERM", forMs);
             case "kill-control":
-                return restart(control, "SIGKILL", forMs);
+                await restart(control, "SIGKILL", forMs);
+                if (target % 2 === 1) {
+                    // While it recovers its disk or takes over a snapshot.
+                    await pause(target % secondKillWithinMs);
+                    await restart(control, "SIGKILL", 0);
+                }
+                return;
             case "freeze-control":
                 return freeze(control, forMs);
             case "kill-all":
--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -7,6 +7,7 @@
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { carryOutLate } from "./lateOrders.js";
 import type { Arrival, Membership, Pushback, Run, Runner, RunnerOptions } from "./runnerTypes.js";
 
 /** Events in a streamed answer; an event stands for five tokens. */
@@ -304,8 +305,7 @@
     async function handleOrder(message: IncomingMessage, response: ServerResponse) {
         const order = JSON.parse(await readBody(message)) as Record<string, unknown>;
         if (runner.orderDelayMs > 0) {
-            setTimeout(() => executeOrder(order), runner.orderDelayMs);
-            return;
+            return carryOutLate(runner.orderDelayMs, () => startedAtMs, () => executeOrder(order));
         }
         response.writeHead(executeOrder(order), statementHeaders()).end("{}");
     }
--- a/standin/platform/runnerTypes.ts
+++ b/standin/platform/runnerTypes.ts
@@ -73,7 +73,7 @@
     isPoweredOff: boolean;
     /** When false, the runner serves but all its heartbeats are lost. */
     sendsHeartbeats: boolean;
-    /** Delays orders by this much and leaves them unanswered; 0 executes and answers them at once. */
+    /** Leaves orders unanswered and carries them out this much later or more, in another order; 0 executes and answers them at once. */
     orderDelayMs: number;
     /** Resets the connection of each answer after this many events; undefined for no resets. */
     resetAfterEvents: number | undefined;
