--- a/standin/platform/daemons.ts
+++ b/standin/platform/daemons.ts
@@ -32,6 +32,7 @@
     callersAddress(daemon: DaemonSpec): string;
     readyAddress(daemon: DaemonSpec): string;
     metricsAddress(daemon: DaemonSpec): string;
+    /** Starts a daemon unless it runs, as when several faults that overlap end by starting it again. */
     start(id: string, options?: StartOptions): void;
     /** Sends a signal to a running daemon; for SIGKILL and SIGTERM, resolves when the process has exited. */
     signal(id: string, signal: NodeJS.Signals): Promise<void>;
@@ -101,6 +102,9 @@
         readyAddress: item => `${item.host}:${port + 1}`,
         metricsAddress: item => `${item.host}:${port + 4}`,
         start(id, { firstStart = false, execArgv = [] } = {}) {
+            if (running.has(id)) {
+                return;
+            }
             const item = specs.get(id)!;
             mkdirSync(join(folder, id), { recursive: true });
             const file = join(folder, `${id}.ini`);
