Open the groups of an earlier leader that are found ready, as before

Cause: let a new leader end and form anew every group that it found ready; with many groups and several changes of leader that is thrash.

--- a/src/groups/adopt.ts
+++ b/src/groups/adopt.ts
@@ -27,7 +27,6 @@
         phase,
         sinceMs: view.nowMs,
         isGraceful: false,
-        isAdopted: true,
     };
 }
 
--- a/src/groups/form.ts
+++ b/src/groups/form.ts
@@ -81,7 +81,6 @@
     step.groupTable.put({
         name, epoch, model: model.name, domain: placement.domain, memberIds,
         bornMs: placement.members.map(member => member.bornMs), phase: "forming", sinceMs: view.nowMs, isGraceful: false,
-        isAdopted: false,
     });
     for (const upstreamId of memberIds) {
         step.orders.push({ upstreamId, order: { kind: "join", group: name, epoch, model: model.name, memberIds }, reason });
--- a/src/groups/lifecycle.ts
+++ b/src/groups/lifecycle.ts
@@ -10,7 +10,6 @@
 
 import type { Upstream } from "../fleet/index.js";
 import type { GroupsView, AddressedOrder, PlannedGroup } from "./types.js";
-import { maxOrderDelayMs } from "./unansweredOrders.js";
 
 /** A group that has not formed within twice the longest load plus this margin, which covers lost orders, is ended. */
 const formingMarginMs = 8_000;
@@ -147,10 +146,6 @@
 
 function advanceForming(group: PlannedGroup, members: Members, view: GroupsView): GroupUpdate {
     const isReady = members.every((member, rank) => isMemberOf(member, group) && member!.group!.rank === rank && member!.group!.state === "ready");
-    if (isReady && group.isAdopted && view.nowMs - view.leadsSinceMs < maxOrderDelayMs) {
-        // A late order of the earlier leader may take a member away once the head is open. Engines refuse it after a join of a new epoch.
-        return endGroup(group, view, "an earlier leader formed it", false);
-    }
     if (isReady) {
         return { group: { ...group, phase: "open", sinceMs: view.nowMs }, orders: [memberOrder(group, 0, "open", "every member is ready")], reason: "every member is ready" };
     }
--- a/src/groups/types.ts
+++ b/src/groups/types.ts
@@ -37,8 +37,6 @@
     readonly sinceMs: number;
     /** Whether running requests are finished before the group ends. */
     readonly isGraceful: boolean;
-    /** Whether another leader has formed it, of whose orders to the members some may still be carried out. */
-    readonly isAdopted: boolean;
 }
 
 /** An order that was sent and may not have taken effect yet. */
--- a/src/groups/unansweredOrders.ts
+++ b/src/groups/unansweredOrders.ts
@@ -8,7 +8,7 @@
 import type { EngineOrder } from "./types.js";
 
 /** An order without an answer is not carried out later than this. */
-export const maxOrderDelayMs = 15_000;
+const maxOrderDelayMs = 15_000;
 /** How long an order is remembered: an engine that was cut off for so long may report what it held before the order was carried out. */
 const retentionMs = 600_000;
 
