Revert the publishing of each cold phase

Announcements of a cold phase come with more delay than was allowed for and were published one by one.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -89,16 +89,11 @@
 
 /** Returns the upstream merged with its relayed state; undefined if nothing changes. */
 function mergeUpstream(known: Upstream | undefined, relayed: RelayedUpstream, nowMs: number): Upstream | undefined {
-    const { heardAgoMs, ...present } = relayed;
-    const heardAtMs = nowMs - heardAgoMs;
     if (known !== undefined && !supersedes(relayed, known)) {
-        const merged = mergeOlder(known, relayed);
-        const isSameAnnouncement = known.bornMs === relayed.bornMs && known.sequence === relayed.sequence;
-        const coldUntilMs = heardAtMs + relayed.coldForMs;
-        // The other process may have learned from an answer that the upstream has become cold since.
-        const isColdLonger = isSameAnnouncement && coldUntilMs - known.coldUntilMs > coldToleranceMs;
-        return isColdLonger ? { ...merged ?? known, coldUntilMs } : merged;
+        return mergeOlder(known, relayed);
     }
+    const { heardAgoMs, ...present } = relayed;
+    const heardAtMs = nowMs - heardAgoMs;
     const departure = known?.bornMs === relayed.bornMs ? mergeDeparture(known, relayed) : {};
     return { ...present, heardAtMs, coldUntilMs: heardAtMs + relayed.coldForMs, ...departure };
 }
@@ -121,48 +116,16 @@
 /** Converts an upstream to the form that is relayed to other processes. */
 export function toRelayed(upstream: Upstream, nowMs: number): RelayedUpstream {
     const { heardAtMs, coldUntilMs, ...rest } = upstream;
-    return { ...rest, coldForMs: Math.max(0, coldUntilMs - heardAtMs), heardAgoMs: Math.max(0, nowMs - heardAtMs) };
+    const coldForMs = Math.max(0, Math.min(rest.coldForMs, coldUntilMs - heardAtMs));
+    return { ...rest, coldForMs, heardAgoMs: Math.max(0, nowMs - heardAtMs) };
 }
 
-/** Announcements of one cold phase state its end with the delay of their way here. */
-const coldToleranceMs = 100;
-
-/** Whether the upstream is cold, and until when: a phase may begin anew before it has ended. */
-function isSameColdPhase(before: Upstream, after: Upstream): boolean {
-    const [wasCold, isCold] = [before.coldUntilMs > after.heardAtMs, after.coldUntilMs > after.heardAtMs];
-    return wasCold === isCold && (!isCold || Math.abs(after.coldUntilMs - before.coldUntilMs) <= coldToleranceMs);
-}
-
-function equals<Field extends keyof Upstream>(field: Field): (before: Upstream, after: Upstream) => boolean {
-    return (before, after) => before[field] === after[field];
-}
-
-const alwaysSame = () => true;
-
-/** How each field is compared. What only says when an upstream was heard is not published by itself. */
-const isSameField: { readonly [Field in keyof Upstream]-?: (before: Upstream, after: Upstream) => boolean } = {
-    id: equals("id"),
-    service: equals("service"),
-    address: equals("address"),
-    dataCentre: equals("dataCentre"),
-    domain: equals("domain"),
-    bornMs: equals("bornMs"),
-    sequence: alwaysSame,
-    heardAtMs: alwaysSame,
-    state: equals("state"),
-    isGone: equals("isGone"),
-    hasLeft: equals("hasLeft"),
-    coldForMs: alwaysSame,
-    coldUntilMs: isSameColdPhase,
-    slots: equals("slots"),
-    stagedModels: (before, after) => isSameList(before.stagedModels, after.stagedModels),
-    group: (before, after) => isSameGroup(before.group, after.group),
-};
-const fieldComparisons = Object.values(isSameField);
-
-/** Whether a change must be published. */
+/** Whether a change must be published: anything but the time at which the upstream was heard and the sequence number differs. */
 export function isSignificantChange(before: Upstream | undefined, after: Upstream): boolean {
-    return before === undefined || !fieldComparisons.every(isSame => isSame(before, after));
+    return before === undefined || before.bornMs !== after.bornMs || before.isGone !== after.isGone || before.state !== after.state ||
+        before.address !== after.address || before.service !== after.service || before.slots !== after.slots ||
+        (before.coldUntilMs > after.heardAtMs) !== (after.coldUntilMs > after.heardAtMs) ||
+        !isSameGroup(before.group, after.group) || !isSameList(before.stagedModels, after.stagedModels);
 }
 
 function isSameGroup(a: Upstream["group"], b: Upstream["group"]): boolean {
