Entries and control daemons tell which state of the log they act on

Frames about evacuations, crashes and heartbeats now carry the position of the sender's log (cluster, term, index, leader) beside the frame, so that older watchers still read them. Entries write each change of evacuations and of the leader with it, a line when the state is old, and leader, index and age with each ended request and attempt; both roles have gauges. A forwarded proposal's index is that of the log instead of 0.

With the position, an entry that outlives its log no longer ignores the evacuations of the log that is formed after it, whose indexes start again (read in the code; test/gateway/siteView.test.ts failed before: frames of the new log were ignored).

--- a/src/consensus/node.ts
+++ b/src/consensus/node.ts
@@ -63,6 +63,8 @@
     readonly commitIndex: number;
     readonly appliedIndex: number;
     readonly term: number;
+    /** Identifies the log; undefined until this process belongs to a cluster. */
+    readonly clusterId: string | undefined;
     /** Why the disk refuses writes, during which this voter acknowledges nothing; undefined while the disk accepts them. */
     readonly storageFault: string | undefined;
     /** Replaces the seeds after the settings have changed. */
@@ -248,6 +250,7 @@
                 outcome: answer.outcome,
                 result: answer.outcome === "applied" ? Buffer.from(JSON.stringify(answer.result)) : new Uint8Array(),
                 leaderAddress: answer.outcome === "not-leader" ? answer.leaderAddress ?? "" : "",
+                index: BigInt(answer.outcome === "applied" ? answer.index : 0),
             });
         },
     });
@@ -293,6 +296,9 @@
         get term() {
             return host.state.term;
         },
+        get clusterId() {
+            return host.state.membership?.clusterId;
+        },
         get storageFault() {
             return host.state.storageFault;
         },
--- a/src/feed/index.ts
+++ b/src/feed/index.ts
@@ -1,5 +1,6 @@
 export { type CrashReport, crashReportSchema } from "./crashReports.js";
 export * from "./frames.js";
+export type { LogPosition } from "./logPosition.js";
 export { createLenientDecoder } from "./lenientDecoder.js";
 export { type EntryLoads, entryLoadsSchema, type SharedLoadsAnswer, sharedLoadsSchema } from "./loads.js";
 export {
--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -14,6 +14,7 @@
 import { type CrashReport, crashReportSchema } from "./crashReports.js";
 import { type Frame, type Report, reportSchema } from "./frames.js";
 import { createLenientDecoder } from "./lenientDecoder.js";
+import { encodeLogPosition, type LogPosition } from "./logPosition.js";
 import { type EntryLoads, entryLoadsSchema } from "./loads.js";
 
 /** How long an entry is still counted after it was last seen. An entry that is cut off keeps serving and using its share of limits. */
@@ -73,6 +74,8 @@
      * watcher takes them, so many watchers that come back at once hold little memory. `known` is the position that the watcher has.
      */
     initialFrames(kinds: readonly FrameKind[], known?: DirectoryPosition): Iterable<Frame | PositionedFrame>;
+    /** The state of the replicated log that frames of `logKinds` show; undefined if this daemon keeps none. */
+    logPosition?(): LogPosition | undefined;
     /** How long ago an upstream was heard; undefined if it is unknown or gone. */
     heardAgoMs?(id: string): number | undefined;
     onReport(daemonId: string, report: Report): void;
@@ -92,6 +95,9 @@
 /** The frame kinds of `WatchScope.SIGNS`. */
 const signKinds: readonly FrameKind[] = ["controls", "evacuated", "judged", "alive", "limits", "pushbacks", "crash-causes"];
 
+/** The kinds of frames that are sent with the position of the log that they show. */
+const logKinds: ReadonlySet<FrameKind> = new Set<FrameKind>(["evacuated", "crash-causes", "alive"]);
+
 function kindsForScope({ isEntry, scope }: WatchSiteRequest): readonly FrameKind[] {
     if (!isEntry) {
         return kindsForControls;
@@ -119,13 +125,14 @@
 /** Encoded frames by frame: the same frame with a large text may be sent to many watchers. */
 const encodedFrames = new WeakMap<Frame, EncodedFrame>();
 
-function encode(frame: Frame, position?: DirectoryPosition): EncodedFrame {
+function encode(frame: Frame, position: DirectoryPosition | undefined, log: LogPosition | undefined): EncodedFrame {
     const known = encodedFrames.get(frame);
     if (known !== undefined) {
         return known;
     }
     const reached = position && { directoryIncarnation: position.incarnation, directoryVersion: BigInt(position.version) };
-    const encoded = { frame, message: create(SiteFrameSchema, { frame: Buffer.from(JSON.stringify(frame)), ...reached }) };
+    const shown = log !== undefined && logKinds.has(frame.kind) ? { log: encodeLogPosition(log) } : {};
+    const encoded = { frame, message: create(SiteFrameSchema, { frame: Buffer.from(JSON.stringify(frame)), ...reached, ...shown }) };
     encodedFrames.set(frame, encoded);
     return encoded;
 }
@@ -166,7 +173,7 @@
             for (let item = initialFrames.next(); item.done !== true; item = initialFrames.next()) {
                 const { frame, position } = "frame" in item.value ? item.value : { frame: item.value, position: undefined };
                 if (kinds.includes(frame.kind)) {
-                    return encode(frame, position);
+                    return encode(frame, position, options.logPosition?.());
                 }
             }
             return undefined;
@@ -274,7 +281,7 @@
         publish(frame, role, position) {
             for (const watcher of watchers) {
                 if ((role === undefined || watcher.role === role) && watcher.kinds.includes(frame.kind)) {
-                    watcher.push(encode(frame, position));
+                    watcher.push(encode(frame, position, options.logPosition?.()));
                 }
             }
         },
--- a/src/feed/watcher.ts
+++ b/src/feed/watcher.ts
@@ -14,6 +14,7 @@
 import type { CrashReport } from "./crashReports.js";
 import { type AliveFrame, decodeFrame, type Frame, type Report } from "./frames.js";
 import { createLenientDecoder } from "./lenientDecoder.js";
+import { decodeLogPosition, type LogPosition } from "./logPosition.js";
 import { type EntryLoads, type SharedLoadsAnswer, sharedLoadsSchema } from "./loads.js";
 import { createReportSender, type ReportSender } from "./reportStream.js";
 import type { DirectoryPosition } from "./server.js";
@@ -63,7 +64,8 @@
     /** An entry receives sites and upstreams from one control daemon; a control daemon receives upstreams from every other one. */
     readonly isEntry: boolean;
     readonly dataCentre: string;
-    onFrame(frame: Frame, address: string): void;
+    /** `log` is the state of the sender's replicated log that the frame shows, if the sender states it. */
+    onFrame(frame: Frame, address: string, log?: LogPosition): void;
     onHeardChanged(address: string, isHeard: boolean): void;
     /** Called once, with the first answer about loads that can't be read. Such answers are ignored. */
     onUnreadableLoads?(error: string): void;
@@ -133,7 +135,9 @@
     }
 
     /** Reads a stream until it ends or has been silent for `silenceTimeoutMs`. */
-    async function readStream(connection: PeerConnection, scope: WatchScope, abort: AbortController, onFrame: (frame: Frame) => void) {
+    async function readStream(
+        connection: PeerConnection, scope: WatchScope, abort: AbortController, onFrame: (frame: Frame, log?: LogPosition) => void,
+    ) {
         let heardAtMs = performance.now();
         const silenceTimer = setInterval(() => {
             if (performance.now() - heardAtMs > silenceTimeoutMs) {
@@ -149,7 +153,7 @@
                     reportUnknownKind(decoded.unknownKind, connection.address);
                     continue;
                 }
-                onFrame(decoded.frame);
+                onFrame(decoded.frame, message.log && decodeLogPosition(message.log));
                 const { directoryIncarnation: incarnation, directoryVersion } = message;
                 if (incarnation !== "") {
                     positions.set(connection.address, { incarnation, version: Number(directoryVersion) });
@@ -166,9 +170,9 @@
         daemon.connection = connection;
         daemon.abort = new AbortController();
         try {
-            await readStream(connection, isEntry ? WatchScope.SIGNS : WatchScope.UNSPECIFIED, daemon.abort, frame => {
+            await readStream(connection, isEntry ? WatchScope.SIGNS : WatchScope.UNSPECIFIED, daemon.abort, (frame, log) => {
                 daemon.reopenDelayMs = minReopenDelayMs;
-                options.onFrame(frame, daemon.address);
+                options.onFrame(frame, daemon.address, log);
                 setHeard(daemon, true);
                 if (frame.kind === "alive") {
                     daemon.alive = frame;
@@ -245,14 +249,14 @@
         }
         const next: ContentStream = { daemon, abort: new AbortController(), siteVersion: -1, behindSinceMs: undefined };
         followed = next;
-        const onFrame = (frame: Frame) => {
+        const onFrame = (frame: Frame, log?: LogPosition) => {
             if (frame.kind === "site") {
                 next.siteVersion = frame.version;
                 next.behindSinceMs = undefined;
             }
             // The stream's own heartbeat. The other stream to this daemon brings the same frames.
             if (frame.kind !== "alive") {
-                options.onFrame(frame, daemon.address);
+                options.onFrame(frame, daemon.address, log);
             }
         };
         readStream(daemon.connection, WatchScope.CONTENT, next.abort, onFrame).catch(() => undefined).finally(() => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -185,8 +185,8 @@
         daemonId: options.daemonId,
         isEntry: true,
         dataCentre: options.dataCentre,
-        onFrame(frame, address) {
-            view.apply(frame, address);
+        onFrame(frame, address, log) {
+            view.apply(frame, address, log);
             if (frame.kind === "upstreams") {
                 admission.roomChanged();
             }
@@ -257,6 +257,9 @@
     metrics.registerGauge("zinnialanding_caller_connections_unused", () => server.connections.unused);
     metrics.registerGauge("zinnialanding_upstream_connections", () => connections.open);
     metrics.registerGauge("zinnialanding_site_version", () => view.version);
+    metrics.registerGauge("zinnialanding_log_index", () => view.logState?.index ?? 0);
+    metrics.registerGauge("zinnialanding_log_age_seconds", () => (view.logState?.ageMs ?? NaN) / 1_000);
+    metrics.registerGauge("zinnialanding_data_centres_evacuated", () => view.evacuated.length);
     metrics.registerGauge("zinnialanding_upstreams_limited", () => limits.count);
     metrics.registerGauge("zinnialanding_upstreams_pushing_back", () => pushbacks.relayed().length);
     metrics.registerGauge("zinnialanding_shared_loads_age_seconds", () => Number.isFinite(sharedLoads.ageMs) ? sharedLoads.ageMs / 1_000 : NaN);
@@ -274,6 +277,7 @@
         setInterval(() => {
             loopTicks.tick();
             sharedLoads.checkAge();
+            view.checkAge();
             crashes.logCollected();
             report();
         }, suspectCheckIntervalMs),
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -83,7 +83,7 @@
         dependencies.recordOutcome(outcome, request, tookMs, firstMs);
         logger.info("request ended", {
             request: request.attemptId, route: route.name, model, outcome, attempts, version: request.table.site.version,
-            tookMs, firstMs, waitedMs: isWaiting ? tookMs : waitedMs, ...fields,
+            tookMs, firstMs, waitedMs: isWaiting ? tookMs : waitedMs, state: dependencies.view.logState, ...fields,
         });
     }
 
@@ -224,7 +224,7 @@
         const reason = failure.kind === "ran-failed" ? `status ${failure.answer.status}` : failure.reason;
         logger.info("attempt ended without an answer", {
             request: request.attemptId, upstream: upstream.id, ending: failure.kind, reason, attempt: attempts, goesOn: willRetry,
-            lastEvent: splitter.lastId,
+            lastEvent: splitter.lastId, dataCentre: upstream.dataCentre, state: dependencies.view.logState,
         });
         if (willRetry) {
             splitter.discardPartial();
@@ -275,7 +275,7 @@
                 released?.();
                 admission?.roomChanged();
             },
-            onDelivered: fields => finish("delivered", { upstream: upstream.id, ...fields }),
+            onDelivered: fields => finish("delivered", { upstream: upstream.id, dataCentre: upstream.dataCentre, ...fields }),
             onEvents() {
                 leaveLateQueue(true);
                 if (firstMs === undefined) {
--- a/src/gateway/siteView.ts
+++ b/src/gateway/siteView.ts
@@ -7,10 +7,11 @@
  */
 
 import { type CrashCause, hasCrashCause } from "../crashes/index.js";
-import type { Frame } from "../feed/index.js";
+import type { Frame, LogPosition } from "../feed/index.js";
 import { createDirectory, type Incarnation, reportedGroups, type Upstream } from "../fleet/index.js";
 import { createSiteTable, type SiteDialect, type SiteTable } from "../site/index.js";
 import type { Logger } from "../telemetry/index.js";
+import { createLogView, type KnownState, type LogStateFields } from "./logView.js";
 
 /** An upstream that requests may be sent to. */
 export interface Candidate {
@@ -22,8 +23,8 @@
 }
 
 export interface SiteView {
-    /** Applies a frame of the feed; `from` is the address of the control daemon that sent it. */
-    apply(frame: Frame, from?: string): void;
+    /** Applies a frame of the feed; `from` is the address of the control daemon that sent it, and `log` the state of its log. */
+    apply(frame: Frame, from?: string, log?: LogPosition): void;
     readonly table: SiteTable | undefined;
     readonly version: number;
     candidates(service: string, model: string | undefined): readonly Candidate[];
@@ -48,16 +49,23 @@
     /** Parts of prompts that were in flight at a crash. */
     readonly suspectedParts: ReadonlySet<string>;
     readonly controls: readonly string[];
+    /** The data centres whose upstreams get no requests. */
+    readonly evacuated: readonly string[];
+    /** The state of the control daemons' log that this entry acts on; undefined until one has stated it. */
+    readonly logState: LogStateFields | undefined;
+    /** Must be called often: writes a line when the state has become old. */
+    checkAge(): void;
 }
 
 /** Creates a view without a site or upstreams. */
 export function createSiteView(dialect: SiteDialect, logger: Logger): SiteView {
     const directory = createDirectory();
     let table: SiteTable | undefined;
-    let evacuated: { index: number; dataCentres: readonly string[] } = { index: -1, dataCentres: [] };
+    const logView = createLogView({ logger, nowMs: () => performance.now() });
+    let evacuated: KnownState & { readonly dataCentres: readonly string[] } = { index: -1, clusterId: undefined, dataCentres: [] };
     let lostIds: ReadonlySet<string> = new Set();
     let barred: ReadonlySet<string> = new Set();
-    let crashCauses: { index: number; causes: readonly CrashCause[] } = { index: -1, causes: [] };
+    let crashCauses: KnownState & { readonly causes: readonly CrashCause[] } = { index: -1, clusterId: undefined, causes: [] };
     let suspectedParts: ReadonlySet<string> = new Set();
     let controls: readonly string[] = [];
     let candidateLists: Map<string, Candidate[]> | undefined;
@@ -78,14 +86,29 @@
         table = createSiteTable(decoded.site);
     }
 
-    function applyCrashCauses({ index, causes, suspectedParts: suspected }: Extract<Frame, { kind: "crash-causes" }>) {
-        if (index < crashCauses.index) {
+    function applyEvacuated({ index, dataCentres }: Extract<Frame, { kind: "evacuated" }>, from: string | undefined, log: LogPosition | undefined) {
+        if (logView.isOutdated(index, log, evacuated)) {
+            return;
+        }
+        if (dataCentres.join() !== evacuated.dataCentres.join()) {
+            logger.info("evacuated data centres in force", {
+                dataCentres, before: evacuated.dataCentres, index, term: log?.term, leader: log?.leader, from, state: logView.fields,
+            });
+        }
+        evacuated = { index, clusterId: log?.clusterId, dataCentres };
+        candidateLists = undefined;
+    }
+
+    function applyCrashCauses(
+        { index, causes, suspectedParts: suspected }: Extract<Frame, { kind: "crash-causes" }>, log: LogPosition | undefined,
+    ) {
+        if (logView.isOutdated(index, log, crashCauses)) {
             return;
         }
         if (JSON.stringify(causes) !== JSON.stringify(crashCauses.causes)) {
             logger.info("prompt parts that crash engines", { causes, index });
         }
-        crashCauses = { index, causes };
+        crashCauses = { index, clusterId: log?.clusterId, causes };
         suspectedParts = new Set(suspected);
     }
 
@@ -140,16 +163,17 @@
     }
 
     return {
-        apply(frame, from) {
+        apply(frame, from, log) {
+            if (log !== undefined) {
+                logView.record(log, from);
+            }
             switch (frame.kind) {
                 case "site":
                     applySite(frame.version, frame.text, from);
                     break;
                 case "evacuated":
-                    if (frame.index >= evacuated.index) {
-                        evacuated = { index: frame.index, dataCentres: frame.dataCentres };
-                    }
-                    break;
+                    applyEvacuated(frame, from, log);
+                    return;
                 case "upstreams":
                     directory.merge(frame.upstreams, performance.now());
                     break;
@@ -158,7 +182,7 @@
                     clearRefusals();
                     return;
                 case "crash-causes":
-                    applyCrashCauses(frame);
+                    applyCrashCauses(frame, log);
                     return;
                 case "alive":
                 case "limits":
@@ -241,5 +265,12 @@
         get controls() {
             return controls;
         },
+        get evacuated() {
+            return evacuated.dataCentres;
+        },
+        get logState() {
+            return logView.fields;
+        },
+        checkAge: logView.checkAge,
     };
 }
--- a/src/siteControl/metrics.ts
+++ b/src/siteControl/metrics.ts
@@ -23,6 +23,8 @@
     metrics.registerGauge("zinnialanding_voters", () => log.voters().filter(voter => voter.voting).length);
     metrics.registerGauge("zinnialanding_voters_silent", () => log.voters().filter(voter => voter.voting && voter.reachable === false).length);
     metrics.registerGauge("zinnialanding_leads", () => Number(log.leaseHeld));
+    metrics.registerGauge("zinnialanding_log_index", () => log.appliedIndex);
+    metrics.registerGauge("zinnialanding_data_centres_evacuated", () => log.state.published.evacuated.length);
     metrics.registerGauge("zinnialanding_site_version", () => log.state.published.site?.version ?? 0);
     metrics.registerGauge("zinnialanding_upstreams_known", () => [...upstreams.values()].filter(upstream => !upstream.isGone).length);
     metrics.registerGauge("zinnialanding_upstreams_lost", () => groupLeader.lostIds.length);
--- a/src/siteControl/proposals.ts
+++ b/src/siteControl/proposals.ts
@@ -32,7 +32,7 @@
         const client = createClient(ConsensusService, connections.get(address).transport);
         const response = await client.propose({ command: Buffer.from(JSON.stringify(command)), timeoutMs }, { timeoutMs });
         return response.outcome === "applied"
-            ? { outcome: "applied", result: JSON.parse(Buffer.from(response.result).toString("utf8")), index: 0 }
+            ? { outcome: "applied", result: JSON.parse(Buffer.from(response.result).toString("utf8")), index: Number(response.index) }
             : response.outcome === "not-leader"
                 ? { outcome: "not-leader", leaderAddress: response.leaderAddress || undefined }
                 : { outcome: "unknown" };
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -6,7 +6,7 @@
 
 import {
     aliveIntervalMs, createFeedServer, createFeedWatcher, type DirectoryPosition, type FeedServer, type FeedWatcher, type Frame,
-    type FrameKind, type PositionedFrame, type Report,
+    type FrameKind, type LogPosition, type PositionedFrame, type Report,
 } from "../feed/index.js";
 import { type Announcement, createDirectory, createPushbacks, type Incarnation, type Upstream, type UpstreamSignals } from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
@@ -124,6 +124,12 @@
         yield aliveFrame();
     }
 
+    function logPosition(): LogPosition | undefined {
+        const { clusterId, term, appliedIndex } = log;
+        const leader = isInTouch() ? log.leaderAddress : undefined;
+        return clusterId === undefined ? undefined : { clusterId, term, index: appliedIndex, leader };
+    }
+
     function aliveFrame(): Frame {
         return {
             kind: "alive", leads: isLeader(), entries: feed.entryCount, dataCentre: options.dataCentre, hasContent: true,
@@ -132,7 +138,7 @@
     }
 
     const feed: FeedServer = createFeedServer({
-        initialFrames, heardAgoMs: directoryFeed.heardAgoMs, onReport, nowMs,
+        initialFrames, logPosition, heardAgoMs: directoryFeed.heardAgoMs, onReport, nowMs,
         onCrashes: (_daemonId, report) => crashCollector.report(report),
         onLoads: loadTable.report,
         onUnreadablePart: error => logger.warn("part of a report ignored", { error }),
@@ -189,7 +195,7 @@
         if (evacuatedNames !== lastPublished.evacuated) {
             recovery.evacuationChanged();
             feed.publish({ kind: "evacuated", index: log.appliedIndex, dataCentres: [...evacuated] });
-            logger.info("evacuated data centres applied", { dataCentres: evacuated });
+            logger.info("evacuated data centres applied", { dataCentres: evacuated, index: log.appliedIndex, term: log.term, leader: log.leaderAddress });
         }
         crashCauses.changed().forEach(frame => feed.publish(frame, "entry"));
         const addresses = controlAddresses();
@@ -265,7 +271,8 @@
         },
         async evacuate(dataCentre, isOut) {
             const proposal = await propose({ kind: "evacuate", dataCentre, isOut });
-            logger.info("evacuation", { dataCentre, isOut, outcome: proposal.outcome });
+            const index = proposal.outcome === "applied" ? proposal.index : undefined;
+            logger.info("evacuation", { dataCentre, isOut, outcome: proposal.outcome, index, term: log.term, leader: log.leaderAddress });
             return proposal.outcome === "applied";
         },
         recordAnnouncement(announcement) {
--- a/test/gateway/siteView.test.ts
+++ b/test/gateway/siteView.test.ts
@@ -70,4 +70,36 @@
         view.apply({ kind: "upstreams", upstreams: [createUpstream("10.0.0.1:80", "u1", { bornMs: 2 })] });
         expect(ids()).to.have.members(["u1", "u2"]);
     });
+
+    describe("with evacuated data centres", () => {
+        const position = (clusterId: string, index: number, leader?: string) => ({ clusterId, term: 1, index, leader });
+        const evacuate = (index: number, dataCentres: string[], log?: ReturnType<typeof position>) =>
+            view.apply({ kind: "evacuated", index, dataCentres }, "10.0.0.9:1", log);
+
+        beforeEach(() => {
+            evacuate(9, ["a"], position("old", 9, "10.0.0.9:1"));
+            expect(ids()).to.deep.equal([]);
+        });
+
+        // Guards against a daemon that is behind and brings a data centre back that is being evacuated.
+        it("ignores an earlier state of the same log, with or without a position", () => {
+            evacuate(8, [], position("old", 8, "10.0.0.9:1"));
+            evacuate(8, []);
+            expect(ids()).to.deep.equal([]);
+            evacuate(10, [], position("old", 10));
+            expect(ids()).to.deep.equal(["u1", "u2"]);
+        });
+
+        // Guards against an entry that outlives the log and never again applies an evacuation, since the indexes of the next log are lower.
+        it("applies the state of a log that was formed anew once its sender knows a leader", () => {
+            evacuate(2, [], position("new", 2));
+            expect(ids()).to.deep.equal([]);
+            evacuate(2, [], position("new", 2, "10.0.0.9:1"));
+            expect(ids()).to.deep.equal(["u1", "u2"]);
+            evacuate(12, ["a"], position("old", 12));
+            expect(ids()).to.deep.equal(["u1", "u2"]);
+            evacuate(3, ["a"], position("new", 3, "10.0.0.9:1"));
+            expect(ids()).to.deep.equal([]);
+        });
+    });
 });
