Carry out no evacuation order that a newer one has overtaken

Operators were told that an evacuation holds; later a control daemon that had stood still read an old `end` from its socket and handed it to the log, and all entries took the data centre for one in use. The same with an old `start`, which leaves a data centre without work.

Cause: starts and ends had no order of their own. Whatever reached the log last won, however old it was.

Change: the replicated state counts starts and ends, and each names the count as of which its operator was known to wait. If another one was applied since, it changes nothing, and the daemon proposes it again only while its operator still waits. A daemon asks that of the connection (closed, or about to be), and takes every caller for gone right after a pause of its own, when the end of a connection may not have come through a cut. The count is in the log, so the order holds whichever daemon, leader or link is late, and needs no clocks.

--- a/src/cluster/state.ts
+++ b/src/cluster/state.ts
@@ -8,7 +8,7 @@
 import { type ClaimResult, type ClaimsState, claimSchema, finishClaimSchema, emptyClaims } from "./claims.js";
 import { clearPartsSchema, type CrashEvidenceResult, type CrashEvidenceState, emptyCrashEvidence, reportPartsSchema } from "../crashes/index.js";
 import { type ChangeResult, type ConfigurationState, changeConfigurationSchema, emptyConfiguration } from "./configuration.js";
-import { emptyPublished, evacuateSchema, type PublishedResult, type PublishedState, publishSiteSchema } from "./published.js";
+import { emptyPublished, evacuateSchema, type EvacuationResult, type PublishedResult, type PublishedState, publishSiteSchema } from "./published.js";
 import { dissolveReplicaSchema, formReplicaSchema, freeVmSchema, emptyReplicas, type ReplicaResult, type ReplicasState } from "./replicas.js";
 import {
     clearSuspectSchema, emptySuspects, reportCrashSchema, type SuspectResult, type SuspectsState, trySuspectSchema,
@@ -41,7 +41,8 @@
     readonly published: PublishedState;
 }
 
-export type CommandResult = ChangeResult | ReplicaResult | ClaimResult | SuspectResult | CrashEvidenceResult | PublishedResult;
+export type CommandResult =
+    | ChangeResult | ReplicaResult | ClaimResult | SuspectResult | CrashEvidenceResult | PublishedResult | EvacuationResult;
 
 export const emptyCluster: ClusterState = {
     configuration: emptyConfiguration,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,7 +21,7 @@
 import { createGroupPrediction } from "./groupPrediction.js";
 import type { HeaderNames } from "./headers.js";
 import { createLoadReports } from "./loadReports.js";
-import { createLoopTicks } from "./loopTicks.js";
+import { createLoopTicks } from "../runtime/index.js";
 import { createLimits } from "./limits.js";
 import { createMemory, heldKinds, unboundedMemory } from "./memory/index.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -18,6 +18,7 @@
 import { createGroupLeader } from "./groupLeader.js";
 import { createLimitDistributor } from "./limitDistributor.js";
 import { createDirectoryFeed } from "./directoryFeed.js";
+import { createEvacuations } from "./evacuations.js";
 import { createLoadTable } from "./loadTable.js";
 import { createSiteFrames } from "./initialFrames.js";
 import { registerControlMetrics } from "./metrics.js";
@@ -42,6 +43,7 @@
     const { log, logger, dialect } = options;
     const nowMs = () => performance.now();
     const propose = createProposer({ ...options, nowMs });
+    const evacuate = createEvacuations({ log, logger, nowMs, propose });
     const directory = createDirectory();
     const siteFrames = createSiteFrames();
     const currentTable = createCurrentTable(log, dialect, logger);
@@ -269,12 +271,7 @@
         async readSite() {
             return (await log.read(operatorTimeoutMs))?.published.site?.text;
         },
-        async evacuate(dataCentre, isOut) {
-            const proposal = await propose({ kind: "evacuate", dataCentre, isOut });
-            const index = proposal.outcome === "applied" ? proposal.index : undefined;
-            logger.info("evacuation", { dataCentre, isOut, outcome: proposal.outcome, index, term: log.term, leader: log.leaderAddress });
-            return proposal.outcome === "applied";
-        },
+        evacuate,
         recordAnnouncement(announcement) {
             if (announcement.state === "draining" && !isInTouch()) {
                 return false;
--- a/src/siteControl/siteControlTypes.ts
+++ b/src/siteControl/siteControlTypes.ts
@@ -7,6 +7,7 @@
 import type { ConsensusNode, FileOperations } from "../consensus/index.js";
 import type { FeedServer } from "../feed/index.js";
 import type { Announcement } from "../fleet/index.js";
+import type { WaitingCaller } from "../http/index.js";
 import type { PeerConnections } from "../rpc/index.js";
 import type { OverloadMode, SiteDialect, SiteFinding } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
@@ -45,8 +46,8 @@
     publish(text: string): Promise<PublishOutcome>;
     /** Resolves to the newest published text; undefined if this daemon can't confirm that it is the newest. */
     readSite(): Promise<string | undefined>;
-    /** Resolves to whether the change was accepted. */
-    evacuate(dataCentre: string, isOut: boolean): Promise<boolean>;
+    /** Resolves to whether the change was accepted. It is not carried out if its operator has given up on it. */
+    evacuate(dataCentre: string, isOut: boolean, operator: WaitingCaller): Promise<boolean>;
     /** Records an announcement. Returns false if it must be made to another daemon because this one may be cut off from the entries. */
     recordAnnouncement(announcement: Announcement): boolean;
     recordDeparture(id: string): boolean;
--- a/test/gateway/latencyTracker.test.ts
+++ b/test/gateway/latencyTracker.test.ts
@@ -3,7 +3,7 @@
 import { startAttempt, type AttemptDependencies, type AttemptOptions } from "../../src/gateway/attempt.js";
 import { countEvents, createEventSplitter } from "../../src/gateway/events.js";
 import type { ExchangeEvents } from "../../src/gateway/connections.js";
-import { createLoopTicks } from "../../src/gateway/loopTicks.js";
+import { createLoopTicks } from "../../src/runtime/index.js";
 import { type CallerConnection, createMemory, unboundedMemory } from "../../src/gateway/memory/index.js";
 import { createLogger } from "../../src/telemetry/index.js";
 import { headerNames } from "../../platform/headers.js";
--- a/test/gateway/loopTicks.test.ts
+++ b/test/runtime/loopTicks.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createLoopTicks } from "../../src/gateway/loopTicks.js";
+import { createLoopTicks } from "../../src/runtime/index.js";
 
 describe("the earliest time of a signal", () => {
     // After a pause timers run before signal handlers. A shutdown that counts from the last tick would outlast the platform's kill.
