Bound answers without end: errors, events, and what control daemons and sidecars read

An upstream in trouble may pour bytes until the caller closes. An event without end was collected in the same way unless the memory account stopped it. Control's engine client read answers to orders for a second whole, and a sidecar's poll of a state without end never ended, so that it never polled again.

An error body beyond 256 KiB is given up if the request may be repeated, and its caller gets 502 or another upstream's answer; 421 and answers that say that the request has not run keep that meaning; other errors are forwarded as they come. An event of more than 8 MiB breaks the stream off.

--- /dev/null
+++ b/src/gateway/answerOrigin.ts
@@ -0,0 +1,30 @@
+/**
+ * Tells from the head of an answer whether it is the answer to a request and comes from the upstream that the request was sent to.
+ *
+ * @module
+ */
+
+import { type HeaderNames, headerValue } from "./headers.js";
+
+export interface AnswerHead {
+    readonly status: number;
+    /** Names and values in turn. */
+    readonly rawHeaders: readonly string[];
+}
+
+/** Returns why an answer can't be the upstream's answer to the request with `attemptId`, or undefined. */
+export function foreignReason({ status, rawHeaders }: AnswerHead, attemptId: string, names: HeaderNames): string | undefined {
+    if (headerValue(rawHeaders, names.attemptId) !== attemptId) {
+        return "the answer bears another request's id";
+    }
+    if (status < 300 && headerValue(rawHeaders, names.signature) === undefined) {
+        return "the success bears no mark of the upstream";
+    }
+    return headerValue(rawHeaders, "content-encoding") === undefined ? undefined : "the answer is encoded";
+}
+
+/** Whether an answer comes from another upstream, which has taken over the address. */
+export function isFromOtherUpstream({ status, rawHeaders }: AnswerHead, upstreamId: string, names: HeaderNames): boolean {
+    return status === 421 && headerValue(rawHeaders, names.faultyUpstreamId) === undefined &&
+        headerValue(rawHeaders, names.servedBy) !== upstreamId;
+}
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,67 +5,22 @@
  * @module
  */
 
-import type { Pushbacks, Upstream, UpstreamSignals } from "../fleet/index.js";
-import type { CallerAnswer } from "./answer.js";
+import type { UpstreamSignals } from "../fleet/index.js";
+import { foreignReason, isFromOtherUpstream } from "./answerOrigin.js";
 import type { AttemptFailure } from "./attemptFailure.js";
-import type { ParsedRequest } from "./parsedRequest.js";
-import type { Balancer } from "./balancer.js";
-import type { Connections, ExchangeRequest } from "./connections.js";
-import { countEvents, type EventSplitter } from "./events.js";
-import { answerHeaders, type HeaderNames, forwardedHeaders, headerValue } from "./headers.js";
-import type { LatencyObserver } from "./latencyTracker.js";
-import type { Holder } from "./memory/index.js";
+import type { AttemptDependencies, AttemptOptions, RunningAttempt } from "./attemptTypes.js";
+import type { ExchangeRequest } from "./connections.js";
+import { countEvents } from "./events.js";
+import { answerHeaders, forwardedHeaders, headerValue } from "./headers.js";
 import { readSignals } from "./signals.js";
-import type { SiteView } from "./siteView.js";
 
-export interface AttemptDependencies {
-    readonly names: HeaderNames;
-    readonly view: SiteView;
-    readonly balancer: Balancer;
-    readonly connections: Connections;
-    readonly pushbacks: Pushbacks;
-    nowMs(): number;
-    /** Records the limit in requests a second, or its absence, that the answer to a request sent at `sentAtMs` states. */
-    recordLimit(upstream: Upstream, perSecond: number | undefined, sentAtMs: number): void;
-    /** Observes when the events of streams come. */
-    readonly latency?: LatencyObserver;
-}
-
-export interface AttemptOptions {
-    readonly request: ParsedRequest;
-    readonly upstream: Upstream;
-    readonly answer: CallerAnswer;
-    readonly holder: Holder;
-    readonly splitter: EventSplitter;
-    /** Whether the request may be sent again after it may have run. */
-    readonly isRepeatable: boolean;
-    /** How long the request may make no progress before another upstream is tried. */
-    readonly stallTimeoutMs: number;
-    /** Whether the request waits in the late queue, where it is served after others. */
-    readonly isLate?: boolean;
-    /** Headers of the request to the upstream. */
-    readonly headers: string[];
-    /** Asks whether a stalled attempt may be retried at another upstream. True: the attempt has to end. */
-    mayFailOver(): boolean;
-    /** Called when the attempt has ended for any reason, before `onDelivered` or `onFailed`. */
-    onEnded(): void;
-    onDelivered(fields: { readonly status: number }): void;
-    /** Called whenever complete events of a stream have come. */
-    onEvents(): void;
-    onFailed(failure: AttemptFailure): void;
-}
-
-export interface RunningAttempt {
-    readonly upstream: Upstream;
-    /** Whether events of a stream have come. */
-    readonly hasEvents: boolean;
-    /** Ends the attempt without calling `onDelivered` or `onFailed`. */
-    abort(): void;
-    resume(): void;
-}
-
-/** A larger answer is forwarded as it comes; from then on it can't be replaced by that of another attempt. */
+/**
+ * A larger answer is not held any longer, as it may never end: it is forwarded as it comes, and from then on can't be replaced by that of
+ * another attempt, or it is given up.
+ */
 const maxBufferedBytes = 262_144;
+/** An event of this size is taken for one without end. It is far above what engines put into an event. */
+const maxEventBytes = 8 * 1_048_576;
 /** How often an attempt checks whether it is stalled. */
 const stallCheckIntervalMs = 100;
 
@@ -156,23 +111,6 @@
         }
     }
 
-    /** Returns why the answer can't be this upstream's answer to this request, or undefined. */
-    function foreignReason(): string | undefined {
-        if (headerValue(rawHeaders, names.attemptId) !== request.attemptId) {
-            return "the answer bears another request's id";
-        }
-        if (status < 300 && headerValue(rawHeaders, names.signature) === undefined) {
-            return "the success bears no mark of the upstream";
-        }
-        return headerValue(rawHeaders, "content-encoding") === undefined ? undefined : "the answer is encoded";
-    }
-
-    /** Whether the answer comes from another upstream, which has taken over the address. */
-    function isFromOtherUpstream(): boolean {
-        return status === 421 && headerValue(rawHeaders, names.faultyUpstreamId) === undefined &&
-            headerValue(rawHeaders, names.servedBy) !== upstream.id;
-    }
-
     /** Records what holds for the upstream even if the answer belongs to another request. */
     function recordLoadAndPushback({ load, pushbackMs }: UpstreamSignals) {
         if (load !== undefined) {
@@ -196,15 +134,17 @@
         }
     }
 
+    const isFromOther = () => isFromOtherUpstream({ status, rawHeaders }, upstream.id, names);
+
     function onHead(headStatus: number, raw: string[]) {
         status = headStatus;
         rawHeaders = raw;
-        if (isFromOtherUpstream()) {
+        if (isFromOther()) {
             return;
         }
         const signals = readSignals(status, rawHeaders, names);
         recordLoadAndPushback(signals);
-        const foreign = status === 421 ? undefined : foreignReason();
+        const foreign = status === 421 ? undefined : foreignReason({ status, rawHeaders }, request.attemptId, names);
         if (foreign !== undefined) {
             abandon(foreign);
             return;
@@ -228,21 +168,52 @@
         }
     }
 
+    function forwardEvents(chunk: Buffer) {
+        const events = splitter.push(chunk);
+        // The account may pause reading now, which these events didn't wait for.
+        const cameAfterPause = wasPaused;
+        wasPaused &&= events.length === 0;
+        holder.hold("answer", splitter.partialBytes);
+        if (events.length > 0) {
+            balancer.eventReceived(upstream, !hasEvents);
+            hasEvents = true;
+            lastProgressAtMs = dependencies.nowMs();
+            observation?.eventsReceived(countEvents(events), cameAfterPause);
+            options.onEvents();
+            forward(events);
+        }
+        if (splitter.partialBytes > maxEventBytes) {
+            abandon("an event is too large");
+        }
+    }
+
+    function forwardBuffered() {
+        isForwarding = true;
+        holder.hold("answer", 0);
+        answer.start(status, answerHeaders(rawHeaders));
+        buffered.forEach(forward);
+        buffered = [];
+    }
+
+    /** Ends or forwards an answer that is too large to be held until its end. */
+    function onTooLarge() {
+        if (status === 421 || headerValue(rawHeaders, names.notRun) !== undefined) {
+            exchange.abort();
+            onNotRun();
+            return;
+        }
+        // Another upstream may still answer, and a part of a stream can't be followed by an error.
+        const isUseless = status >= 300 && (answer.isStarted || (status >= 500 && options.isRepeatable));
+        if (isUseless) {
+            abandon(`status ${status} with a body that is too large`);
+            return;
+        }
+        forwardBuffered();
+    }
+
     function onData(chunk: Buffer) {
-        if (isForwarding && isStream) {
-            const events = splitter.push(chunk);
-            // The account may pause reading now, which these events didn't wait for.
-            const cameAfterPause = wasPaused;
-            wasPaused &&= events.length === 0;
-            holder.hold("answer", splitter.partialBytes);
-            if (events.length > 0) {
-                balancer.eventReceived(upstream, !hasEvents);
-                hasEvents = true;
-                lastProgressAtMs = dependencies.nowMs();
-                observation?.eventsReceived(countEvents(events), cameAfterPause);
-                options.onEvents();
-                forward(events);
-            }
+        if (isForwarding && isStream && status < 300) {
+            forwardEvents(chunk);
             return;
         }
         if (isForwarding) {
@@ -251,19 +222,15 @@
         }
         buffered.push(chunk);
         bufferedBytes += chunk.length;
-        if (bufferedBytes > maxBufferedBytes && status < 300) {
-            isForwarding = true;
-            holder.hold("answer", 0);
-            answer.start(status, answerHeaders(rawHeaders));
-            buffered.forEach(forward);
-            buffered = [];
+        if (bufferedBytes > maxBufferedBytes) {
+            onTooLarge();
             return;
         }
         holder.hold("answer", bufferedBytes);
     }
 
     function onMisdirected() {
-        if (isFromOtherUpstream()) {
+        if (isFromOther()) {
             view.markGone(upstream);
         }
         fail({ kind: "not-run", reason: "it was sent to the wrong upstream", isUpstreamAtFault: true, isUnsent: false });
@@ -281,17 +248,21 @@
         options.onDelivered({ status });
     }
 
-    function onEnd() {
+    function onNotRun() {
         if (status === 421) {
             onMisdirected();
             return;
         }
-        if (isForwarding && isStream && !splitter.isAtBoundary) {
+        fail({ kind: "not-run", reason: `the upstream refused it with ${status}`, isUpstreamAtFault: status === 503, isUnsent: false });
+    }
+
+    function onEnd() {
+        if (isForwarding && isStream && status < 300 && !splitter.isAtBoundary) {
             fail({ kind: "unknown", reason: "the stream ended in the middle of an event", isCrash: true });
             return;
         }
-        if (!isForwarding && headerValue(rawHeaders, names.notRun) !== undefined) {
-            fail({ kind: "not-run", reason: `the upstream refused it with ${status}`, isUpstreamAtFault: status === 503, isUnsent: false });
+        if (status === 421 || (!isForwarding && headerValue(rawHeaders, names.notRun) !== undefined)) {
+            onNotRun();
             return;
         }
         if (!isForwarding && status >= 500) {
--- a/src/gateway/requestTypes.ts
+++ b/src/gateway/requestTypes.ts
@@ -7,7 +7,7 @@
 import type { Upstream } from "../fleet/index.js";
 import type { Logger } from "../telemetry/index.js";
 import type { Admission } from "./admission.js";
-import type { AttemptDependencies } from "./attempt.js";
+import type { AttemptDependencies } from "./attemptTypes.js";
 import type { AttemptFailure } from "./attemptFailure.js";
 import type { PredictingGroupRoom } from "./groupRoom.js";
 import type { BoundsDependencies } from "./lateQueue.js";
--- a/src/sidecar/engine.ts
+++ b/src/sidecar/engine.ts
@@ -6,10 +6,13 @@
 
 import { Agent, buildConnector, request } from "undici";
 import { z } from "zod";
+import { readBoundedText } from "../http/index.js";
 
 const pollIntervalMs = 250;
 const pollTimeoutMs = 1_000;
 const orderTimeoutMs = 5_000;
+/** Far more than a state takes. */
+const maxStateBytes = 262_144;
 const connectionRefusedCode = "ECONNREFUSED";
 const connectionBrokenCodes = new Set(["ECONNRESET", "EPIPE", "UND_ERR_SOCKET"]);
 
@@ -98,9 +101,9 @@
      */
     async function fetchState(isRetry = false): Promise<EngineState | undefined> {
         try {
-            const answer = await request(`http://${address}/state`, { dispatcher: pollAgent });
+            const answer = await request(`http://${address}/state`, { dispatcher: pollAgent, signal: AbortSignal.timeout(pollTimeoutMs) });
             isGone = false;
-            return engineStateSchema.parse(await answer.body.json());
+            return engineStateSchema.parse(JSON.parse(await readBoundedText(answer.body, maxStateBytes)));
         }
         catch (error) {
             const code = (error as { code?: string }).code ?? "";
--- a/src/sidecar/upstream.ts
+++ b/src/sidecar/upstream.ts
@@ -25,6 +25,8 @@
 const hopByHopHeaders = new Set(["connection", "keep-alive", "transfer-encoding", "content-length", "host", "upgrade", "te", "trailer"]);
 const connectFailureCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
 const doneMarker = "[DONE]";
+/** An event of this size is taken for one without end. It is far above what engines put into an event. */
+const maxEventChars = 8 * 1_048_576;
 
 function forwardedHeaders(headers: readonly Header[]): Record<string, string> {
     return Object.fromEntries(headers.filter(header => !hopByHopHeaders.has(header.name)).map(({ name, value }) => [name, value]));
@@ -45,6 +47,9 @@
         buffered += decoder.decode(part, { stream: true });
         const blocks = buffered.split("\n\n");
         buffered = blocks.pop()!;
+        if (buffered.length > maxEventChars) {
+            throw new Error("an event is too large");
+        }
         for (const block of blocks) {
             if (!block.startsWith("data:")) {
                 continue;
--- a/test/gateway/latencyTracker.test.ts
+++ b/test/gateway/latencyTracker.test.ts
@@ -1,6 +1,7 @@
 import { PassThrough } from "node:stream";
 import { expect } from "chai";
-import { startAttempt, type AttemptDependencies, type AttemptOptions } from "../../src/gateway/attempt.js";
+import { startAttempt } from "../../src/gateway/attempt.js";
+import type { AttemptDependencies, AttemptOptions } from "../../src/gateway/attemptTypes.js";
 import { countEvents, createEventSplitter } from "../../src/gateway/events.js";
 import type { ExchangeEvents } from "../../src/gateway/connections.js";
 import { createLoopTicks } from "../../src/runtime/index.js";
--- a/test/platform/engines.test.ts
+++ b/test/platform/engines.test.ts
@@ -1,7 +1,10 @@
 import { expect } from "chai";
 import { createEngineClient } from "../../platform/engines.js";
 import { createUpstream } from "../support/gatewaySite.js";
-import { type RawUpstream, startRawUpstream } from "../support/rawUpstream.js";
+import { pourInto, type RawUpstream, startRawUpstream } from "../support/rawUpstream.js";
+
+/** Beside what the client holds, the sockets in between have room for some. */
+const maxTakenBytes = 16 * 1_048_576;
 
 describe("the engine client", () => {
     let engine: RawUpstream;
@@ -28,6 +31,22 @@
         expect(await createEngineClient().probe(upstream)).to.deep.equal({ outcome: "refused", signals: undefined });
     });
 
+    // Guards against a control daemon that ends for want of memory, or holds its planning up, by an answer that never ends.
+    it("gives up an answer without end", async () => {
+        const taken: (() => number)[] = [];
+        engine = await startRawUpstream((_request, socket) => {
+            socket.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n");
+            taken.push(pourInto(socket));
+        });
+        const { heardAgoMs, ...relayed } = createUpstream(engine.address, "u1");
+        const upstream = { ...relayed, heardAtMs: -heardAgoMs, coldUntilMs: 0 };
+        const client = createEngineClient();
+        expect(await client.probe(upstream)).to.deep.equal({ outcome: "silent", signals: undefined });
+        expect(await client.inquire(upstream, "/health")).to.deep.equal({ kind: "unusable", reason: "no answer" });
+        expect(await client.order(upstream, { kind: "stage", model: "lm" }).catch(({ name }: Error) => name)).to.equal("BodyTooLargeError");
+        taken.forEach(bytes => expect(bytes()).to.be.below(maxTakenBytes));
+    });
+
     // Guards against the use of a restarted daemon's remembered upstream by an answer that is not its own or is not a report.
     it("asks an upstream for its report, and a plain one for its health", async () => {
         const report = { born: 9, domain: 3, staged: ["lm"], group: { name: "lm/2", epoch: 2, rank: 1, state: "open", more: 1 }, seq: 4, busy: 0 };
--- a/test/support/rawUpstream.ts
+++ b/test/support/rawUpstream.ts
@@ -57,3 +57,16 @@
         }),
     };
 }
+
+/** Writes bytes to a connection for as long as its other side takes them. Returns a function that tells how many it has taken. */
+export function pourInto(socket: Socket): () => number {
+    const chunk = Buffer.alloc(65_536, "x");
+    const pour = () => {
+        while (!socket.destroyed && socket.write(chunk)) {
+            // Until the buffer is full.
+        }
+    };
+    socket.on("drain", pour);
+    pour();
+    return () => socket.bytesWritten;
+}
