End a stream whose continuation is answered with an error

Callers of a stream that broke off waited for its rest until their deadline if the upstream that was asked for it answered with a 4xx: the answer had been started, so the error could not be sent, and nothing else ended it. Such an answer now counts as a failed attempt, after which another upstream continues the stream or it is broken off at once. The new test in test/gateway/answers.test.ts failed before (the connection stayed open beyond 1.5 s) and passes.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -265,6 +265,10 @@
             onNotRun();
             return;
         }
+        if (!isForwarding && answer.isStarted) {
+            fail({ kind: "unknown", reason: `status ${status} for the rest of a stream`, isCrash: false });
+            return;
+        }
         if (!isForwarding && status >= 500) {
             fail({ kind: "ran-failed", answer: { status, rawHeaders, body: Buffer.concat(buffered) } });
             return;
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -3,7 +3,9 @@
 import type { Socket } from "node:net";
 import type { RawRequest, RawUpstream } from "../support/rawUpstream.js";
 import { startRawUpstream } from "../support/rawUpstream.js";
-import { exchangeRaw, type GatewaySite, createGroupHead, encodeRequest, createSite, startGateway, parseStatus, createUpstream } from "../support/gatewaySite.js";
+import {
+    exchangeRaw, type GatewaySite, createGroupHead, encodeRequest, createSite, openCaller, startGateway, parseStatus, createUpstream,
+} from "../support/gatewaySite.js";
 import { waitUntil } from "../support/platformSite.js";
 
 const signed = "Zinnialanding-Upstream-Signature: s1\r\n";
@@ -143,6 +145,24 @@
         expect(answer).to.match(/0\r\n\r\n$/);
     });
 
+    // Guards against a caller who waits for the rest of a stream until its deadline: the upstream asked for it answers with an error.
+    it("that are streams end without the last chunk if an error answers the request for the rest", async () => {
+        upstream = await startRawUpstream((request, socket) => {
+            socket.write(`HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}` +
+                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: a\n\n\n\r\n");
+            setTimeout(() => socket.resetAndDestroy(), 50);
+        });
+        other = await startRawUpstream((request, socket) => socket.write(
+            `HTTP/1.1 400 Bad\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}Content-Length: 3\r\n\r\nbad`));
+        site = await startGateway([createGroupHead(upstream.address, "u1", 1), { ...createGroupHead(other.address, "u2", 2), dataCentre: "b" }]);
+        const caller = await openCaller(site.port);
+        caller.send(encodeRequest("POST", "/caption/1", { body: "x", headers: { "Zinnialanding-Model": "lm" } }));
+        await waitUntil("the connection ends", () => caller.isEnded, 1_500);
+        expect(other.requests).to.have.length(1);
+        expect(caller.text).to.match(/id: 1/).and.not.match(/\r\n0\r\n\r\n$/);
+        expect(site.outcomes).to.deep.equal(["failed"]);
+    });
+
     // The retry budget is exhausted when a stream breaks off. Its answer can't be completed and must not look complete.
     it("that are streams and can't be continued end without the last chunk", async () => {
         upstream = await startRawUpstream((request, socket) => {
