--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -120,10 +120,14 @@
     return { ...rest, coldForMs, heardAgoMs: Math.max(0, nowMs - heardAtMs) };
 }
 
-/** Whether a change must be published: anything but the time at which the upstream was heard and the sequence number differs. */
+/**
+ * Whether a change must be published: anything but the time at which the upstream was heard and the sequence number differs. How long it is
+ * still cold is published with the start and the end of the time alone.
+ */
 export function isSignificantChange(before: Upstream | undefined, after: Upstream): boolean {
     return before === undefined || before.bornMs !== after.bornMs || before.isGone !== after.isGone || before.state !== after.state ||
         before.address !== after.address || before.service !== after.service || before.slots !== after.slots ||
+        before.dataCentre !== after.dataCentre || before.domain !== after.domain ||
         (before.coldUntilMs > after.heardAtMs) !== (after.coldUntilMs > after.heardAtMs) ||
         !isSameGroup(before.group, after.group) || !isSameList(before.stagedModels, after.stagedModels);
 }
--- a/test/fleet/directory.test.ts
+++ b/test/fleet/directory.test.ts
@@ -1,7 +1,8 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
 import {
-    type Announcement, createDirectory, type Directory, hasIncarnationEnded, isSignificantChange, possiblyRunning, toRelayed,
+    type Announcement, announcementSchema, createDirectory, type Directory, hasIncarnationEnded, isSignificantChange, possiblyRunning,
+    toRelayed, type Upstream,
 } from "../../src/fleet/index.js";
 import * as plain from "../support/plainDirectory.js";
 
@@ -107,6 +108,23 @@
         }), { seed: 11 });
     });
 
+    // Guards against entries that send requests into an evacuated data centre because they were not told that an upstream is there, and
+    // against a new field of announcements that entries never learn of.
+    it("publishes a change of any field but those that each heartbeat changes", () => {
+        const group = { name: "lm/1", epoch: 1, rank: 0, state: "open" as const };
+        const before: Upstream = {
+            ...announcementOf({ domain: "d", group }), heardAtMs: 0, coldUntilMs: 0, isGone: false, hasLeft: false,
+        };
+        const others: Required<Omit<Upstream, "id">> = {
+            service: "pool", address: "10.0.0.2:80", dataCentre: "b", bornMs: 2, sequence: 2, state: "draining", coldForMs: 10, slots: 5,
+            domain: "e", stagedModels: ["lm"], group: { ...group, state: "closing" }, heardAtMs: 10, coldUntilMs: 10, isGone: true, hasLeft: true,
+        };
+        expect(Object.keys(announcementSchema.shape).filter(key => key !== "id" && !(key in others))).to.deep.equal([]);
+        const unpublished = (Object.keys(others) as (keyof typeof others)[])
+            .filter(key => !isSignificantChange(before, { ...before, [key]: others[key] }));
+        expect(unpublished).to.deep.equal(["sequence", "coldForMs", "heardAtMs", "hasLeft"]);
+    });
+
     // Guards against an index that differs from the upstreams after some order of announcements, relays, departures, reused addresses and
     // restarts: callers' requests would go to an upstream that no longer exists, or never to one that does.
     it("agrees with a plain model after any sequence of changes, and publishes each significant one", () => {
