Ignore the departure of an earlier incarnation that is read late

A departure that states when its process started now counts for that incarnation and earlier ones alone; one that doesn't is not taken by a daemon that has just stood still, and the runner tells another. Heartbeats have an order of their own, and published sites a version.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -38,8 +38,8 @@
     markDraining(incarnation: Incarnation): readonly Upstream[];
     /** Marks an incarnation as cold until `untilMs` at least, because an answer of it says so. Its next announcement states it anew. */
     markCold(incarnation: Incarnation, untilMs: number): readonly Upstream[];
-    /** Marks an upstream that has announced its departure as gone. */
-    depart(id: string): readonly Upstream[];
+    /** Marks an upstream that has announced its departure as gone, unless a later incarnation than the stated one is known. */
+    depart(id: string, bornMs?: number): readonly Upstream[];
     /** Marks an upstream as gone because its process has certainly ended. */
     markEnded(id: string): readonly Upstream[];
     /** Updates the times at which upstreams were last heard, as reported by another process; their state is unchanged. */
@@ -236,9 +236,10 @@
             const known = upstreams.get(id);
             return update(known?.bornMs === bornMs && known.coldUntilMs < untilMs ? { ...known, coldUntilMs: untilMs } : undefined);
         },
-        depart(id) {
+        depart(id, bornMs = Infinity) {
             const known = upstreams.get(id);
-            return update(known === undefined || known.isGone ? undefined : { ...known, isGone: true, hasLeft: true });
+            const hasLeft = known !== undefined && !known.isGone && known.bornMs <= bornMs;
+            return update(hasLeft ? { ...known, isGone: true, hasLeft } : undefined);
         },
         markEnded(id) {
             const known = upstreams.get(id);
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -284,11 +284,12 @@
             acceptAnnouncement(announcement, nowMs());
             return true;
         },
-        recordDeparture(id) {
-            if (!isInTouch()) {
+        recordDeparture({ id, bornMs, mayBeLate }) {
+            // Another incarnation may have started under this id since a late call that doesn't say which one leaves.
+            if (!isInTouch() || (mayBeLate && bornMs === undefined)) {
                 return false;
             }
-            publishChanged(directory.depart(id));
+            publishChanged(directory.depart(id, bornMs));
             return true;
         },
         start() {
--- a/src/siteControl/siteControlTypes.ts
+++ b/src/siteControl/siteControlTypes.ts
@@ -41,6 +41,14 @@
     | { readonly outcome: "refused"; readonly findings: readonly SiteFinding[] }
     | { readonly outcome: "unavailable" };
 
+export interface Departure {
+    readonly id: string;
+    /** When the process that leaves was started; undefined if it doesn't state that. */
+    readonly bornMs: number | undefined;
+    /** Whether the call may have waited for this process for long. */
+    readonly mayBeLate: boolean;
+}
+
 export interface SiteControl {
     readonly feed: FeedServer;
     publish(text: string): Promise<PublishOutcome>;
@@ -50,7 +58,8 @@
     evacuate(dataCentre: string, isOut: boolean, operator: WaitingCaller): Promise<boolean>;
     /** Records an announcement. Returns false if it must be made to another daemon because this one may be cut off from the entries. */
     recordAnnouncement(announcement: Announcement): boolean;
-    recordDeparture(id: string): boolean;
+    /** Records that an upstream leaves. Returns false if another daemon must be told. */
+    recordDeparture(departure: Departure): boolean;
     start(): void;
     stop(): void;
 }
--- a/test/fleet/directory.test.ts
+++ b/test/fleet/directory.test.ts
@@ -58,6 +58,13 @@
         expect(get("u1").state).to.equal("ready");
     });
 
+    // Guards against an upstream that is out for its whole life because the departure of its previous incarnation was read late.
+    it("ignores the departure of an earlier incarnation", () => {
+        directory.announce(announcementOf({ bornMs: 5 }), 10);
+        expect(directory.depart("u1", 4)).to.deep.equal([]);
+        expect(directory.depart("u1", 5).map(({ isGone }) => isGone)).to.deep.equal([true]);
+    });
+
     // Guards against sending requests to the upstream of another service that reuses the address.
     it("marks the previous upstream at an address as gone", () => {
         directory.announce(announcementOf(), 10);
