Carry out no change of the own interface that a newer one has overtaken

A restore that a daemon read late, after its operator had given up and drained again under another change id, would have undone the drain; so would a late removal of a voter after its addition.

A change now names the version as of which its operator was seen to wait, and is superseded by a later change of the same items; the daemon proposes it again while the operator waits. Changes of voters are carried out only while their operator waits. Tests in test/cluster/configuration.test.ts and test/control/operators.test.ts (without the change: accepted, and carried out); not seen in a run of real processes.

--- a/src/cluster/configuration.ts
+++ b/src/cluster/configuration.ts
@@ -87,6 +87,8 @@
     changeId: z.string().min(1),
     /** The version the change is based on. If unset, the change applies to the current version. */
     expectedVersion: z.number().int().min(0).optional(),
+    /** The version as of which its operator was known to wait for it. A later change of the same items supersedes this one. */
+    basedOnVersion: z.number().int().min(0).optional(),
     author: z.string(),
     atMs: z.number(),
     edits: z.array(editSchema).min(1),
@@ -119,6 +121,8 @@
 export type ChangeResult =
     | { readonly outcome: "accepted"; readonly version: number; readonly repeated: boolean }
     | { readonly outcome: "conflict"; readonly version: number; readonly winner: AcceptedChange | undefined }
+    /** Another change of the same items was accepted after the version on which this one is based, and nothing has changed. */
+    | { readonly outcome: "superseded"; readonly version: number }
     | { readonly outcome: "invalid"; readonly version: number; readonly findings: readonly string[] };
 
 /** The number of changes kept to answer resends: more than two days at 5,700 changes a day. */
@@ -193,6 +197,34 @@
             : []);
 }
 
+/** What an edit changes, for a comparison with other edits; undefined: everything. */
+function itemOf(edit: Edit): string | undefined {
+    switch (edit.kind) {
+        case "replace":
+            return undefined;
+        case "set-class":
+            return `class ${edit.class.name}`;
+        case "remove-class":
+            return `class ${edit.name}`;
+        case "set-organisation":
+            return `organisation ${edit.organisation.name}`;
+        case "remove-organisation":
+            return `organisation ${edit.name}`;
+        case "set-drained":
+            return `data centre ${edit.dataCentre}`;
+    }
+}
+
+/** Whether a change after `basedOnVersion` may have changed an item that `edits` change. The edits of old changes are no longer known. */
+function isSuperseded({ history, version }: ConfigurationState, basedOnVersion: number, edits: readonly Edit[]): boolean {
+    const later = history.filter(change => change.version > basedOnVersion);
+    const isForgotten = later.length < version - basedOnVersion || later.some(change => change.edits.length === 0);
+    const items = edits.map(itemOf);
+    const laterItems = later.flatMap(change => change.edits.map(itemOf));
+    return version > basedOnVersion &&
+        (isForgotten || items.includes(undefined) || laterItems.some(item => item === undefined || items.includes(item)));
+}
+
 /** Applies one change. A resend gets its original result, a stale version a conflict, and an invalid configuration the findings. */
 export function applyConfigurationChange(
     state: ConfigurationState,
@@ -209,6 +241,9 @@
         const winner = findChange(state, change.expectedVersion + 1);
         return { state, result: { outcome: "conflict", version: state.version, winner } };
     }
+    if (change.basedOnVersion !== undefined && isSuperseded(state, change.basedOnVersion, change.edits)) {
+        return { state, result: { outcome: "superseded", version: state.version } };
+    }
     const value = change.edits.reduce(applyEdit, state.value);
     const findings = [...validateEdits(state.value, change.edits), ...validateConfiguration(value)];
     if (findings.length > 0) {
--- a/src/control/operators.ts
+++ b/src/control/operators.ts
@@ -10,8 +10,8 @@
 import { z } from "zod";
 import { type ConsensusNode, type VoterChange } from "../consensus/index.js";
 import { addressSchema } from "../config/index.js";
-import { type ChangeResult, editSchema, findClaim, type ProposalResult } from "../cluster/index.js";
-import { createGracefulListener } from "../http/index.js";
+import { type ChangeConfiguration, type ChangeResult, editSchema, findClaim, type ProposalResult } from "../cluster/index.js";
+import { createGracefulListener, createWaitingCallers, type WaitingCaller, type WaitingCallers } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
 import type { Control } from "./control.js";
 import { buildStatus } from "./status.js";
@@ -20,6 +20,8 @@
 const maxBodyBytes = 4_194_304;
 
 const voterChangeTimeoutMs = 30_000;
+/** How long a change is proposed again because others have changed the same items. */
+const changeTimeoutMs = 3_000;
 
 const voterRequestSchema = z.strictObject({ id: z.string().min(1), address: addressSchema.optional() });
 
@@ -58,6 +60,29 @@
     return hashes.some(hash => timingSafeEqual(Buffer.from(hash, "hex"), digest));
 }
 
+/** The answer to an operator who has given up on a change that this daemon has read late. */
+const abandoned = { code: "operator-left", execution: "not-run" };
+
+/**
+ * Proposes a change as long as its operator waits for it. It names the version as of which that was so: an operator who was told of a later
+ * change of the same items must not lose it to this one, however late the log gets it. Resolves to undefined once the operator has left.
+ */
+async function proposeChange(
+    control: Control, change: Omit<ChangeConfiguration, "basedOnVersion">, operator: WaitingCaller,
+): Promise<ProposalResult | undefined> {
+    const giveUpAtMs = control.nowMs() + changeTimeoutMs;
+    let basedOnVersion = control.log.state.configuration.version;
+    while (control.nowMs() < giveUpAtMs && await operator.isWaiting()) {
+        const proposal = await control.propose({ ...change, basedOnVersion });
+        const result = proposal.outcome === "applied" ? proposal.result as ChangeResult : undefined;
+        if (result?.outcome !== "superseded") {
+            return proposal;
+        }
+        basedOnVersion = result.version;
+    }
+    return undefined;
+}
+
 function sendChange(reply: FastifyReply, control: Control, changeId: string, proposal: ProposalResult) {
     if (proposal.outcome === "not-leader") {
         return reply.code(503).send({ code: "no-leader", execution: "not-run", changeId });
@@ -66,7 +91,7 @@
         return reply.code(503).send({ code: "unknown", execution: "unknown", changeId, detail: "Send it again under the same change id." });
     }
     const result = proposal.result as ChangeResult;
-    const statuses = { accepted: 200, conflict: 409, invalid: 422 };
+    const statuses = { accepted: 200, conflict: 409, superseded: 409, invalid: 422 };
     const inForce = control.inForce();
     return reply.code(statuses[result.outcome]).send({ ...result, inForce: inForce !== undefined && inForce >= result.version });
 }
@@ -85,7 +110,7 @@
 }
 
 /** Adds routes that list the voters of the region's quorum, and add or remove one at a time. */
-function mountVoterRoutes(app: FastifyInstance, { control, voters }: OperatorsOptions) {
+function mountVoterRoutes(app: FastifyInstance, { control, voters }: OperatorsOptions, callers: WaitingCallers) {
     app.get("/v1/voters", () => ({
         leads: control.isLeader(),
         voters: voters.voters().map(({ voterId, ...rest }) => ({ id: voterId, ...rest })),
@@ -96,6 +121,10 @@
         if (!parsed.success || (!isAdd && request.params.change !== "remove") || (isAdd && parsed.data.address === undefined)) {
             return reply.code(422).send({ code: "invalid", findings: ["expected add with id and address, or remove with id"] });
         }
+        // A late removal must not undo a newer addition, nor the reverse.
+        if (!await callers.of(request.raw).isWaiting()) {
+            return reply.code(503).send(abandoned);
+        }
         const { id, address } = parsed.data;
         const change = isAdd
             ? await voters.addVoter(id, address!, voterChangeTimeoutMs)
@@ -104,7 +133,7 @@
     });
 }
 
-function mountRoutes(app: FastifyInstance, options: OperatorsOptions) {
+function mountRoutes(app: FastifyInstance, options: OperatorsOptions, callers: WaitingCallers) {
     const { control } = options;
     app.addHook("onRequest", async (request, reply) => {
         if (!isKnownToken(request.headers.authorization, options.tokenHashes)) {
@@ -112,7 +141,7 @@
         }
     });
 
-    mountVoterRoutes(app, options);
+    mountVoterRoutes(app, options, callers);
 
     app.get("/v1/configuration", async (_request, reply) => {
         const state = await control.log.read(readTimeoutMs);
@@ -136,7 +165,11 @@
             const findings = parsed.error.issues.map(issue => `${issue.path.join(".")}: ${issue.message}`);
             return reply.code(422).send({ outcome: "invalid", findings });
         }
-        const proposal = await control.propose({ kind: "change-configuration", atMs: Date.now(), ...parsed.data });
+        const change = { kind: "change-configuration" as const, atMs: Date.now(), ...parsed.data };
+        const proposal = await proposeChange(control, change, callers.of(request.raw));
+        if (proposal === undefined) {
+            return reply.code(503).send(abandoned);
+        }
         return sendChange(reply, control, parsed.data.changeId, proposal);
     });
 
@@ -156,7 +189,8 @@
 export async function createOperatorsServer(options: OperatorsOptions): Promise<OperatorsServer> {
     const listener = createGracefulListener({ tls: options.tls });
     const app = fastify({ bodyLimit: maxBodyBytes, serverFactory: listener.serverFactory }) as FastifyInstance;
-    mountRoutes(app, options);
+    const callers = createWaitingCallers();
+    mountRoutes(app, options, callers);
     const { host, port } = splitAddress(options.listen);
     const url = await app.listen({ host, port });
     return {
@@ -166,6 +200,7 @@
         async stop() {
             listener.drain();
             await Promise.race([app.close(), listener.settled()]);
+            callers.stop();
         },
     };
 }
--- a/test/cli/fakeOperators.ts
+++ b/test/cli/fakeOperators.ts
@@ -60,7 +60,7 @@
             response.destroy();
             return;
         }
-        const status = { accepted: 200, conflict: 409, invalid: 422 }[result.outcome];
+        const status = { accepted: 200, conflict: 409, superseded: 409, invalid: 422 }[result.outcome];
         if (fake.closeAfterChange) {
             response.on("close", () => void fake.close());
         }
--- a/test/cluster/configuration.test.ts
+++ b/test/cluster/configuration.test.ts
@@ -37,6 +37,35 @@
         expect(result).to.deep.equal({ outcome: "invalid", version: 0, findings: ["classes[1].name: \"counter\" stands at classes[0] already"] });
     });
 
+    describe("with data centres", () => {
+        const dataCentres = ["moka", "ebene"].map(name => ({ name, region: "r", drained: false }));
+        const replaced = { ...emptyConfiguration.value, dataCentres };
+        const initial = applyConfigurationChange(
+            emptyConfiguration, { ...addClass("a", 0, 1), edits: [{ kind: "replace", configuration: replaced }] }).state;
+        const drain = (changeId: string, dataCentre: string, drained: boolean, basedOnVersion: number): ChangeConfiguration => ({
+            kind: "change-configuration", changeId, basedOnVersion, author: "a", atMs: 1, edits: [{ kind: "set-drained", dataCentre, drained }],
+        });
+        const drained = applyConfigurationChange(initial, drain("b", "moka", true, 1)).state;
+
+        // Guards against an old restore that undoes a newer drain: its operator gave up on it, and it was read or handed on late.
+        it("changes nothing if a later change than the one on which it is based has changed the same item", () => {
+            const { state, result } = applyConfigurationChange(drained, drain("c", "moka", false, 1));
+            expect(state).to.equal(drained);
+            expect(result).to.deep.equal({ outcome: "superseded", version: 2 });
+        });
+
+        it("applies a change whose items no later change has changed, and answers a resend of an accepted one", () => {
+            expect(applyConfigurationChange(drained, drain("c", "ebene", true, 1)).result).to.deep.include({ outcome: "accepted", version: 3 });
+            expect(applyConfigurationChange(drained, drain("c", "moka", false, 2)).result).to.deep.include({ outcome: "accepted", version: 3 });
+            expect(applyConfigurationChange(drained, drain("b", "moka", true, 1)).result).to.deep.include({ outcome: "accepted", repeated: true });
+        });
+
+        it("is superseded by a replacement of the whole configuration", () => {
+            const whole = applyConfigurationChange(drained, { ...addClass("d", 2, 1), edits: [{ kind: "replace", configuration: replaced }] }).state;
+            expect(applyConfigurationChange(whole, drain("e", "ebene", true, 2)).result).to.deep.equal({ outcome: "superseded", version: 3 });
+        });
+    });
+
     // After more than two days of changes, a resend of a change that is still in the history gets its original result, a different change
     // with the same id gets a conflict, and only the newest changes keep their edits, which bounds the state.
     it("answers resends from a bounded history", () => {
--- a/test/control/operators.test.ts
+++ b/test/control/operators.test.ts
@@ -39,6 +39,15 @@
         await waitUntil("the connection ends", () => operator.isEnded);
     });
 
+    // Guards against a removal that its operator has given up on and that undoes a newer addition.
+    it("does not carry out a change of voters whose operator has left", async () => {
+        operator.socket.end(removeVoterRequest);
+        await waitUntil("the connection ends", () => operator.isEnded);
+        await new Promise(resolve => setTimeout(resolve, 100));
+        expect(changeCount).to.equal(0);
+        await server.stop();
+    });
+
     it("answers a change in progress, accepts no further change and closes the connection", async () => {
         operator.send(removeVoterRequest);
         await waitUntil("the change is in progress", () => changeCount === 1);
