Soak: check evacuations, in series, over links that are cut, with wiped disks

The soak emptied data centres for three seconds at most, and nothing looked at what reached them. Evacuations now last up to twelve seconds, each second one twice in turn; the operator calls over links that can be cut, after which what it has given up on arrives late; control daemons lose their disks. evacuatedDataCentresGetNothing holds entries in touch to the stated 5 s, returnedDataCentresAreUsed asks for requests once an evacuation was ended. Both find their fault in test/soak/checks.test.ts.

--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -11,6 +11,8 @@
 export interface Bounds {
     /** From then on a new configuration is in force at daemons in touch. */
     readonly configurationAppliesMs: number;
+    /** From then on an evacuated data centre gets nothing more from daemons in touch. */
+    readonly evacuationAppliesMs: number;
     /** How long a daemon must have been undisturbed for bounds that hold for daemons in touch. */
     readonly contactMs: number;
     /** Requests that a cold upstream may get in any second, from all entries together. */
@@ -118,6 +120,43 @@
         fromMs <= call.endedAtMs && toMs >= call.sentAtMs - contactMs - configurationAppliesMs);
 }
 
+/** Returns the last order for a data centre that was sent until then. */
+function lastOrder({ evacuations }: History, dataCentre: string, untilMs: number) {
+    return evacuations.findLast(order => order.dataCentre === dataCentre && order.sentAtMs <= untilMs);
+}
+
+const evacuatedDataCentresGetNothing: Check = (history, bounds) => {
+    const callsById = new Map(history.calls.map(call => [call.id, call]));
+    return history.upstreams.flatMap(({ id: upstream, zone, arrivals }) => arrivals.flatMap(({ id, atMs }) => {
+        const order = lastOrder(history, zone, atMs);
+        const call = callsById.get(id);
+        const isDue = order?.verb === "start" && atMs > (order.acknowledgedAtMs ?? Infinity) + bounds.evacuationAppliesMs;
+        return isDue && call !== undefined && isInTouch(call, history.outages, bounds)
+            ? [`${call.entry} sent ${id} to ${upstream} ${Math.round(atMs - order.acknowledgedAtMs!)} ms after the evacuation of ${zone}`]
+            : [];
+    }));
+};
+
+/** With so many requests to a plain service, each of its data centres gets some. */
+const minPlainRuns = 100;
+
+/** An evacuation that was ended must not begin again by itself. */
+const returnedDataCentresAreUsed: Check = (history, { recoveryMs }) => {
+    const plain = history.upstreams.filter(({ id }) => !id.startsWith("i-pool")).map(({ zone, arrivals }) =>
+        ({ zone, count: arrivals.filter(({ atMs }) => atMs > history.calmFromMs + recoveryMs).length }));
+    const total = plain.reduce((sum, { count }) => sum + count, 0);
+    const returned = new Set(history.evacuations.map(({ dataCentre }) => dataCentre).filter(dataCentre => {
+        const order = lastOrder(history, dataCentre, Infinity);
+        return order?.verb === "end" && order.acknowledgedAtMs !== undefined;
+    }));
+    if (total < minPlainRuns) {
+        return [];
+    }
+    return [...returned]
+        .filter(dataCentre => !plain.some(({ zone, count }) => zone === dataCentre && count > 0))
+        .map(dataCentre => `none of ${total} plain requests reached ${dataCentre} after its evacuation was ended`);
+};
+
 const revokedKeysAreRefused: Check = ({ calls, publications, outages }, bounds) => calls.flatMap(call => {
     const { key, sentAtMs } = call;
     const isDue = ({ acknowledgedAtMs = Infinity }: { acknowledgedAtMs: number | undefined }) =>
@@ -257,7 +296,7 @@
 
 export const checks = {
     runsAtMostOnce, refusalsAreTrue, answersAreWholeAndOwn, pushbacksAreKept, leavingUpstreamsGetNothing, coldUpstreamsAreSpared,
-    revokedKeysAreRefused, readsAreNotStale,
+    evacuatedDataCentresGetNothing, returnedDataCentresAreUsed, revokedKeysAreRefused, readsAreNotStale,
     configurationsNeverRevert, configurationsApply, plannedStopsLoseNothing, groupsAreSound, recovers,
     callersWhoLeftAreNotServed, deadlinesAreKept, crashingPartsAreRefused, organisationsAreServed, urgentOnesAreServedAsOften,
 };
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -50,6 +50,15 @@
     readonly version: number | undefined;
 }
 
+/** A start or end of an evacuation, sent by the operator until a daemon acknowledged it. */
+export interface EvacuationOrder {
+    readonly dataCentre: string;
+    readonly verb: "start" | "end";
+    readonly sentAtMs: number;
+    /** Undefined if no daemon has acknowledged it. */
+    readonly acknowledgedAtMs: number | undefined;
+}
+
 /** A time in which a daemon's process was disturbed: killed, stopped, frozen or starting. */
 export interface Outage {
     readonly daemon: string;
@@ -60,6 +69,7 @@
 
 export interface UpstreamRecord {
     readonly id: string;
+    readonly zone: string;
     readonly arrivals: readonly Arrival[];
     readonly runs: readonly Run[];
     readonly pushbacks: readonly Pushback[];
@@ -71,6 +81,8 @@
     readonly calls: readonly Call[];
     readonly publications: readonly Publication[];
     readonly reads: readonly ConfigurationRead[];
+    /** In the order in which they were sent. */
+    readonly evacuations: readonly EvacuationOrder[];
     readonly outages: readonly Outage[];
     readonly upstreams: readonly UpstreamRecord[];
     /** The end of the last fault, and the end of the run. */
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -45,7 +45,8 @@
 
 /** The bounds that the smaller of the users' sites state. */
 const bounds: Bounds = {
-    configurationAppliesMs: 2_000, contactMs: 3_000, drainMs: 2_000, recoveryMs: 12_000, coldPerSecond: coldPerSecond * 1.5 + 5,
+    configurationAppliesMs: 2_000, evacuationAppliesMs: 5_000, contactMs: 3_000, drainMs: 2_000,
+    recoveryMs: 12_000, coldPerSecond: coldPerSecond * 1.5 + 5,
     deadlineMs, inFlightMs: 150, marginMs: 1_000,
 };
 /** Time after the recovery in which callers must be served again. */
@@ -101,8 +102,11 @@
 
 function keepLogs({ logFolder }: SoakOptions, faults: readonly Fault[], history: History, findings: readonly Finding[]) {
     mkdirSync(logFolder, { recursive: true });
-    const { calls, publications, reads, outages, upstreams, calmFromMs, endedAtMs } = history;
-    const records = upstreams.map(({ id, arrivals, runs, pushbacks, anomalies }) => ({ id, arrivals, runs, pushbacks, anomalies }));
-    const text = JSON.stringify({ findings, faults, calmFromMs, endedAtMs, publications, outages, upstreams: records, calls, reads });
+    const { calls, publications, reads, evacuations, outages, upstreams, calmFromMs, endedAtMs } = history;
+    const records = upstreams.map(({ id, zone, arrivals, runs, pushbacks, anomalies }) =>
+        ({ id, zone, arrivals, runs, pushbacks, anomalies }));
+    const text = JSON.stringify({
+        findings, faults, calmFromMs, endedAtMs, publications, evacuations, outages, upstreams: records, calls, reads,
+    });
     writeFileSync(join(logFolder, "history.json"), text);
 }
--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -9,11 +9,11 @@
 
 export const faultKinds = [
     "terminate-entry", "kill-entry", "freeze-entry", "reload-entry",
-    "terminate-control", "kill-control", "freeze-control", "kill-all",
+    "terminate-control", "kill-control", "freeze-control", "wipe-control", "kill-all",
     "power-off-upstream", "push-back", "limit-upstream", "replace-upstream", "delay-orders", "reset-streams", "lose-answers",
     "add-cold-upstream",
     "silence-link", "reset-link", "refuse-link",
-    "publish", "revoke-key", "evacuate",
+    "publish", "revoke-key", "evacuate", "cut-operator",
     "burst", "leaving-callers", "slow-callers", "crashing-callers",
 ] as const;
 export type FaultKind = typeof faultKinds[number];
@@ -39,10 +39,17 @@
 const [minForMs, maxForMs] = [200, 3_000];
 /** How much longer than other faults a control daemon is frozen, so that changes are accepted without it. */
 const controlFreezeFactor = 3;
+/** How much longer evacuations last than other faults, so that they outlast the time in which they come into force. */
+const evacuationFactor = 4;
+/** How much longer the operator's link is cut, so that calls that were given up arrive late. */
+const operatorCutFactor = 2;
+const lengthFactors: Partial<Record<FaultKind, number>> = {
+    "freeze-control": controlFreezeFactor, evacuate: evacuationFactor, "cut-operator": operatorCutFactor,
+};
 /** How often a kind is drawn in comparison with the others. */
-const kindWeights: Partial<Record<FaultKind, number>> = { publish: 4, "revoke-key": 2, "push-back": 2, burst: 2 };
-/** Time from the end of a control daemon's fault to the next one. */
-const controlRestMs = 3_000;
+const kindWeights: Partial<Record<FaultKind, number>> = { publish: 4, "revoke-key": 2, "push-back": 2, burst: 2, evacuate: 2, "cut-operator": 2 };
+/** Time from the end of a control daemon's fault to the next one; after the loss of a disk, until the daemon has caught up and votes. */
+const [controlRestMs, wipeRestMs] = [3_000, 8_000];
 const maxReplacements = 2;
 const maxAdditions = 3;
 const maxTarget = 1 << 20;
@@ -64,7 +71,7 @@
 function drawFault(random: Random, atMs: number, kinds: readonly FaultKind[]): Fault {
     const weighted = kinds.flatMap(kind => Array<FaultKind>(kindWeights[kind] ?? 1).fill(kind));
     const kind = weighted[Math.floor(random() * weighted.length)]!;
-    const forMs = (minForMs + random() * (maxForMs - minForMs)) * (kind === "freeze-control" ? controlFreezeFactor : 1);
+    const forMs = (minForMs + random() * (maxForMs - minForMs)) * (lengthFactors[kind] ?? 1);
     return {
         kind, atMs: Math.round(atMs), forMs: Math.round(forMs),
         target: Math.floor(random() * maxTarget),
@@ -87,7 +94,7 @@
             if (fault.atMs < controlFreeAtMs) {
                 continue;
             }
-            controlFreeAtMs = endsAtMs + controlRestMs;
+            controlFreeAtMs = endsAtMs + (fault.kind === "wipe-control" ? wipeRestMs : controlRestMs);
         }
         if (isEntryOutage(fault.kind)) {
             // One entry at least serves; a stop may take as long as its requests.
@@ -100,7 +107,7 @@
             if (fault.atMs < evacuationFreeAtMs) {
                 continue;
             }
-            evacuationFreeAtMs = endsAtMs;
+            evacuationFreeAtMs = endsAtMs + fault.forMs;
         }
         if (fault.kind === "replace-upstream" && ++replacements > maxReplacements) {
             continue;
--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -12,6 +12,7 @@
 import { type Relay, startRelay } from "../../standin/relay.js";
 import { crashingPart, streamRoutes, tenants } from "./callers.js";
 import type { ConfigurationRead, History, Outage, Publication } from "./history.js";
+import { startOperator } from "./operator.js";
 import type { Fault } from "./schedule.js";
 
 export interface WorldOptions {
@@ -79,6 +80,7 @@
 export async function startWorld(options: WorldOptions): Promise<World> {
     const processes = createSiteProcesses({ ...options, controls: controlCount, memoryLimitMb });
     const { controls, entries } = processes;
+    const operator = await startOperator(controls.map(processes.controlAddress));
     const runners: Runner[] = [];
     const relays = new Map<string, Relay>();
     const publications: (Publication & { acknowledgedAtMs: number | undefined })[] = [];
@@ -129,16 +131,9 @@
         publications.push(publication);
         const routes = [...streamRoutes, ...routesOf(version)];
         const text = configurationText(version, { routes, keys: ["key-1", ...extraKeys], coldPerSecond, slots, tenants });
-        for (let attempt = 0; attempt < 20 && !isStopped; attempt++) {
-            const control = controls[(target + attempt) % controls.length]!;
-            const { status } = await callControlDaemon(processes.controlAddress(control), "POST", "/api/config/put", text);
-            if (status === 200) {
-                publication.acknowledgedAtMs = performance.now();
-                return true;
-            }
-            await pause(200);
-        }
-        return false;
+        const isAcknowledged = await operator.send("/api/config/put", text, target);
+        publication.acknowledgedAtMs = isAcknowledged ? performance.now() : undefined;
+        return isAcknowledged;
     }
 
     async function readRepeatedly(control: DaemonSpec) {
@@ -158,10 +153,13 @@
         outage.toMs = performance.now() + startMs;
     }
 
-    const restart = (daemon: DaemonSpec, signal: "SIGTERM" | "SIGKILL", downMs: number) =>
+    const restart = (daemon: DaemonSpec, signal: "SIGTERM" | "SIGKILL", downMs: number, losesDisk = false) =>
         withOutage(daemon, signal === "SIGTERM" ? "planned" : "unplanned", async () => {
             await processes.signal(daemon.id, signal);
             await pause(downMs);
+            if (losesDisk) {
+                processes.wipe(daemon.id);
+            }
             processes.start(daemon.id);
         });
 
@@ -183,22 +181,6 @@
         leaving.isPoweredOff = true;
     }
 
-    async function evacuate(dataCentre: string, forMs: number, target: number) {
-        const call = async (verb: "start" | "end") => {
-            for (let attempt = 0; attempt < 20 && !isStopped; attempt++) {
-                const control = controls[(target + attempt) % controls.length]!;
-                const path = `/api/evacuations/${dataCentre}/${verb}`;
-                if ((await callControlDaemon(processes.controlAddress(control), "POST", path)).status === 200) {
-                    return;
-                }
-                await pause(200);
-            }
-        };
-        await call("start");
-        await pause(forMs);
-        await call("end");
-    }
-
     /** Sets a property of a runner for a while. */
     async function during<Key extends "isPoweredOff" | "pushbackS" | "limitPerSecond" | "orderDelayMs" | "resetAfterEvents" | "losesAnswers">(
         runner: Runner, key: Key, value: Runner[Key], forMs: number,
@@ -238,6 +220,10 @@
                 return;
             case "freeze-control":
                 return freeze(control, forMs);
+            case "wipe-control":
+                return restart(control, "SIGKILL", forMs, true);
+            case "cut-operator":
+                return operator.cut(target % controls.length, forMs);
             case "kill-all":
                 await Promise.all([...controls, ...entries].map(daemon => restart(daemon, "SIGKILL", forMs)));
                 return;
@@ -276,7 +262,8 @@
                 await publish(target);
                 return;
             case "evacuate":
-                return evacuate(dataCentres[target % dataCentres.length]!, forMs, target);
+                // Two rounds in turn show whether a late end of the first undoes the second.
+                return operator.evacuate(dataCentres[target % dataCentres.length]!, forMs, 1 + target % 2, target);
         }
     }
 
@@ -293,9 +280,10 @@
         routeVersion: () => publications.findLast(({ acknowledgedAtMs }) => acknowledgedAtMs !== undefined)?.version,
         key: () => publications.at(-1 - publications.length % 3)?.keys[0],
         apply,
-        record: () => ({ publications, reads, outages, upstreams: runners }),
+        record: () => ({ publications, reads, evacuations: operator.evacuations, outages, upstreams: runners }),
         async stop() {
             isStopped = true;
+            operator.stop();
             await processes.stop();
             await Promise.all(readsDone);
             relays.forEach(relay => relay.stop());
--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -17,8 +17,7 @@
 export const bulkPath = "/bulk/";
 export const bulkPadding = `: ${"x".repeat(1 << 20)}\n`;
 const healthPath = "/";
-/** Downtime after a crash. */
-const restartMs = 300;
+const restartAfterCrashMs = 300;
 
 async function readBody(message: IncomingMessage): Promise<string> {
     let text = "";
@@ -54,6 +53,7 @@
 
     const runner: Runner = {
         id: options.id,
+        zone: options.zone,
         get address() {
             return address;
         },
@@ -299,7 +299,7 @@
                 isDown = false;
                 void sendHeartbeat();
             });
-        }, restartMs);
+        }, restartAfterCrashMs);
     }
 
     async function handleOrder(message: IncomingMessage, response: ServerResponse) {
--- a/standin/platform/runnerTypes.ts
+++ b/standin/platform/runnerTypes.ts
@@ -59,6 +59,7 @@
 
 export interface Runner {
     readonly id: string;
+    readonly zone: string;
     readonly address: string;
     readonly runs: Run[];
     readonly arrivals: Arrival[];
--- a/standin/relay.ts
+++ b/standin/relay.ts
@@ -1,6 +1,6 @@
 /**
  * A TCP relay between two processes to simulate link faults: connections that are reset, refused, or silent in one or
- * both directions while new connections work.
+ * both directions while new connections work, and a link that is cut for a while and then delivers what was sent over it.
  *
  * @module
  */
@@ -23,6 +23,8 @@
     silence(...directions: Direction[]): void;
     /** Resets every open connection. */
     resetConnections(): void;
+    /** Sets whether data and ends of connections, open and new, are held back. What was held is delivered in order afterwards. */
+    setHolding(isHolding: boolean): void;
     /** Sets whether new connections are refused. */
     setRefusing(isRefusing: boolean): void;
     /** Number of connections accepted since the start. */
@@ -35,6 +37,7 @@
     const [host, port] = target.split(":") as [string, string];
     const pairs = new Set<ConnectionPair>();
     let refusesConnections = false;
+    let isHolding = false;
     let acceptedCount = 0;
 
     function forward(from: Socket, to: Socket, direction: Direction, pair: ConnectionPair) {
@@ -48,6 +51,10 @@
         });
     }
 
+    function hold({ inbound, outbound }: ConnectionPair) {
+        [inbound, outbound].forEach(socket => isHolding ? socket.pause() : socket.resume());
+    }
+
     const server = createServer(inbound => {
         if (refusesConnections) {
             inbound.destroy();
@@ -57,6 +64,7 @@
         const outbound = connect(Number(port), host);
         const pair: ConnectionPair = { inbound, outbound, silencedDirections: new Set() };
         pairs.add(pair);
+        hold(pair);
         forward(inbound, outbound, "there", pair);
         forward(outbound, inbound, "back", pair);
     });
@@ -75,6 +83,10 @@
         address: `127.0.0.1:${bound.port}`,
         silence: (...directions) => pairs.forEach(pair => directions.forEach(direction => pair.silencedDirections.add(direction))),
         resetConnections,
+        setHolding(holds) {
+            isHolding = holds;
+            pairs.forEach(hold);
+        },
         setRefusing(isRefusing) {
             refusesConnections = isRefusing;
         },
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -3,7 +3,7 @@
 import type { Call, History, UpstreamRecord } from "../../bench/soak/history.js";
 
 const bounds: Bounds = {
-    configurationAppliesMs: 2_000, contactMs: 3_000, drainMs: 2_000, recoveryMs: 10_000, coldPerSecond: 20,
+    configurationAppliesMs: 2_000, evacuationAppliesMs: 5_000, contactMs: 3_000, drainMs: 2_000, recoveryMs: 10_000, coldPerSecond: 20,
     deadlineMs: 3_000, inFlightMs: 150, marginMs: 1_000,
 };
 
@@ -14,13 +14,13 @@
 }
 
 function upstream(change: Partial<UpstreamRecord> = {}): UpstreamRecord {
-    return { id: "u1", arrivals: [], runs: [], pushbacks: [], anomalies: [], crashTimesMs: [], ...change };
+    return { id: "u1", zone: "dc-0", arrivals: [], runs: [], pushbacks: [], anomalies: [], crashTimesMs: [], ...change };
 }
 
 /** A history without findings but for what `change` brings. */
 function checksOf(change: Partial<History>): string[] {
     const history: History = {
-        publications: [], reads: [], outages: [], upstreams: [], calmFromMs: 0, endedAtMs: 20_000, ...change,
+        publications: [], reads: [], evacuations: [], outages: [], upstreams: [], calmFromMs: 0, endedAtMs: 20_000, ...change,
         calls: [...change.calls ?? [], call("last", { kind: "read", sentAtMs: 15_000, endedAtMs: 15_010 })],
     };
     return findViolations(history, bounds).map(({ check }) => check);
@@ -53,6 +53,25 @@
         expect(checksOf({ calls, upstreams, outages })).to.deep.equal([]);
     });
 
+    it("find requests into an evacuated data centre, until its end was asked for, unless an entry or control was disturbed", () => {
+        const calls = [call("a", { sentAtMs: 6_000, endedAtMs: 6_010 })];
+        const start = { dataCentre: "dc-0", verb: "start" as const, sentAtMs: 500, acknowledgedAtMs: 900 };
+        const end = { dataCentre: "dc-0", verb: "end" as const, sentAtMs: 5_950, acknowledgedAtMs: undefined };
+        const history = { calls, upstreams: [upstream({ arrivals: [at("a", 6_005)] })] };
+        const outages = [{ daemon: "control-1", kind: "unplanned" as const, fromMs: 500, toMs: 1_500 }];
+        expect(checksOf({ ...history, evacuations: [start] })).to.deep.equal(["evacuatedDataCentresGetNothing"]);
+        expect(checksOf({ ...history, evacuations: [start, end] })).to.deep.equal([]);
+        expect(checksOf({ ...history, evacuations: [{ ...start, acknowledgedAtMs: 1_100 }] })).to.deep.equal([]);
+        expect(checksOf({ ...history, evacuations: [start], outages })).to.deep.equal([]);
+    });
+
+    it("find a data centre without requests although its evacuation was ended", () => {
+        const upstreams = [upstream(), upstream({ zone: "dc-1", arrivals: Array.from({ length: 100 }, (_, index) => at(`a${index}`, 11_000)) })];
+        const end = { dataCentre: "dc-0", verb: "end" as const, sentAtMs: 500, acknowledgedAtMs: 900 };
+        expect(checksOf({ upstreams, evacuations: [end] })).to.deep.equal(["returnedDataCentresAreUsed"]);
+        expect(checksOf({ upstreams, evacuations: [{ ...end, dataCentre: "dc-1" }] })).to.deep.equal([]);
+    });
+
     it("find requests to an upstream that has said to the entry that it leaves", () => {
         const calls = [call("a", { leavingUpstream: "u1" }), call("b", { sentAtMs: 2_500, endedAtMs: 2_510 })];
         const upstreams = [upstream({ arrivals: [at("a", 5), at("b", 2_505)] })];
