A new control leader publishes its verdicts, also if it has none

Its logs are gone, so it is not shown that this was the cause.

Read in the code: entries keep the verdicts of the last leader. If that stops before it withdraws that an upstream is silent, a new leader without verdicts published nothing, since an empty list equalled what it had published at its start, and entries avoided the upstream until the next verdict of any kind. A new leader now publishes what it holds, an empty list after a second, in which it has probed. test/siteControl/verdicts.test.ts covers it without a network; no run of real processes has shown the fault.

--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -27,6 +27,7 @@
 import { createProposer, operatorTimeoutMs } from "./proposals.js";
 import { createRecovery } from "./recovery.js";
 import type { SiteControl, SiteControlOptions } from "./siteControlTypes.js";
+import { createVerdicts } from "./verdicts.js";
 
 /** How often groups are planned if nothing changes. Lost orders are repeated by these steps. */
 const planIntervalMs = 150;
@@ -47,7 +48,7 @@
     const directory = createDirectory();
     const siteFrames = createSiteFrames();
     const currentTable = createCurrentTable(log, dialect, logger);
-    let lastPublished: { version: number; evacuated: string; lost: string; controls: string } = { version: -1, evacuated: "", lost: "", controls: "" };
+    let lastPublished: { version: number; evacuated: string; controls: string } = { version: -1, evacuated: "", controls: "" };
     let timers: NodeJS.Timeout[] = [];
     let nextCleanupAtMs = 0;
     const directoryFeed = createDirectoryFeed({
@@ -229,22 +230,14 @@
         isEmptyDivisionPublished = isEmpty;
     }
 
-    function publishJudged() {
-        const lost = [...groupLeader.lostIds, ...barredFingerprints(log)].join(",");
-        if (lost !== lastPublished.lost) {
-            feed.publish(judgedFrame());
-            lastPublished = { ...lastPublished, lost };
-        }
-    }
+    const verdicts = createVerdicts({ nowMs, publish: () => feed.publish(judgedFrame()) });
 
     function plan() {
         const table = currentTable();
         if (table !== undefined) {
             groupLeader.planStep(table);
         }
-        if (isLeader()) {
-            publishJudged();
-        }
+        verdicts.update(isLeader(), [...groupLeader.lostIds, ...barredFingerprints(log)]);
         if (nowMs() > nextCleanupAtMs) {
             directory.removeExpired(nowMs());
             nextCleanupAtMs = nowMs() + cleanupIntervalMs;
