A daemon that ends because of an exception says why in its log

What callers saw: an entry ended with an exit status while it served, and none of its log lines told why, so several causes looked alike. Cause: no process handled an exception that reaches the top or a rejected promise that nobody awaits. Node writes a stack to standard error, outside the structured log. Change: both programs write one line with the daemon's id, the origin and the stack, flush the lines that are held, and end with status 1 as before. An exception that costs a single request, frame or task will be counted and logged by the same module.

--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -7,6 +7,7 @@
 import { parseArgs } from "node:util";
 import { formatFinding, loadSettings } from "./config/index.js";
 import { createDaemon } from "./compose.js";
+import { createLogger, logFatalException } from "./telemetry/index.js";
 
 const settingsExitCode = 3;
 
@@ -31,6 +32,7 @@
         console.log(`${values.settings}: no findings`);
         return;
     }
+    logFatalException(createLogger("error", settings.daemon.id));
     const started = Promise.resolve().then(() => createDaemon(settings));
     let isStopping = false;
     const stop = () => {
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -35,6 +35,8 @@
     reload(settings: SiteSettings): void;
     /** States why the settings file can't be used; without findings, that it can be used again. */
     reportSettingsFile(findings: readonly string[]): void;
+    /** Resolves once the log lines so far are written, or after a short time. */
+    flushLog(): Promise<void>;
     stop(): Promise<void>;
 }
 
@@ -169,6 +171,7 @@
             }
             logger.warn("settings file can't be used; the settings in force stay", { findings });
         },
+        flushLog: () => output.flush(logFlushTimeoutMs),
         async stop() {
             logger.info("stopping on request");
             await Promise.all(stopHooks.map(hook => hook()));
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -23,6 +23,8 @@
     recordOrder(kind: string, outcome: string): void;
     /** Counts a report of this entry that carried its loads. */
     recordLoadReport(): void;
+    /** Counts an exception that was contained, by what it cost: a `request`, a `frame` of the feed or a run of a periodic `task`. */
+    recordException(cost: ExceptionCost): void;
     /** Counts a new connection that was closed unread because the processor is saturated. */
     recordConnectionClosed(): void;
     /** Counts a pause of reading, a refusal or a cut-off because of the bytes held for callers and upstreams. */
@@ -39,6 +41,9 @@
     readonly contentType: string;
 }
 
+/** What a contained exception costs; everything else goes on. */
+export type ExceptionCost = "request" | "frame" | "task";
+
 export interface AdmissionSample {
     readonly route: string;
     readonly outcome: string;
@@ -115,6 +120,7 @@
     const stoppingCounter = new Counter({ name: "zinnialanding_stopping_requests_total", help: "Requests that came or were cut off while the entry stops.", labelNames: ["listener", "connection", "outcome"], registers });
     const orderCounter = new Counter({ name: "zinnialanding_orders_total", help: "Orders to engines.", labelNames: ["kind", "outcome"], registers });
     const loadReportCounter = new Counter({ name: "zinnialanding_load_reports_total", help: "Reports that carried this entry's loads.", registers });
+    const exceptionCounter = new Counter({ name: "zinnialanding_exceptions_total", help: "Exceptions that ended one request, frame or task.", labelNames: ["cost"], registers });
     const closedConnectionCounter = new Counter({ name: "zinnialanding_connections_closed_unread_total", help: "New connections closed because the processor is saturated.", registers });
     const memoryCounter = new Counter({ name: "zinnialanding_memory_actions_total", help: "Pauses, refusals and cut-offs because of held bytes.", labelNames: ["action", "reason"], registers });
     const admissionSeconds = new Histogram({ name: "zinnialanding_admission_wait_seconds", help: "From arrival to the decision on a stream that asked for room.", labelNames: ["route", "outcome"], buckets: bucketBoundsS, registers });
@@ -150,6 +156,7 @@
         },
         recordOrder: (kind, outcome) => orderCounter.inc({ kind, outcome }),
         recordLoadReport: () => loadReportCounter.inc(),
+        recordException: cost => exceptionCounter.inc({ cost }),
         recordConnectionClosed: () => closedConnectionCounter.inc(),
         recordMemoryAction: (action, reason) => memoryCounter.inc({ action, reason }),
         registerHeldBytes: read => registerLabelled("zinnialanding_held_bytes", "Bytes held for callers and upstreams.", "kind", read),
