An exception costs one request, not the entry

What callers saw: an entry ended by itself, its streams were cut off and requests stayed without an answer, again after each start. Cause: what throws while an attempt starts left it half-made. A connection to an address such as 127.0.0.1:65536 can't be constructed; by then the attempt had set its timer and registered its place and its caller, and the timer's next look for a stall used the exchange that was never made: a ReferenceError that nobody handled. Likewise, whatever the callbacks of timers, sockets and of the HTTP client's parser threw ended the process with all its requests. Change: starting an exchange neither throws nor calls back before it has returned, and an attempt registers nothing before it. Callbacks of one request are contained: an exception is counted and logged, and ends that request, as not run where nothing can have been sent. Periodic tasks and the frames of the feed are contained one by one, at entries and at control daemons. An answer counts as begun only once its head could be written, so that one with a head that can't be written is replaced by a failure. The log and the durable state still end the process. The models of tests rethrow, so that a contained exception fails them as before.

--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Site } from "../site/index.js";
+import { createContainment } from "../runtime/index.js";
 import type { AdmissionDecision, Submission } from "./admissionTypes.js";
 import { createModelQueue, type ModelQueue, type ModelQueueDependencies } from "./modelQueue.js";
 import type { ParsedRequest } from "./parsedRequest.js";
@@ -35,6 +36,8 @@
 export interface AdmissionOptions extends Omit<ModelQueueDependencies, "wake"> {
     /** Whether overload control acts for a service. */
     isActive(service: string, site: Site): boolean;
+    /** Records an exception; the queue in which it was thrown is decided again with the next change. */
+    recordException(error: unknown): void;
     /** Calls back once the present callback has returned. */
     defer?(callback: () => void): void;
     /** Calls back once after a delay; returns a function that cancels this. */
@@ -53,6 +56,7 @@
     const queues = new Map<string, ModelQueue>();
     let isClosed = false;
     let isWoken = false;
+    const contained = createContainment(error => options.recordException(error));
     let timer: { readonly dueMs: number; cancel(): void } | undefined;
 
     function queueOf({ service, model }: Submission): ModelQueue {
@@ -101,7 +105,7 @@
     function pumpAll() {
         for (const [key, queue] of queues) {
             if (queue.waiting > 0) {
-                queue.pump();
+                contained(() => queue.pump())();
             }
             else if (!queue.isServed) {
                 queues.delete(key);
--- a/src/gateway/answer.ts
+++ b/src/gateway/answer.ts
@@ -41,10 +41,11 @@
     let isStarted = false;
     let isOver = false;
 
+    /** Throws if a header or the status can't be written; the answer has not begun then. */
     function writeHead(status: number, headers: string[]) {
-        isStarted = true;
         const allHeaders = options.announcesClose() ? [...headers, "Connection", "close"] : headers;
         response.writeHead(status, allHeaders);
+        isStarted = true;
     }
 
     response.on("drain", () => {
@@ -84,9 +85,9 @@
         },
         sendWhole(status, headers, body) {
             if (!isStarted && !isOver) {
-                isOver = true;
                 const withoutLength = headers.filter((_, index) => headers[index - index % 2]!.toLowerCase() !== "content-length");
                 writeHead(status, [...withoutLength, "Content-Length", String(body.length)]);
+                isOver = true;
                 response.end(body);
                 options.onWritten?.();
             }
@@ -95,11 +96,11 @@
             if (isStarted || isOver) {
                 return;
             }
-            isOver = true;
             const body = Buffer.from(JSON.stringify({ status, reason }));
             // Rounded up, so that no caller returns before the time.
             const retryAfter = retryAfterMs === undefined ? [] : ["Retry-After", (Math.ceil(retryAfterMs / 10) / 100).toFixed(2)];
             writeHead(status, [...options.ownHeaders, ...retryAfter, "Content-Type", "application/json", "Content-Length", String(body.length)]);
+            isOver = true;
             response.write(body, options.onWritten);
             options.onWritten?.();
             // Ending the connection while bytes of the request are unread resets it, and the caller could lose this answer.
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -6,6 +6,7 @@
  */
 
 import type { UpstreamSignals } from "../fleet/index.js";
+import { createContainment } from "../runtime/index.js";
 import { foreignReason, isFromOtherUpstream } from "./answerOrigin.js";
 import type { AttemptFailure } from "./attemptFailure.js";
 import type { AttemptDependencies, AttemptOptions, RunningAttempt } from "./attemptTypes.js";
@@ -39,7 +40,19 @@
     /** Whether reading from the upstream has been paused since the last event. */
     let wasPaused = false;
 
+    const contained = createContainment(onThrown);
     const observation = isObserved() ? dependencies.latency?.requestSent(upstream, request, needsConnection()) : undefined;
+    const exchangeRequest: ExchangeRequest = {
+        method: request.method,
+        path: request.path,
+        headers: options.headers,
+        body: request.body,
+        needsNewConnection: !options.isRepeatable,
+    };
+    const exchange = dependencies.connections.start(upstream.address, exchangeRequest, {
+        head: contained(onHead), data: contained(onData), end: contained(onEnd), failed: contained(onExchangeFailed),
+    });
+    // Whatever is registered from here on is undone by `end`.
     const releaseHolder = holder.retain();
     const source = holder.attach({ pause: pauseReading, resume: () => exchange.resume() });
     balancer.requestSent(upstream, upstream.coldUntilMs > dependencies.nowMs());
@@ -48,7 +61,7 @@
     }
     const sentAtMs = dependencies.nowMs();
     let lastProgressAtMs = sentAtMs;
-    const stallTimer = options.isRepeatable ? setInterval(checkStalled, stallCheckIntervalMs) : undefined;
+    const stallTimer = options.isRepeatable ? setInterval(contained(checkStalled), stallCheckIntervalMs) : undefined;
 
     /** Late streams wait for others, and a continued one has its previous events as a further prompt. */
     function isObserved(): boolean {
@@ -88,6 +101,14 @@
         fail({ kind: "unknown", reason, isCrash: false });
     }
 
+    /** Gives up an attempt whose answer can't be handled, at the cost of its request alone. */
+    function onThrown(error: unknown) {
+        dependencies.recordException(error, { request: request.attemptId, upstream: upstream.id });
+        if (!isOver) {
+            abandon("its answer could not be handled");
+        }
+    }
+
     /**
      * Returns why the attempt counts as stalled, or undefined. A group that has lost a member sends nothing until its head notices this,
      * seconds later.
@@ -288,16 +309,6 @@
         fail({ kind: "not-run", reason: error.message, isUpstreamAtFault: true, isUnsent: true });
     }
 
-    const exchangeRequest: ExchangeRequest = {
-        method: request.method,
-        path: request.path,
-        headers: options.headers,
-        body: request.body,
-        needsNewConnection: !options.isRepeatable,
-    };
-    const exchange = dependencies.connections.start(upstream.address, exchangeRequest, {
-        head: onHead, data: onData, end: onEnd, failed: onExchangeFailed,
-    });
     return {
         upstream,
         get hasEvents() {
--- a/src/gateway/attemptTypes.ts
+++ b/src/gateway/attemptTypes.ts
@@ -23,6 +23,8 @@
     readonly connections: Connections;
     readonly pushbacks: Pushbacks;
     nowMs(): number;
+    /** Records an exception that costs one request; `fields` name it. */
+    recordException(error: unknown, fields: object): void;
     /** Records the limit in requests a second, or its absence, that the answer to a request sent at `sentAtMs` states. */
     recordLimit(upstream: Upstream, perSecond: number | undefined, sentAtMs: number): void;
     /** Observes when the events of streams come. */
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -53,6 +53,7 @@
 }
 
 export interface Connections {
+    /** Starts an exchange. Doesn't throw, and calls back only after it has returned, also if no connection can be made to `address`. */
     start(address: string, exchange: ExchangeRequest, events: ExchangeEvents): RunningExchange;
     /** Whether an idle connection to `address` can be reused now. */
     hasIdle(address: string): boolean;
@@ -134,14 +135,17 @@
     }
 
     function start(address: string, request: ExchangeRequest, events: ExchangeEvents): RunningExchange {
-        const connection = acquire(address, request.needsNewConnection);
+        let connection: Connection | undefined;
         let controller: Dispatcher.DispatchController | undefined;
+        let isStarting = true;
         let isOver = false;
         let isSent = false;
-        connection.isBusy = true;
 
         function release(isReusable: boolean) {
             isOver = true;
+            if (connection === undefined) {
+                return;
+            }
             connection.isBusy = false;
             connection.lastUsedAtMs = performance.now();
             if (!isReusable) {
@@ -150,6 +154,10 @@
         }
 
         function fail(error: Error) {
+            if (isStarting) {
+                queueMicrotask(() => fail(error));
+                return;
+            }
             if (!isOver) {
                 release(false);
                 events.failed(error, isSent);
@@ -180,7 +188,7 @@
                 if (isOver) {
                     return;
                 }
-                if (connection.wasReset) {
+                if (connection?.wasReset) {
                     fail(new Error("the connection was reset before the answer's end"));
                     return;
                 }
@@ -192,14 +200,17 @@
             },
         };
         try {
+            connection = acquire(address, request.needsNewConnection);
+            connection.isBusy = true;
             connection.client.dispatch({
                 origin: `http://${address}`, path: request.path, method: request.method as Dispatcher.HttpMethod,
                 headers: request.headers, ...request.body === undefined ? {} : { body: request.body },
             }, handler);
         }
         catch (error) {
-            queueMicrotask(() => fail(error as Error));
+            fail(error as Error);
         }
+        isStarting = false;
         return {
             abort() {
                 if (!isOver) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,11 +5,11 @@
  */
 
 import { RetryBudget } from "../admission/index.js";
-import { createFeedWatcher } from "../feed/index.js";
+import { createFeedWatcher, type Frame, type LogPosition } from "../feed/index.js";
 import { createPushbacks } from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { createOverloadCheck, type OverloadMode, type SiteDialect } from "../site/index.js";
-import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import { createExceptionLog, type Logger, type SiteMetrics } from "../telemetry/index.js";
 import { createAdmission } from "./admission.js";
 import { createAllowances } from "./allowances.js";
 import { createBalancer } from "./balancer.js";
@@ -21,7 +21,7 @@
 import { createGroupPrediction } from "./groupPrediction.js";
 import type { HeaderNames } from "./headers.js";
 import { createLoadReports } from "./loadReports.js";
-import { createLoopTicks } from "../runtime/index.js";
+import { createContainment, createLoopTicks } from "../runtime/index.js";
 import { createLimits } from "./limits.js";
 import { createMemory, heldKinds, unboundedMemory } from "./memory/index.js";
 import { type GatewayServer, listenForCallers } from "./server.js";
@@ -94,6 +94,8 @@
 export async function createGateway(options: GatewayOptions): Promise<Gateway> {
     const { logger, metrics } = options;
     const nowMs = () => performance.now();
+    const exceptions = createExceptionLog({ logger, count: metrics.recordException, nowMs });
+    const contained = createContainment(error => exceptions.record("task", error));
     const view = createSiteView(options.dialect, logger);
     const startHold = createStartHold({ view, heartbeatMs: options.heartbeatMs, nowMs });
     const entryCount = createEntryCount(nowMs);
@@ -117,7 +119,7 @@
     const admission = createAdmission({
         view, room: groupRoom, nowMs, random: Math.random, isAvoided: balancer.isAvoided, record: metrics.recordAdmission,
         pushbackLeftMs: candidates => pushbackLeftMs(candidates, pushbacks),
-        isActive,
+        isActive, recordException: error => exceptions.record("task", error),
     });
     const crashes = createCrashLog({ logger, nowMs, suspectedParts: () => view.suspectedParts });
     const workload = createWorkload();
@@ -179,6 +181,30 @@
         return newBudget;
     }
 
+    function applyFrame(frame: Frame, address: string, log?: LogPosition) {
+        view.apply(frame, address, log);
+        if (frame.kind === "upstreams") {
+            admission.roomChanged();
+        }
+        startHold.controlHeard();
+        startHold.viewChanged();
+        if (frame.kind === "crash-causes" || frame.kind === "judged") {
+            endBarred();
+        }
+        if (frame.kind === "limits") {
+            limits.applyDivision(frame);
+        }
+        if (frame.kind === "pushbacks" && frame.vm === vm) {
+            pushbacks.merge(frame.pushbacks);
+        }
+        if (frame.kind === "controls") {
+            watcher.watch(frame.addresses);
+        }
+        if (frame.kind === "alive" && frame.entries !== undefined) {
+            entryCount.update(address, frame.entries);
+        }
+    }
+
     /** Has no effect until the entry listens. */
     let endBarred: () => void = () => undefined;
     const watcher = createFeedWatcher({
@@ -186,27 +212,8 @@
         isEntry: true,
         dataCentre: options.dataCentre,
         onFrame(frame, address, log) {
-            view.apply(frame, address, log);
-            if (frame.kind === "upstreams") {
-                admission.roomChanged();
-            }
-            startHold.controlHeard();
-            startHold.viewChanged();
-            if (frame.kind === "crash-causes" || frame.kind === "judged") {
-                endBarred();
-            }
-            if (frame.kind === "limits") {
-                limits.applyDivision(frame);
-            }
-            if (frame.kind === "pushbacks" && frame.vm === vm) {
-                pushbacks.merge(frame.pushbacks);
-            }
-            if (frame.kind === "controls") {
-                watcher.watch(frame.addresses);
-            }
-            if (frame.kind === "alive" && frame.entries !== undefined) {
-                entryCount.update(address, frame.entries);
-            }
+            const onThrown = (error: unknown) => exceptions.record("frame", error, { kind: frame.kind, from: address });
+            createContainment(onThrown)(() => applyFrame(frame, address, log))();
         },
         onHeardChanged: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
         onUnreadableLoads: error => logger.warn("answer about shared loads ignored", { error }),
@@ -218,6 +225,7 @@
     const server: GatewayServer = await listenForCallers(options.callerAddress, {
         names: options.headerNames, view, startHold, balancer, connections, memory, pushbacks, logger, dataCentre: options.dataCentre,
         nowMs, random: Math.random, queueLimits: queueLimitsFor, admission, groupRoom, latency,
+        recordException: (error, fields) => exceptions.record("request", error, fields),
         mayRetry: service => budgetOf(service).tryRetry(nowMs()) === undefined,
         recordLimit: limits.limitSeen,
         recordCrash: (request, upstream) => crashes.record(request, upstream),
@@ -274,17 +282,17 @@
     }
 
     const timers = [
-        setInterval(() => {
+        setInterval(contained(() => {
             loopTicks.tick();
             sharedLoads.checkAge();
             view.checkAge();
             crashes.logCollected();
             report();
-        }, suspectCheckIntervalMs),
-        setInterval(() => connections.sweep(view.addresses), sweepIntervalMs),
-        setInterval(askHeard, askHeardIntervalMs),
-        setInterval(() => memory.check(), memoryCheckIntervalMs),
-        setInterval(() => shedding.sample(), busySampleIntervalMs),
+        }), suspectCheckIntervalMs),
+        setInterval(contained(() => connections.sweep(view.addresses)), sweepIntervalMs),
+        setInterval(contained(askHeard), askHeardIntervalMs),
+        setInterval(contained(() => memory.check()), memoryCheckIntervalMs),
+        setInterval(contained(() => shedding.sample()), busySampleIntervalMs),
     ];
 
     function activityLogFields() {
--- a/src/gateway/lateQueue.ts
+++ b/src/gateway/lateQueue.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { Upstream } from "../fleet/index.js";
 import type { Balancer } from "./balancer.js";
 import type { ParsedRequest } from "./parsedRequest.js";
 import type { Candidate } from "./siteView.js";
@@ -30,6 +31,18 @@
         !balancer.isLateQueueStalled(upstream, request.route.patienceMs * lateQueueStallShare);
 }
 
+/** Counts a request in the late queue of `upstream`. The first call of the returned function ends this; others have no effect. */
+export function joinLateQueue(upstream: Upstream, balancer: Balancer): (hasStarted: boolean) => void {
+    const sentAtMs = balancer.lateQueued(upstream);
+    let isQueued = true;
+    return hasStarted => {
+        if (isQueued) {
+            isQueued = false;
+            balancer.lateDequeued(upstream, sentAtMs, hasStarted);
+        }
+    };
+}
+
 /** Log fields of a refusal due to full queues: the best upstream, its estimated queues and limits, and the number of candidates. */
 export function queueLogFields(candidate: Candidate, candidates: number, request: ParsedRequest, dependencies: BoundsDependencies) {
     const { upstream } = candidate;
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -12,6 +12,7 @@
  */
 
 import type { Upstream } from "../fleet/index.js";
+import { createContainment } from "../runtime/index.js";
 import type { AdmissionDecision } from "./admissionTypes.js";
 import type { CallerAnswer } from "./answer.js";
 import type { ParsedRequest } from "./parsedRequest.js";
@@ -21,7 +22,7 @@
 import { chooseService } from "./chooseService.js";
 import { createEventSplitter } from "./events.js";
 import { answerHeaders } from "./headers.js";
-import { isOnTimeQueueFull, mayQueueLate, queueLogFields } from "./lateQueue.js";
+import { isOnTimeQueueFull, joinLateQueue, mayQueueLate, queueLogFields } from "./lateQueue.js";
 import type { Holder } from "./memory/index.js";
 import { outgoingHeaders } from "./outgoingHeaders.js";
 import type { Outcome, RequestDependencies, RunningRequest } from "./requestTypes.js";
@@ -72,7 +73,8 @@
     /** How long the first attempt has waited for room; undefined if it was not subject to admission. */
     let waitedMs: number | undefined;
 
-    const deadline = setTimeout(onTimeout, Math.max(0, request.giveUpAtMs - dependencies.nowMs()));
+    const contained = createContainment(onThrown);
+    const deadline = setTimeout(contained(onTimeout), Math.max(0, request.giveUpAtMs - dependencies.nowMs()));
 
     function finish(outcome: Outcome, fields: object = {}) {
         if (isOver) {
@@ -105,6 +107,12 @@
         finish("failed", { reason, upstream });
     }
 
+    /** Ends the request after an exception. */
+    function onThrown(error: unknown) {
+        dependencies.recordException(error, { request: request.attemptId, upstream: currentAttempt?.upstream.id });
+        endNow("the entry could not handle it");
+    }
+
     function onTimeout() {
         const upstream = currentAttempt?.upstream.id;
         ticket?.cancel();
@@ -144,7 +152,7 @@
             return;
         }
         isWaiting = true;
-        ticket = admission.submit({ request, service, model: model!, choose }, onAdmission);
+        ticket = admission.submit({ request, service, model: model!, choose }, contained(onAdmission));
     }
 
     function onAdmission(decision: AdmissionDecision) {
@@ -260,77 +268,81 @@
     /** `released` is set if the admission has given the request its room. */
     function startAttemptAt(upstream: Upstream, isLate: boolean, released?: () => void) {
         attempts++;
-        let isInLateQueue = isLate && released === undefined;
-        const lateSentAtMs = isInLateQueue ? balancer.lateQueued(upstream) : undefined;
-        const leaveLateQueue = (hasStarted: boolean) => {
-            if (isInLateQueue) {
-                isInLateQueue = false;
-                balancer.lateDequeued(upstream, lateSentAtMs!, hasStarted);
-            }
+        const leaveLateQueue = isLate && released === undefined ? joinLateQueue(upstream, balancer) : () => undefined;
+        const onEnded = () => {
+            leaveLateQueue(false);
+            released?.();
+            admission?.roomChanged();
         };
-        currentAttempt = startAttempt({
-            request, upstream, answer, holder, splitter, isRepeatable, isLate, headers: headersTo(upstream, isLate), mayFailOver,
-            stallTimeoutMs: isLate ? Infinity : stallTimeoutMs(route),
-            onEnded() {
-                leaveLateQueue(false);
-                released?.();
-                admission?.roomChanged();
-            },
-            onDelivered: fields => finish("delivered", { upstream: upstream.id, dataCentre: upstream.dataCentre, ...fields }),
-            onEvents() {
-                leaveLateQueue(true);
-                if (firstMs === undefined) {
-                    admission?.roomChanged();
-                }
-                firstMs ??= Math.round(dependencies.nowMs() - request.arrivedAtMs);
-            },
-            onFailed: failure => onAttemptFailed(failure, upstream),
-        }, dependencies);
+        try {
+            currentAttempt = startAttempt({
+                request, upstream, answer, holder, splitter, isRepeatable, isLate, mayFailOver, onEnded,
+                headers: headersTo(upstream, isLate), stallTimeoutMs: isLate ? Infinity : stallTimeoutMs(route),
+                onDelivered: fields => finish("delivered", { upstream: upstream.id, dataCentre: upstream.dataCentre, ...fields }),
+                onEvents() {
+                    leaveLateQueue(true);
+                    if (firstMs === undefined) {
+                        admission?.roomChanged();
+                    }
+                    firstMs ??= Math.round(dependencies.nowMs() - request.arrivedAtMs);
+                },
+                onFailed: contained((failure: AttemptFailure) => onAttemptFailed(failure, upstream)),
+            }, dependencies);
+        }
+        catch (error) {
+            dependencies.recordException(error, { request: request.attemptId, upstream: upstream.id });
+            onEnded();
+            onAttemptFailed({ kind: "not-run", reason: "the attempt could not start", isUpstreamAtFault: false, isUnsent: true }, upstream);
+        }
     }
 
-    startFirstAttempt();
-    return {
-        callerLeft() {
-            if (isOver) {
-                return;
-            }
-            // A non-idempotent request runs on until its deadline: if it were aborted, nobody could tell whether it took effect.
-            if (isRepeatable || isStream) {
-                currentAttempt?.abort();
-            }
-            else {
-                setTimeout(() => currentAttempt?.abort(), Math.max(0, request.giveUpAtMs - dependencies.nowMs()));
-            }
-            ticket?.cancel();
-            answer.abort();
-            finish("caller-left", { upstream: currentAttempt?.upstream.id });
-        },
-        resume() {
-            currentAttempt?.resume();
-        },
-        endNow(reason) {
-            if (isOver) {
-                return;
-            }
-            if (isWaiting) {
-                ticket?.cancel();
-                refuse(reason);
-                return;
-            }
-            const upstream = currentAttempt?.upstream.id;
-            currentAttempt?.abort();
-            fail(502, reason, upstream);
-        },
-        endIfBarred() {
-            const isUnanswered = currentAttempt?.hasEvents === false && (isStream || isRepeatable);
-            if (isOver || !(isWaiting || isUnanswered) || !dependencies.isBarred(request)) {
-                return;
-            }
-            ticket?.cancel();
-            isCertainlyNotRun &&= currentAttempt === undefined;
+    contained(startFirstAttempt)();
+    function callerLeft() {
+        if (isOver) {
+            return;
+        }
+        // A non-idempotent request runs on until its deadline: if it were aborted, nobody could tell whether it took effect.
+        if (isRepeatable || isStream) {
             currentAttempt?.abort();
-            refuseBarred();
-        },
+        }
+        else {
+            setTimeout(contained(() => currentAttempt?.abort()), Math.max(0, request.giveUpAtMs - dependencies.nowMs()));
+        }
+        ticket?.cancel();
+        answer.abort();
+        finish("caller-left", { upstream: currentAttempt?.upstream.id });
+    }
+
+    function endNow(reason: string) {
+        if (isOver) {
+            return;
+        }
+        ticket?.cancel();
+        if (isCertainlyNotRun && currentAttempt === undefined) {
+            refuse(reason);
+            return;
+        }
+        const upstream = currentAttempt?.upstream.id;
+        currentAttempt?.abort();
+        fail(502, reason, upstream);
+    }
+
+    function endIfBarred() {
+        const isUnanswered = currentAttempt?.hasEvents === false && (isStream || isRepeatable);
+        if (isOver || !(isWaiting || isUnanswered) || !dependencies.isBarred(request)) {
+            return;
+        }
+        ticket?.cancel();
+        isCertainlyNotRun &&= currentAttempt === undefined;
+        currentAttempt?.abort();
+        refuseBarred();
+    }
+
+    return {
+        callerLeft: contained(callerLeft),
+        resume: contained(() => currentAttempt?.resume()),
+        endNow: contained(endNow),
+        endIfBarred: contained(endIfBarred),
         get upstreamId() {
             return currentAttempt?.upstream.id;
         },
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -9,6 +9,7 @@
 import type { Socket } from "node:net";
 import { waitForPendingReads, type RequestPosition, createHttpConnections } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
+import { createContainment } from "../runtime/index.js";
 import { type CallerAnswer, createCallerAnswer } from "./answer.js";
 import { createCallerConnection } from "./callerConnection.js";
 import type { Holder, Memory } from "./memory/index.js";
@@ -105,6 +106,7 @@
     /** The running requests of each connection, in order of arrival. */
     const runningBySocket = new Map<Socket, Set<ServedRequest>>();
     const connections = createHttpConnections();
+    const contained = createContainment(error => dependencies.recordException(error, {}));
     const stopRecord = createStopRecord({ logger: dependencies.logger, nowMs: dependencies.nowMs, count: dependencies.countWhileStopping });
 
     /** Returns when an answer can be sent at the latest. Pipelined requests before it on the connection are answered first. */
@@ -231,7 +233,7 @@
             whenBodyRead: callback => whenBodyRead(message, callback),
             ownHeaders: attemptId === undefined ? [] : [dependencies.names.attemptId, attemptId],
             onDrain: () => served.runningRequest?.resume(),
-            onWritten: dependencies.memory.isBounded ? () => holder.hold("caller", response.writableLength) : undefined,
+            onWritten: dependencies.memory.isBounded ? contained(() => holder.hold("caller", response.writableLength)) : undefined,
         });
         const holder = dependencies.memory.open(createCallerConnection(response, answer, attemptId, () => served.isResumable));
         holder.hold("head", headersSize(message.rawHeaders));
@@ -241,7 +243,7 @@
         };
         running.add(served);
         runningBySocket.get(message.socket)?.add(served);
-        response.once("close", () => finish(served));
+        response.once("close", contained(() => finish(served)));
         return served;
     }
 
@@ -249,6 +251,14 @@
         maxHeaderSize: parserMaxHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMs, keepAlive: true, noDelay: true,
         requestTimeout: 0,
     }, (message, response) => {
+        const onThrown = (error: unknown) => {
+            dependencies.recordException(error, { request: messageHeader(message, dependencies.names.attemptId) });
+            response.destroy();
+        };
+        createContainment(onThrown)(() => take(message, response))();
+    });
+
+    function take(message: IncomingMessage, response: ServerResponse) {
         const place = connections.registerRequest(message, response);
         if (place === undefined) {
             message.resume();
@@ -260,11 +270,20 @@
             server.headersTimeout = limits.headerTimeoutMs;
             server.keepAliveTimeout = limits.idleTimeoutMs;
         }
-        serve(message, served).catch((error: Error) => {
-            dependencies.logger.info("request aborted", { request: served.attemptId, error: error.message });
+        serve(message, served).catch(contained((error: Error) => abortUnsent(served, error)));
+    }
+
+    /** Ends a request that has not been sent to an upstream, because its caller has left or an exception has been thrown. */
+    function abortUnsent(served: ServedRequest, error: Error) {
+        const { attemptId, answer, message, response } = served;
+        if (served.isClosed || message.socket.destroyed) {
+            dependencies.logger.info("request aborted", { request: attemptId, error: error.message });
             response.destroy();
-        });
-    });
+            return;
+        }
+        dependencies.recordException(error, { request: attemptId });
+        answer.sendOwn(503, "the entry could not handle it", 0);
+    }
     // Must come before the listener that reads.
     server.prependListener("connection", socket => {
         if (dependencies.acceptsConnection?.() === false) {
@@ -277,7 +296,7 @@
         runningBySocket.set(socket, servedOnSocket);
         socket.once("close", () => {
             // A response that is queued behind others has never been assigned the socket and emits no event when it closes.
-            servedOnSocket.forEach(finish);
+            servedOnSocket.forEach(contained(finish));
             runningBySocket.delete(socket);
         });
     });
@@ -316,7 +335,7 @@
                 }
             });
         },
-        endBarred: () => [...running].forEach(({ runningRequest: request }) => request?.endIfBarred()),
+        endBarred: () => [...running].forEach(({ runningRequest }) => runningRequest?.endIfBarred()),
         get running() {
             return running.size;
         },
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -6,11 +6,13 @@
 
 import {
     aliveIntervalMs, createFeedServer, createFeedWatcher, type DirectoryPosition, type FeedServer, type FeedWatcher, type Frame,
-    type FrameKind, type LogPosition, type PositionedFrame, type Report,
+    type FrameKind, type LogPosition, type PositionedFrame, type Report, type WatcherRole,
 } from "../feed/index.js";
 import { type Announcement, createDirectory, createPushbacks, type Incarnation, type Upstream, type UpstreamSignals } from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
+import { createContainment } from "../runtime/index.js";
 import type { DecodedSite } from "../site/index.js";
+import { createExceptionLog } from "../telemetry/index.js";
 import { barredFingerprints, recordCrashes } from "./crashRecords.js";
 import { createCrashCauses } from "./crashCauses.js";
 import { createCrashCollector } from "./crashCollector.js";
@@ -43,6 +45,8 @@
 export function createSiteControl(options: SiteControlOptions): SiteControl {
     const { log, logger, dialect } = options;
     const nowMs = () => performance.now();
+    const exceptions = createExceptionLog({ logger, count: options.metrics.recordException, nowMs });
+    const contained = createContainment(error => exceptions.record("task", error));
     const propose = createProposer({ ...options, nowMs });
     const evacuate = createEvacuations({ log, logger, nowMs, propose });
     const directory = createDirectory();
@@ -52,19 +56,21 @@
     let timers: NodeJS.Timeout[] = [];
     let nextCleanupAtMs = 0;
     const directoryFeed = createDirectoryFeed({
-        directory, nowMs, publish: (frame, role, position) => feed.publish(frame, role, position),
+        directory, nowMs,
+        publish: contained((frame: Frame, role?: WatcherRole, position?: DirectoryPosition) => feed.publish(frame, role, position)),
     });
 
     let planTimer: NodeJS.Timeout | undefined;
     const planPacer = createPlanPacer(nowMs);
     const limitDistributor = createLimitDistributor(nowMs);
     const loadTable = createLoadTable({ daemonId: options.daemonId, leads: isLeader, nowMs });
-    const limitsPublication = createPacedTask(publishLimits, limitsIntervalMs, nowMs);
+    const limitsPublication = createPacedTask(contained(publishLimits), limitsIntervalMs, nowMs);
     let isEmptyDivisionPublished = false;
     const vm = splitAddress(options.address).host;
     const pushbacks = createPushbacks(nowMs, (upstream, forMs) => logger.info("upstream wants no requests", { upstream, forMs }));
     const groupLeader = createGroupLeader({
-        ...options, nowMs, directory: () => directory.upstreams, pushbacks, recordSignals, requestPlanning,
+        ...options, nowMs, directory: () => directory.upstreams, pushbacks, requestPlanning,
+        recordSignals: contained(recordSignals),
     });
 
     const crashCollector = createCrashCollector(log, logger);
@@ -72,14 +78,14 @@
 
     const recovery = createRecovery({
         ...options, ...options.memory, nowMs, directory, pushbacks, inquirer: options.engines, isInTouch, table: currentTable,
-        evacuated: () => log.state.published.evacuated, onSignals: recordSignals, onRestored: acceptAnnouncement,
+        evacuated: () => log.state.published.evacuated, onSignals: contained(recordSignals), onRestored: contained(acceptAnnouncement),
     });
 
     function requestPlanning() {
-        planTimer ??= setTimeout(() => {
+        planTimer ??= setTimeout(contained(() => {
             planTimer = undefined;
             planPacer.runIfDue(plan);
-        }, Math.max(planDelayMs, Math.ceil(planPacer.waitMs) + 1));
+        }), Math.max(planDelayMs, Math.ceil(planPacer.waitMs) + 1));
     }
 
     /** Publishes the upstreams that have changed. */
@@ -154,14 +160,14 @@
             pushbacks.merge(received.pushbacks);
         }
         publishChanged(received.draining.flatMap(incarnation => directory.markDraining(incarnation)));
-        void recordCrashes(log, logger, received.crashes);
+        recordCrashes(log, logger, received.crashes).catch(error => exceptions.record("task", error));
     }
 
     const watcher: FeedWatcher = createFeedWatcher({
         daemonId: options.daemonId,
         isEntry: false,
         dataCentre: options.dataCentre,
-        onFrame(frame) {
+        onFrame: contained((frame: Frame) => {
             if (frame.kind === "upstreams") {
                 publishChanged(directory.merge(frame.upstreams, nowMs()));
             }
@@ -169,7 +175,7 @@
                 directory.updateHeardTimes(frame.heard, nowMs());
                 directoryFeed.recordHeard(frame.heard.map(({ id }) => id), false);
             }
-        },
+        }),
         onHeardChanged: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
         onUnknownKind: (kind, address) => logger.warn("frame of an unknown kind", { kind, address }),
     });
@@ -287,12 +293,12 @@
         },
         start() {
             registerControlMetrics(options.metrics, { log, groupLeader, upstreams: directory.upstreams });
-            log.subscribe(() => publishApplied());
+            log.subscribe(contained(publishApplied));
             timers = [
-                setInterval(() => planPacer.runIfDue(plan), planIntervalMs),
-                setInterval(publishAlive, aliveIntervalMs),
+                setInterval(contained(() => planPacer.runIfDue(plan)), planIntervalMs),
+                setInterval(contained(publishAlive), aliveIntervalMs),
                 // More often than `publishAlive`, because the leader probes upstreams that seem overdue when a `heard` frame is late.
-                setInterval(directoryFeed.publishHeardDirectly, heardIntervalMs),
+                setInterval(contained(directoryFeed.publishHeardDirectly), heardIntervalMs),
             ];
             publishApplied();
             recovery.start();
--- a/test/gateway/admission.test.ts
+++ b/test/gateway/admission.test.ts
@@ -6,6 +6,7 @@
 import type { Candidate, SiteView } from "../../src/gateway/siteView.js";
 import type { SiteTable } from "../../src/site/index.js";
 import { createSimulatedTime, parsedRequest, table } from "../support/admissionModel.js";
+import { rethrow } from "../support/gatewaySite.js";
 import { candidate } from "./candidates.js";
 
 const caller = { organisation: "studio", priority: 0, latenessMs: 400 };
@@ -65,6 +66,7 @@
             };
         },
         pushbackLeftMs: () => entry.pushbackLeftMs, record: decision => records.push(decision), isActive: () => true,
+        recordException: rethrow,
     });
     return Object.assign(entry, { admission });
 }
--- a/test/gateway/memory/world.ts
+++ b/test/gateway/memory/world.ts
@@ -13,7 +13,7 @@
 import { createSiteView } from "../../../src/gateway/siteView.js";
 import { createLogger } from "../../../src/telemetry/index.js";
 import { headerNames } from "../../../platform/headers.js";
-import { createGroupHead, createSite, createUpstream } from "../../support/gatewaySite.js";
+import { createGroupHead, createSite, createUpstream, rethrow } from "../../support/gatewaySite.js";
 
 export const logger = createLogger("error", "test", new PassThrough().resume());
 
@@ -215,6 +215,7 @@
                 names: headerNames, view, balancer, connections, pushbacks, logger, dataCentre: "a", nowMs, random: () => 0.5,
                 mayRetry: () => true, queueLimits: () => ({ onTime: Infinity, late: 0 }), recordOutcome: () => undefined,
                 recordLimit: () => undefined, recordCrash: () => undefined, isBarred: () => false, countFailedAttempt: () => undefined,
+                recordException: rethrow,
             });
             return { id, caller, exchanges, running };
         },
--- a/test/gateway/waitingRequests.test.ts
+++ b/test/gateway/waitingRequests.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { createAdmission, type Admission } from "../../src/gateway/admission.js";
 import {
-    createGroupHead, createSite, encodeRequest, type GatewaySite, openCaller, parseStatus, startGateway,
+    createGroupHead, createSite, encodeRequest, type GatewaySite, openCaller, parseStatus, rethrow, startGateway,
 } from "../support/gatewaySite.js";
 import { waitUntil } from "../support/platformSite.js";
 import { type RawUpstream, startRawUpstream } from "../support/rawUpstream.js";
@@ -24,7 +24,7 @@
         site = await startGateway([createGroupHead(upstream.address, "u1", 1)], createSite(), Infinity, undefined, {}, view => {
             admission = createAdmission({
                 view, nowMs: () => performance.now(), random: () => 0.5, isAvoided: () => false,
-                pushbackLeftMs: () => 0, record: () => undefined, isActive: () => true,
+                pushbackLeftMs: () => 0, record: () => undefined, isActive: () => true, recordException: rethrow,
                 room: { at: () => ({ running: 4, limit: 4, allowance, firstEventMs: 20, ageMs: 0 }) },
             });
             return admission;
--- a/test/support/admissionModel.ts
+++ b/test/support/admissionModel.ts
@@ -12,7 +12,7 @@
 import type { Candidate, SiteView } from "../../src/gateway/siteView.js";
 import { createSiteTable } from "../../src/site/index.js";
 import { candidate } from "../gateway/candidates.js";
-import { createSite } from "./gatewaySite.js";
+import { createSite, rethrow } from "./gatewaySite.js";
 
 export const table = createSiteTable(createSite());
 
@@ -96,7 +96,7 @@
     const admission: Admission = createAdmission({
         view: { table, candidates: () => groups.map(group => group.candidate) } as unknown as SiteView,
         nowMs: time.nowMs, random, isAvoided: () => false, setTimer: time.setTimer, defer: time.defer,
-        pushbackLeftMs: () => 0, record: decision => records.push(decision), isActive: () => true,
+        pushbackLeftMs: () => 0, record: decision => records.push(decision), isActive: () => true, recordException: rethrow,
         room: {
             at(wanted) {
                 const load = loadOf(groups.find(group => group.candidate === wanted)!);
--- a/test/support/gatewaySite.ts
+++ b/test/support/gatewaySite.ts
@@ -4,7 +4,7 @@
 import { createBalancer } from "../../src/gateway/balancer.js";
 import { createConnections } from "../../src/gateway/connections.js";
 import { type Memory, unboundedMemory } from "../../src/gateway/memory/index.js";
-import { type GatewayServer, listenForCallers } from "../../src/gateway/server.js";
+import { type GatewayServer, listenForCallers, type ServerDependencies } from "../../src/gateway/server.js";
 import type { StopLabels } from "../../src/gateway/stopRecord.js";
 import type { QueueLimits } from "../../src/gateway/work.js";
 import { createSiteView, type SiteView } from "../../src/gateway/siteView.js";
@@ -50,6 +50,11 @@
     return createUpstream(address, id, { service: "pool", domain: "d", group: { name: `lm/${epoch}`, epoch, rank: 0, state: "open" } });
 }
 
+/** Fails the test: an exception that is contained must not go unnoticed. */
+export function rethrow(error: unknown): never {
+    throw error;
+}
+
 export interface GatewaySite {
     readonly port: number;
     readonly view: SiteView;
@@ -65,12 +70,12 @@
 /**
  * Starts an entry's listener for the given upstreams, without control daemons. `rateLimits` maps an upstream to the requests per second
  * that this entry may send to it. `createAdmissionFor` creates the admission of streams, without which none waits. `memory` is checked
- * every 100 ms.
+ * every 100 ms. `overrides` replace what the listener depends on.
  */
 export async function startGateway(
     upstreams: RelayedUpstream[], site: Site = createSite(), maxRepeats = Infinity, queueCapacity: QueueLimits = { onTime: 100, late: 0 },
     rateLimits: Readonly<Record<string, number>> = {}, createAdmissionFor: (view: SiteView) => Admission | undefined = () => undefined,
-    memory: Memory = unboundedMemory,
+    memory: Memory = unboundedMemory, overrides: Partial<ServerDependencies> = {},
 ): Promise<GatewaySite> {
     const logger = createLogger("error", "test", new PassThrough().resume());
     const view = createSiteView({ decodeSite: () => ({ site }) }, logger);
@@ -99,6 +104,8 @@
         isBarred: () => false,
         countEarlyRefusal: () => undefined,
         recordLimit: () => undefined, countWhileStopping: labels => stopCounts.push(labels),
+        recordException: rethrow,
+        ...overrides,
     });
     const memoryTimer = setInterval(() => memory.check(), 100);
     return {
