--- a/test/gateway/exceptions.test.ts
+++ b/test/gateway/exceptions.test.ts
@@ -47,8 +47,8 @@
         parseStatus(await exchangeRaw(site.port, encodeRequest(method, path, { headers: { "Zinnialanding-Model": "lm" } }), checkedMs));
 
     for (const address of ["127.0.0.1:65536", "a^b|<>:80", "a/b:80", "127.0.0.1:0"]) {
-        // Guards against an entry that ends because no connection can be made to an upstream: the timer of the attempt used what was not made.
-        it(`does not come of an upstream with the address ${address}: requests get an answer, and the next upstream serves them`, async () => {
+        // Guards against an entry that ends because no connection can be made to an upstream: a timer used what was not made.
+        it(`does not come of an upstream with the address ${address}: requests get an answer, and others serve them`, async () => {
             await start({}, createUpstream(address, "odd"), createGroupHead(`x${address}`, "odd-head", 1));
             expect(await sendAll()).to.deep.equal([503, 503, 503]);
             site.view.apply({ kind: "upstreams", upstreams: [createUpstream(upstream.address, "u1"), createGroupHead(engine.address, "u2", 2)] });
