The error of a connection that has been replaced no longer ends the process

What callers would see: a daemon ends with status 1 ("PING timed out") although only its connection to one other daemon has failed. Cause: the library destroys a connection whose ping was not answered, and emits its error once the socket has closed. A request that is made in between opens a new connection, for which the library drops its listeners from the old one; Node ends the process for an error event without a listener. Change: each connection that has carried a request keeps a listener; its streams report the error to those who use them. Links between voters use the same manager.

--- a/src/consensus/transport.ts
+++ b/src/consensus/transport.ts
@@ -7,8 +7,9 @@
 
 import { type Client, type ConnectRouter, createClient } from "@connectrpc/connect";
 import { create } from "@bufbuild/protobuf";
-import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { createConnectTransport } from "@connectrpc/connect-node";
 import { type ConsensusEnvelope, ConsensusEnvelopeSchema, ConsensusService } from "../rpc/gen/zinnialanding/v1/consensus_pb.js";
+import { createSessionManager, type SessionManager } from "../rpc/sessionManager.js";
 import { type AddressedMessage, addressedMessageSchema } from "./messages.js";
 
 /** PEM certificates and key for links between daemons. */
@@ -89,12 +90,12 @@
 /** Opens a client for another voter, over its own connection. */
 export function openClient(address: string, options: Pick<TransportOptions, "tls" | "pingMs" | "pingTimeoutMs">): {
     client: Client<typeof ConsensusService>;
-    session: Http2SessionManager;
+    session: SessionManager;
 } {
     const { tls } = options;
     const baseUrl = `${tls === undefined ? "http" : "https"}://${address}`;
     const secure = tls === undefined ? {} : { ca: tls.authority, cert: tls.certificate, key: tls.key };
-    const session = new Http2SessionManager(baseUrl, { pingIntervalMs: options.pingMs, pingTimeoutMs: options.pingTimeoutMs }, secure);
+    const session = createSessionManager(baseUrl, { pingIntervalMs: options.pingMs, pingTimeoutMs: options.pingTimeoutMs }, secure);
     const transport = createConnectTransport({ httpVersion: "2", baseUrl, sessionManager: session });
     return { client: createClient(ConsensusService, transport), session };
 }
--- a/src/rpc/client.ts
+++ b/src/rpc/client.ts
@@ -5,8 +5,9 @@
  */
 
 import type { Transport } from "@connectrpc/connect";
-import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { createConnectTransport } from "@connectrpc/connect-node";
 import type { PeerCertificates } from "./server.js";
+import { createSessionManager } from "./sessionManager.js";
 
 const pingIntervalMs = 2_000;
 const pingTimeoutMs = 1_000;
@@ -35,7 +36,7 @@
 export function createPeerConnection(address: string, certificates?: PeerCertificates): PeerConnection {
     const baseUrl = `${certificates === undefined ? "http" : "https"}://${address}`;
     const options = { pingIntervalMs, pingTimeoutMs, pingIdleConnection: false, idleConnectionTimeoutMs };
-    const sessionManager = new Http2SessionManager(baseUrl, options, certificates === undefined ? undefined : { ...certificates });
+    const sessionManager = createSessionManager(baseUrl, options, certificates === undefined ? undefined : { ...certificates });
     const transport = createConnectTransport({ baseUrl, httpVersion: "2", sessionManager, acceptCompression: [] });
     return {
         address,
