A connection that can't be accepted no longer ends the process

What callers would see: a daemon ends with status 1 while its file descriptors are used up, as in a flood of connections. Cause: Node.js reports a failed accept as an error event of the server. The listeners kept the handler of the bind alone, and only for one error; the second had no listener. Found by reading, while looking for other ways in which an entry can end by itself.

--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -7,7 +7,7 @@
 
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { waitForPendingReads, type RequestPosition, createHttpConnections } from "../http/index.js";
+import { createHttpConnections, type RequestPosition, startListening, waitForPendingReads } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { createContainment } from "../runtime/index.js";
 import { type CallerAnswer, createCallerAnswer } from "./answer.js";
@@ -302,11 +302,7 @@
     });
     server.headersTimeout = 3_000;
     server.keepAliveTimeout = 15_000;
-    const { host, port } = splitAddress(address);
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen({ host, port, backlog: 1024 }, resolve);
-    });
+    await startListening(server, { ...splitAddress(address), backlog: 1024 }, error => dependencies.recordException(error, {}));
     return {
         drain(times) {
             cutOffAtMs = times.cutOffAtMs;
--- a/src/http/gracefulListener.ts
+++ b/src/http/gracefulListener.ts
@@ -69,6 +69,8 @@
             server.keepAliveTimeout = keepAliveTimeoutMs;
             server.requestTimeout = 0;
             connections.watch(server);
+            // Fastify reports an address that can't be bound. Later errors are connections that can't be accepted.
+            server.on("error", () => undefined);
             return server;
         },
         drain: () => connections.drain(),
--- a/src/rpc/server.ts
+++ b/src/rpc/server.ts
@@ -36,7 +36,11 @@
     const { host, port } = splitAddress(address);
     return new Promise((resolve, reject) => {
         server.once("error", reject);
-        server.listen(port, host, () => resolve(`${host}:${(server.address() as AddressInfo).port}`));
+        server.listen(port, host, () => {
+            // A connection that can't be accepted, as without a free file descriptor, must not end the process.
+            server.off("error", reject).on("error", () => undefined);
+            resolve(`${host}:${(server.address() as AddressInfo).port}`);
+        });
     });
 }
 
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -10,6 +10,7 @@
 import { type ConsensusNode, createReplicatedLog, diskOperations, type SettingsPeer } from "./consensus/index.js";
 import { createGateway, type Gateway, type HeaderNames } from "./gateway/index.js";
 import { createPeerConnections, createRpcServer, type RpcServer, splitAddress } from "./rpc/index.js";
+import { startListening } from "./http/index.js";
 import type { SiteDialect } from "./site/index.js";
 import {
     createDisklessControl, createSiteControl, type EngineClient, type DisklessControl, noHints, readHints, type SiteControl,
@@ -203,8 +204,7 @@
             (error: Error) => response.writeHead(500).end(error.message),
         );
     });
-    const { host, port } = splitAddress(address);
-    await new Promise<void>((resolve, reject) => server.once("error", reject).listen(port, host, resolve));
+    await startListening(server, splitAddress(address));
     return () => new Promise(resolve => {
         server.close(() => resolve());
         server.closeAllConnections();
