An exception at the own interface's entry costs one request

What callers would see: a request without an answer, or all requests of an entry ended with its process, because of an exception or a rejected promise that belongs to one of them. Cause: the shell around a request's reducer starts work that nobody awaits (claims, the choice of an upstream, links, resumes), and performs effects in timers and in callbacks of streams. What they throw reached the top. Change: the shell contains its events and that work. An exception is logged with the request's id and counted, the caller gets the problem "internal" with the execution that is known, and the request's place, timers and links are released.

--- a/src/compose.ts
+++ b/src/compose.ts
@@ -18,7 +18,7 @@
 import { type Clock, createLeaseClock } from "./runtime/index.js";
 import { createRelay, createReportFilter, createSession, routeSession, type Relay, type Session } from "./session/index.js";
 import { createSidecar, type Sidecar } from "./sidecar/index.js";
-import { createLogger, createMetrics, createTracing, type Logger, type Metrics, type Tracing } from "./telemetry/index.js";
+import { createExceptionLog, createLogger, createMetrics, createTracing, type Logger, type Metrics, type Tracing } from "./telemetry/index.js";
 
 /** A running daemon. */
 export interface Daemon {
@@ -137,9 +137,10 @@
             // The request observer counts refusals, together with their class.
             countRefusal: () => undefined,
         })).singleton(),
-        runner: asFunction(({ connections, admission, clock, tracing, metrics }: Cradle) => createRunner({
+        runner: asFunction(({ connections, admission, clock, tracing, metrics, logger }: Cradle) => createRunner({
             tracing,
             metrics,
+            exceptions: createExceptionLog({ logger, count: () => metrics.count("process.exceptions"), nowMs: () => performance.now() }),
             session: () => container.cradle.session,
             connections,
             admission,
--- a/src/entry/requestShell.ts
+++ b/src/entry/requestShell.ts
@@ -8,7 +8,7 @@
     type ChosenUpstream, newRequest, reduceRequest, type RequestEffect, type RequestEvent, type RequestParams, type RequestTimer,
 } from "../attempt/index.js";
 import type { Upstream } from "../rpc/index.js";
-import { createHost } from "../runtime/index.js";
+import { createContainment, createHost } from "../runtime/index.js";
 import type { AdmissionTicket } from "./admission.js";
 import type { AnswerSink } from "./answer.js";
 import type { RequestClaim } from "./claims.js";
@@ -36,6 +36,8 @@
     readonly nowMs: () => number;
     readonly newId: () => string;
     readonly onClose: () => void;
+    /** Called with an exception, which ends this request alone. */
+    readonly onException: (error: unknown) => void;
 }
 
 /** An event without its time, which the shell adds on dispatch. */
@@ -60,26 +62,39 @@
 
     const host = createHost(reduceRequest, newRequest(params), performEffect);
 
-    function dispatchEvent(event: EventBody) {
+    const dispatchEvent = createContainment(onThrown)((event: EventBody) => {
         if (!closed) {
             host.dispatch({ ...event, nowMs: options.nowMs() } as RequestEvent);
         }
+    });
+
+    /** Ends the request after an exception. The claim of one that may have run becomes unknown by itself. */
+    function onThrown(error: unknown) {
+        options.onException(error);
+        if (!closed) {
+            sink.fail({ status: 500, code: "internal", title: "The entry failed", execution: link === undefined ? "not-run" : "unknown" });
+            close();
+        }
+    }
+
+    function awaited(work: Promise<unknown>) {
+        work.catch(onThrown);
     }
 
     function performEffect(effect: RequestEffect) {
         switch (effect.kind) {
             case "claim":
-                return void claim!.acquire().then(answer => dispatchEvent({ kind: "claim-answered", answer }));
+                return awaited(claim!.acquire().then(answer => dispatchEvent({ kind: "claim-answered", answer })));
             case "finish-claim":
-                return void (effect.outcome === "delivered" ? claim!.deliver(effect.head, effect.chunks) : claim!.finish(effect.outcome));
+                return awaited(effect.outcome === "delivered" ? claim!.deliver(effect.head, effect.chunks) : claim!.finish(effect.outcome));
             case "choose":
-                return void choose(effect);
+                return awaited(choose(effect));
             case "dispatch":
                 return startAttempt(effect);
             case "resume":
-                return void resume(effect);
+                return awaited(resume(effect));
             case "tombstone":
-                return void tombstone(effect.attemptId);
+                return awaited(tombstone(effect.attemptId));
             case "acknowledge":
                 return link?.acknowledge(effect.throughSequence);
             case "cancel":
@@ -168,8 +183,8 @@
         const { attemptId, connection } = effect;
         link = options.createLink(attemptId, effect.upstream);
         const traceparent = observer.attemptStarted(attemptId, effect.upstream.upstreamId);
-        void link.run(options.dispatchRequest(effect, traceparent), eventHandler(attemptId, connection), abortController.signal)
-            .then(end => connectionEnded(attemptId, connection, end));
+        awaited(link.run(options.dispatchRequest(effect, traceparent), eventHandler(attemptId, connection), abortController.signal)
+            .then(end => connectionEnded(attemptId, connection, end)));
     }
 
     async function resume({ attemptId, connection, fromSequence }: Extract<RequestEffect, { kind: "resume" }>) {
--- a/src/entry/runner.ts
+++ b/src/entry/runner.ts
@@ -10,7 +10,7 @@
 import { prefixKeyOf } from "../routing/index.js";
 import type { PeerConnections } from "../rpc/index.js";
 import type { Session } from "../session/index.js";
-import type { Metrics, Tracing } from "../telemetry/index.js";
+import type { ExceptionLog, Metrics, Tracing } from "../telemetry/index.js";
 import type { AdmissionTicket, EntryAdmission } from "./admission.js";
 import { type Answer, createAnswerSink } from "./answer.js";
 import { createRequestClaim, type Propose, type RequestClaim } from "./claims.js";
@@ -50,6 +50,7 @@
     readonly newId: () => string;
     readonly tracing: Tracing;
     readonly metrics: Metrics;
+    readonly exceptions: ExceptionLog;
 }
 
 /** Whether the request may be repeated: decided by its header, else its class, else its method and service. */
@@ -182,6 +183,7 @@
                 nowMs,
                 newId: options.newId,
                 onClose,
+                onException: error => options.exceptions.record("request", error, { request: requestId }),
             });
             signal.addEventListener("abort", () => {
                 shell.callerGone();
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -14,7 +14,9 @@
     | "sidecar.runs" | "sidecar.crashes"
     /** Events counted by the membership reducers; the tag `code` names the event. */
     | "sidecar.membership"
-    | "control.changes";
+    | "control.changes"
+    /** Exceptions that ended one request. */
+    | "process.exceptions";
 
 export type GaugeName =
     | "entry.running" | "sidecar.running"
