Bound what upstreams state of themselves where it arrives

What callers saw: one check-in with an address such as 127.0.0.1:65536 ended every entry within seconds, again after each start. Cause: the decoder of heartbeats took any host without a space or colon, any five digits as a port, names of any length and numbers of any size, and the control daemon kept and relayed them. A start time in the far future made all later lives under an id count for nothing, and a rank of 2^32 would make a list of as many members. Change: one schema bounds each field, and addressSchema takes an IPv4 address or a DNS host name and a port from 1 to 65535. A start more than ten minutes ahead of this daemon's clock is refused: clocks differ by seconds.

A check-in that is valid in all fields and carries a sound upstream's id and start can't be told from its own; its sequence number may still be ahead of what the upstream will reach.

--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,3 +1,4 @@
+export { addressSchema, isAddress } from "./address.js";
 export * from "./directory.js";
 export * from "./groups.js";
 export * from "./limits.js";
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -5,37 +5,61 @@
  */
 
 import { z } from "zod";
+import { addressSchema } from "./address.js";
 
-const name = z.string().min(1);
+/** Ids are sent in headers, so they have visible ASCII characters alone. */
+const maxIdChars = 128;
+const maxNameChars = 256;
+/** Unix time in ms; the year 2286. */
+const maxBornMs = 1e13;
+/** Above any count and any Unix time in us, and far enough from the largest exact integer that later numbers are exact too. */
+const maxSequence = 2 ** 52;
+/** Epochs are at most a term of the log times the epochs of a term. */
+const maxEpoch = 2 ** 52;
+/** Lists by rank are as long as the highest rank. */
+const maxRank = 4_095;
+const maxSlots = 1_000_000;
+const maxStagedModels = 1_000;
+const maxColdForMs = 86_400_000;
+/** Longer than any process runs: ten years. */
+const maxAgoMs = 315_360_000_000;
+
+/** The id of an upstream. */
+export const upstreamIdSchema = z.string().max(maxIdChars).regex(/^[\x21-\x7e]+$/);
+/** A name that upstreams state: text without control characters and halves of characters. */
+const name = z.string().min(1).max(maxNameChars).regex(/^\P{C}+$/u);
+const bornMsSchema = z.number().int().min(0).max(maxBornMs);
+/** How long ago something was, in ms. */
+export const agoMsSchema = z.number().min(0).max(maxAgoMs);
 
 export const groupStateSchema = z.enum(["joining", "ready", "open", "closing", "broken"]);
 
 /** An upstream's membership of a group from its own point of view; it doesn't know the state of the other members. */
 export const groupMembershipSchema = z.strictObject({
     name,
-    epoch: z.number().int().min(0),
+    epoch: z.number().int().min(0).max(maxEpoch),
     /** 0 is the head, the only member that accepts requests. */
-    rank: z.number().int().min(0),
+    rank: z.number().int().min(0).max(maxRank),
     state: groupStateSchema,
 });
 
-/** An upstream's announcement. */
+/** An upstream's announcement. Each field is bounded, since it is kept and relayed to every daemon. */
 export const announcementSchema = z.strictObject({
-    id: name,
+    id: upstreamIdSchema,
     service: name,
-    address: name,
+    address: addressSchema,
     dataCentre: name,
     /** The wall-clock time at which this incarnation started. It is compared only with that of other incarnations of the same id. */
-    bornMs: z.number().int(),
+    bornMs: bornMsSchema,
     /** Increases with each announcement of an incarnation. */
-    sequence: z.number().int(),
+    sequence: z.number().int().min(0).max(maxSequence),
     state: z.enum(["ready", "draining"]),
-    coldForMs: z.number().min(0),
-    slots: z.number().int().min(0),
+    coldForMs: z.number().min(0).max(maxColdForMs),
+    slots: z.number().int().min(0).max(maxSlots),
     /** The fabric domain; undefined for upstreams that don't form groups. */
-    domain: z.string().optional(),
+    domain: z.string().max(maxNameChars).optional(),
     /** Models whose weights are on the VM. */
-    stagedModels: z.array(z.string()),
+    stagedModels: z.array(name).max(maxStagedModels),
     group: groupMembershipSchema.optional(),
 });
 
@@ -56,13 +80,13 @@
 }
 
 /** One life of an upstream's process. */
-export const incarnationSchema = z.strictObject({ id: name, bornMs: z.number().int() });
+export const incarnationSchema = z.strictObject({ id: upstreamIdSchema, bornMs: bornMsSchema });
 export type Incarnation = z.infer<typeof incarnationSchema>;
 
 /** An upstream in the form that is relayed to other processes. */
 export const relayedUpstreamSchema = z.strictObject({
     ...announcementSchema.shape,
-    heardAgoMs: z.number().min(0),
+    heardAgoMs: agoMsSchema,
     isGone: z.boolean(),
     hasLeft: z.boolean(),
 });
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -12,7 +12,7 @@
 import { splitAddress } from "../rpc/index.js";
 import { createContainment } from "../runtime/index.js";
 import type { DecodedSite } from "../site/index.js";
-import { createExceptionLog } from "../telemetry/index.js";
+import { createExceptionLog, createRefusedInputs } from "../telemetry/index.js";
 import { barredFingerprints, recordCrashes } from "./crashRecords.js";
 import { createCrashCauses } from "./crashCauses.js";
 import { createCrashCollector } from "./crashCollector.js";
@@ -40,6 +40,11 @@
 /** Least interval between divisions of limits that are published because limits have changed: each goes to every entry. */
 const limitsIntervalMs = 20;
 const cleanupIntervalMs = 10_000;
+/**
+ * Clocks of VMs differ by less. An upstream that states a later start is not believed: no later incarnation under its id would count until
+ * then.
+ */
+const maxClockDifferenceMs = 600_000;
 
 /** Creates the role. It plans and publishes nothing before `start` is called. */
 export function createSiteControl(options: SiteControlOptions): SiteControl {
@@ -47,6 +52,7 @@
     const nowMs = () => performance.now();
     const exceptions = createExceptionLog({ logger, count: options.metrics.recordException, nowMs });
     const contained = createContainment(error => exceptions.record("task", error));
+    const refusedInputs = createRefusedInputs({ logger, countInputs: options.metrics.recordRefusedInputs, nowMs });
     const propose = createProposer({ ...options, nowMs });
     const evacuate = createEvacuations({ log, logger, nowMs, propose });
     const directory = createDirectory();
@@ -272,17 +278,23 @@
         },
         evacuate,
         recordAnnouncement(announcement) {
+            const { id, service, bornMs } = announcement;
+            if (bornMs > Date.now() + maxClockDifferenceMs) {
+                refusedInputs.record("announcement", { upstream: id, reason: "starts in the future", bornMs });
+                return "refused";
+            }
             if (announcement.state === "draining" && !isInTouch()) {
-                return false;
+                return "unavailable";
             }
             const table = currentTable();
-            if (table !== undefined && table.service(announcement.service) === undefined) {
-                logger.warn("announcement of an unknown service", { upstream: announcement.id, service: announcement.service });
-                return true;
+            if (table !== undefined && table.service(service) === undefined) {
+                refusedInputs.record("unknown-service", { upstream: id, service });
+                return "recorded";
             }
             acceptAnnouncement(announcement, nowMs());
-            return true;
+            return "recorded";
         },
+        refuseAnnouncement: id => refusedInputs.record("announcement", { upstream: id, reason: "unreadable or out of bounds" }),
         recordDeparture({ id, bornMs, mayBeLate }) {
             // Another incarnation may have started under this id since a late call that doesn't say which one leaves.
             if (!isInTouch() || (mayBeLate && bornMs === undefined)) {
--- a/src/siteControl/siteControlTypes.ts
+++ b/src/siteControl/siteControlTypes.ts
@@ -49,6 +49,12 @@
     readonly mayBeLate: boolean;
 }
 
+/**
+ * An announcement is refused if no upstream can have made it, and `unavailable` if it must be made to another daemon because this one may
+ * be cut off from the entries.
+ */
+export type AnnouncementOutcome = "recorded" | "refused" | "unavailable";
+
 export interface SiteControl {
     readonly feed: FeedServer;
     publish(text: string): Promise<PublishOutcome>;
@@ -56,8 +62,9 @@
     readSite(): Promise<string | undefined>;
     /** Resolves to whether the change was accepted. It is not carried out if its operator has given up on it. */
     evacuate(dataCentre: string, isOut: boolean, operator: WaitingCaller): Promise<boolean>;
-    /** Records an announcement. Returns false if it must be made to another daemon because this one may be cut off from the entries. */
-    recordAnnouncement(announcement: Announcement): boolean;
+    recordAnnouncement(announcement: Announcement): AnnouncementOutcome;
+    /** Reports an announcement that can't be read; `id` is the one that its sender states. */
+    refuseAnnouncement(id: string): void;
     /** Records that an upstream leaves. Returns false if another daemon must be told. */
     recordDeparture(departure: Departure): boolean;
     start(): void;
--- a/src/telemetry/exposition.ts
+++ b/src/telemetry/exposition.ts
@@ -5,6 +5,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { InputKind } from "./refusedInputs.js";
 
 export interface SiteMetrics {
     /** Records a request that ended, by route and outcome. */
@@ -25,6 +26,8 @@
     recordLoadReport(): void;
     /** Counts an exception that was contained, by what it cost: a `request`, a `frame` of the feed or a run of a periodic `task`. */
     recordException(cost: ExceptionCost): void;
+    /** Counts inputs from outside that can't be used and were dropped. */
+    recordRefusedInputs(kind: InputKind, count: number): void;
     /** Counts a new connection that was closed unread because the processor is saturated. */
     recordConnectionClosed(): void;
     /** Counts a pause of reading, a refusal or a cut-off because of the bytes held for callers and upstreams. */
@@ -121,6 +124,7 @@
     const orderCounter = new Counter({ name: "zinnialanding_orders_total", help: "Orders to engines.", labelNames: ["kind", "outcome"], registers });
     const loadReportCounter = new Counter({ name: "zinnialanding_load_reports_total", help: "Reports that carried this entry's loads.", registers });
     const exceptionCounter = new Counter({ name: "zinnialanding_exceptions_total", help: "Exceptions that ended one request, frame or task.", labelNames: ["cost"], registers });
+    const refusedInputCounter = new Counter({ name: "zinnialanding_inputs_refused_total", help: "Inputs from outside that can't be used and were dropped.", labelNames: ["kind"], registers });
     const closedConnectionCounter = new Counter({ name: "zinnialanding_connections_closed_unread_total", help: "New connections closed because the processor is saturated.", registers });
     const memoryCounter = new Counter({ name: "zinnialanding_memory_actions_total", help: "Pauses, refusals and cut-offs because of held bytes.", labelNames: ["action", "reason"], registers });
     const admissionSeconds = new Histogram({ name: "zinnialanding_admission_wait_seconds", help: "From arrival to the decision on a stream that asked for room.", labelNames: ["route", "outcome"], buckets: bucketBoundsS, registers });
@@ -157,6 +161,7 @@
         recordOrder: (kind, outcome) => orderCounter.inc({ kind, outcome }),
         recordLoadReport: () => loadReportCounter.inc(),
         recordException: cost => exceptionCounter.inc({ cost }),
+        recordRefusedInputs: (kind, count) => refusedInputCounter.inc({ kind }, count),
         recordConnectionClosed: () => closedConnectionCounter.inc(),
         recordMemoryAction: (action, reason) => memoryCounter.inc({ action, reason }),
         registerHeldBytes: read => registerLabelled("zinnialanding_held_bytes", "Bytes held for callers and upstreams.", "kind", read),
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -6,3 +6,4 @@
 export { type BoundedOutput, createBoundedOutput } from "./boundedOutput.js";
 export { createSiteMetrics, type ExceptionCost, type SiteMetrics } from "./exposition.js";
 export { createExceptionLog, type ExceptionLog, logFatalException } from "./exceptions.js";
+export { createRefusedInputs, type InputKind, type RefusedInputs } from "./refusedInputs.js";
--- a/test/platform/decoders.test.ts
+++ b/test/platform/decoders.test.ts
@@ -2,7 +2,9 @@
 import * as fc from "fast-check";
 import { siteDialect } from "../../platform/siteWire.js";
 import { decodeHeartbeat, encodeOrder } from "../../platform/upstreamWire.js";
+import { announcementSchema } from "../../src/fleet/index.js";
 import { configurationText } from "../../standin/platform/index.js";
+import { oddBodies, soundCheckIn } from "../support/oddCheckIns.js";
 
 const heartbeat = {
     service: "pool", address: "10.0.0.9:8080", zone: "a", version: "v1", slots: 24, state: "ready", coldRemainingMs: 0, seq: 4, born: 1_700_000_000_000,
@@ -22,6 +24,15 @@
     return JSON.stringify(raw);
 }
 
+function tryParse(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+
 function findingPlaces(text: string): string[] {
     return (siteDialect.decodeSite(text).findings ?? []).map(finding => finding.place);
 }
@@ -103,6 +114,33 @@
         }), { seed: 9, numRuns: 500 });
     });
 
+    // Guards against an address, a length or a number that entries can't use or that every daemon must hold.
+    it("take none of the odd check-ins", () => {
+        const parsed = [...oddBodies()].map(([name, body]) => [name, tryParse(body)] as const);
+        expect(parsed.filter(([, body]) => decodeHeartbeat("u1", body) !== undefined).map(([name]) => name)).to.deep.equal([]);
+        expect(decodeHeartbeat("u1", soundCheckIn)).to.include({ id: "u1", address: soundCheckIn.address });
+        expect(["", "a b", "a\nb", "é", "x".repeat(200)].map(id => decodeHeartbeat(id, soundCheckIn))).to.deep.equal(Array(5).fill(undefined));
+    });
+
+    it("take only what is in bounds", () => {
+        const value = fc.oneof(
+            fc.string({ unit: "binary", maxLength: 400 }), fc.double(), fc.maxSafeInteger(),
+            fc.array(fc.string({ maxLength: 400 }), { maxLength: 3 }), fc.constant(undefined),
+        );
+        fc.assert(fc.property(fc.subarray(Object.keys(heartbeat)), fc.array(value, { minLength: 16, maxLength: 16 }), (keys, values) => {
+            const changes = Object.fromEntries(keys.map((key, index) => [key, values[index]]));
+            const decoded = decodeHeartbeat("u1", { ...heartbeat, ...changes });
+            if (decoded !== undefined) {
+                const { bornMs, sequence, slots, coldForMs, stagedModels, group, ...texts } = decoded;
+                expect(announcementSchema.parse(decoded)).to.deep.equal(decoded);
+                expect(Object.values(texts).every(text => text === undefined || text.length <= 256)).to.equal(true);
+                const numbers = [bornMs, sequence, slots, coldForMs, group?.rank ?? 0];
+                expect(numbers.every(number => number >= 0 && number <= 2 ** 52)).to.equal(true);
+                expect(stagedModels.every(model => model.length <= 256)).to.equal(true);
+            }
+        }), { seed: 10, numRuns: 1_000 });
+    });
+
     it("encode orders in the platform's format", () => {
         const orders = [
             encodeOrder({ kind: "join", group: "lm/7", epoch: 7, model: "lm", memberIds: ["u1", "u2"] }),
