One odd item of a frame, a report or the remembered upstreams costs that item

What would be seen: an upstream that one control daemon has taken, such as one of an older version with an odd address, made the whole frame unreadable at each entry and control daemon that watches it. The stream ended, was reopened and brought the same frame again, so the watcher had no upstreams and no site for as long as the upstream was relayed. One odd limit or pushback did the same to each report of an entry, and one odd upstream in upstreams.json made a restarted daemon forget all others. Change: the items of these lists are decoded one by one. Evidence: on the new test of the watcher failed (no frame after the odd one within 15 s) and so did the one of the remembered upstreams (none read); they pass now.

--- a/src/feed/frames.ts
+++ b/src/feed/frames.ts
@@ -5,7 +5,10 @@
  */
 
 import { z } from "zod";
-import { incarnationSchema, relayedLimitSchema, relayedPushbackSchema, relayedUpstreamSchema } from "../fleet/index.js";
+import {
+    agoMsSchema, incarnationSchema, relayedLimitSchema, relayedPushbackSchema, relayedUpstreamSchema, upstreamIdSchema,
+} from "../fleet/index.js";
+import { type ItemRefusal, type ListSchemas, parseWithLists } from "./lenientDecoder.js";
 
 /** The text of the newest published site that the sender has applied. */
 const siteFrameSchema = z.strictObject({
@@ -23,11 +26,10 @@
 
 const upstreamsFrameSchema = z.strictObject({ kind: z.literal("upstreams"), upstreams: z.array(relayedUpstreamSchema) });
 
+export const heardUpstreamSchema = z.strictObject({ id: upstreamIdSchema, agoMs: agoMsSchema });
+
 /** Upstreams heard since the previous frame of this kind, whether or not anything about them changed. */
-const heardFrameSchema = z.strictObject({
-    kind: z.literal("heard"),
-    heard: z.array(z.strictObject({ id: z.string(), agoMs: z.number() })),
-});
+const heardFrameSchema = z.strictObject({ kind: z.literal("heard"), heard: z.array(heardUpstreamSchema) });
 
 /** The sender's heartbeat, with the state from which watchers choose the control daemon to follow. */
 const aliveFrameSchema = z.strictObject({
@@ -85,14 +87,44 @@
 
 const knownKinds: ReadonlySet<unknown> = new Set(frameSchema.options.map(({ shape }) => shape.kind.value));
 
-/** Decodes a frame. One of a newer control daemon may be of an unknown kind, which is returned instead. Throws if it can't be read. */
-export function decodeFrame(bytes: Uint8Array): { readonly frame: Frame } | { readonly unknownKind: string } {
-    const value = JSON.parse(Buffer.from(bytes).toString("utf8")) as { readonly kind?: unknown };
-    return typeof value.kind === "string" && !knownKinds.has(value.kind) ? { unknownKind: value.kind } : { frame: frameSchema.parse(value) };
+/** The lists of what others have stated, by the kind of the frame. Their items are decoded one by one. */
+const listsByKind: Readonly<Record<string, ListSchemas>> = {
+    upstreams: { upstreams: relayedUpstreamSchema },
+    heard: { heard: heardUpstreamSchema },
+    limits: { limits: relayedLimitSchema },
+    pushbacks: { pushbacks: relayedPushbackSchema },
+};
+
+/**
+ * A frame without the items that can't be read, which are in `refused`; the kind of a frame that a newer control daemon has sent; or why
+ * the whole frame can't be read.
+ */
+export type DecodedFrame =
+    | { readonly frame: Frame; readonly refused: readonly ItemRefusal[] }
+    | { readonly unknownKind: string }
+    | { readonly error: string };
+
+const maxErrorChars = 300;
+
+/** Decodes a frame. Never throws. */
+export function decodeFrame(bytes: Uint8Array): DecodedFrame {
+    try {
+        const value = JSON.parse(Buffer.from(bytes).toString("utf8")) as { readonly kind?: unknown };
+        if (typeof value.kind === "string" && !knownKinds.has(value.kind)) {
+            return { unknownKind: value.kind };
+        }
+        const { decoded: frame, refused } = parseWithLists(frameSchema, listsByKind[String(value.kind)] ?? {}, value);
+        return { frame, refused };
+    }
+    catch (error) {
+        return { error: String(error).slice(0, maxErrorChars) };
+    }
 }
 
 export type AliveFrame = z.infer<typeof aliveFrameSchema>;
 
+const crashSchema = z.strictObject({ fingerprint: z.string(), upstream: z.string() });
+
 /** The observations of one entry since its previous report. */
 export const reportSchema = z.strictObject({
     /** Requested work by model, in milliseconds of one VM. */
@@ -103,7 +135,7 @@
     /** Upstreams whose streams have just received events, which means that every member of their group works. */
     movingIds: z.array(z.string()),
     /** Fingerprints of requests in flight when an upstream crashed, each with the id and incarnation of that upstream. */
-    crashes: z.array(z.strictObject({ fingerprint: z.string(), upstream: z.string() })),
+    crashes: z.array(crashSchema),
     /** Limits that upstreams have stated in their responses to this entry. */
     limits: z.array(relayedLimitSchema),
     /** Upstreams that have said in a response to this entry that they leave. */
@@ -114,3 +146,13 @@
 });
 /** The observations of one entry since its previous report. */
 export type Report = z.infer<typeof reportSchema>;
+
+const reportLists: ListSchemas = {
+    crashes: crashSchema, limits: relayedLimitSchema, draining: incarnationSchema, pushbacks: relayedPushbackSchema,
+};
+
+/** Decodes a report without the items that can't be read, which are in `refused`. Throws if the rest can't be read. */
+export function decodeReport(bytes: Uint8Array): { readonly report: Report; readonly refused: readonly ItemRefusal[] } {
+    const { decoded: report, refused } = parseWithLists(reportSchema, reportLists, JSON.parse(Buffer.from(bytes).toString("utf8")));
+    return { report, refused };
+}
--- a/src/feed/server.ts
+++ b/src/feed/server.ts
@@ -12,8 +12,8 @@
 } from "../rpc/index.js";
 import { createAsyncQueue } from "../runtime/index.js";
 import { type CrashReport, crashReportSchema } from "./crashReports.js";
-import { type Frame, type Report, reportSchema } from "./frames.js";
-import { createLenientDecoder } from "./lenientDecoder.js";
+import { decodeReport, type Frame, type Report } from "./frames.js";
+import { createLenientDecoder, type RefusalHandler, reportRefusedItems } from "./lenientDecoder.js";
 import { encodeLogPosition, type LogPosition } from "./logPosition.js";
 import { type EntryLoads, entryLoadsSchema } from "./loads.js";
 
@@ -85,6 +85,8 @@
     onLoads?(daemonId: string, loads: EntryLoads): Uint8Array | undefined;
     /** Called once for each of loads and crashes, with the first that can't be read. The rest of their report counts. */
     onUnreadablePart?(error: string): void;
+    /** Called for each report with items that can't be read. Its other items count. */
+    onRefused?: RefusalHandler;
     nowMs(): number;
 }
 
@@ -234,7 +236,9 @@
     }
 
     function report(request: SiteReport): SiteReportSummary {
-        options.onReport(request.daemonId, reportSchema.parse(JSON.parse(Buffer.from(request.report).toString("utf8"))));
+        const decoded = decodeReport(request.report);
+        reportRefusedItems(decoded.refused, { from: request.daemonId, in: "report" }, options.onRefused);
+        options.onReport(request.daemonId, decoded.report);
         const crashes = decodeCrashes(request.crashes);
         if (crashes !== undefined) {
             options.onCrashes?.(request.daemonId, crashes);
--- a/src/feed/watcher.ts
+++ b/src/feed/watcher.ts
@@ -12,8 +12,8 @@
 import { createPeerConnection, type PeerConnection, SiteService, WatchScope } from "../rpc/index.js";
 import { chooseDaemonToFollow, type FollowCandidate, type FollowedDaemon, newestSiteVersion } from "./follow.js";
 import type { CrashReport } from "./crashReports.js";
-import { type AliveFrame, decodeFrame, type Frame, type Report } from "./frames.js";
-import { createLenientDecoder } from "./lenientDecoder.js";
+import { type AliveFrame, decodeFrame, type Frame, heardUpstreamSchema, type Report } from "./frames.js";
+import { createLenientDecoder, decodeItems, type RefusalHandler, reportRefusedItems } from "./lenientDecoder.js";
 import { decodeLogPosition, type LogPosition } from "./logPosition.js";
 import { type EntryLoads, type SharedLoadsAnswer, sharedLoadsSchema } from "./loads.js";
 import { createReportSender, type ReportSender } from "./reportStream.js";
@@ -71,6 +71,8 @@
     onUnreadableLoads?(error: string): void;
     /** Called once for each kind of frame that this watcher does not know. Such frames are skipped. */
     onUnknownKind?(kind: string, address: string): void;
+    /** Called for each frame that can't be read, which is skipped, and each one with unreadable items, whose other items count. */
+    onRefused?: RefusalHandler;
     onFollowedChanged?(address: string | undefined, previous: string | undefined): void;
 }
 
@@ -153,6 +155,11 @@
                     reportUnknownKind(decoded.unknownKind, connection.address);
                     continue;
                 }
+                if ("error" in decoded) {
+                    options.onRefused?.("frame", { from: connection.address, error: decoded.error });
+                    continue;
+                }
+                reportRefusedItems(decoded.refused, { from: connection.address, in: decoded.frame.kind }, options.onRefused);
                 onFrame(decoded.frame, message.log && decodeLogPosition(message.log));
                 const { directoryIncarnation: incarnation, directoryVersion } = message;
                 if (incarnation !== "") {
@@ -313,7 +320,8 @@
                 return;
             }
             createClient(SiteService, connection.transport).heard({ ids: [...ids] }, { timeoutMs: aliveIntervalMs }).then(answer => {
-                options.onFrame({ kind: "heard", heard: answer.heard.map(({ id, agoMs }) => ({ id, agoMs })) }, address);
+                const { items } = decodeItems(heardUpstreamSchema, answer.heard.map(({ id, agoMs }) => ({ id, agoMs })));
+                options.onFrame({ kind: "heard", heard: items }, address);
                 // An older control daemon does not know the question and sends all heard times.
             }, () => undefined);
         },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,7 +9,7 @@
 import { createPushbacks } from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { createOverloadCheck, type OverloadMode, type SiteDialect } from "../site/index.js";
-import { createExceptionLog, type Logger, type SiteMetrics } from "../telemetry/index.js";
+import { createExceptionLog, createRefusedInputs, type Logger, type SiteMetrics } from "../telemetry/index.js";
 import { createAdmission } from "./admission.js";
 import { createAllowances } from "./allowances.js";
 import { createBalancer } from "./balancer.js";
@@ -95,6 +95,7 @@
     const { logger, metrics } = options;
     const nowMs = () => performance.now();
     const exceptions = createExceptionLog({ logger, count: metrics.recordException, nowMs });
+    const refusedInputs = createRefusedInputs({ logger, countInputs: metrics.recordRefusedInputs, nowMs });
     const contained = createContainment(error => exceptions.record("task", error));
     const view = createSiteView(options.dialect, logger);
     const startHold = createStartHold({ view, heartbeatMs: options.heartbeatMs, nowMs });
@@ -218,6 +219,7 @@
         onHeardChanged: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
         onUnreadableLoads: error => logger.warn("answer about shared loads ignored", { error }),
         onUnknownKind: (kind, address) => logger.warn("frame of an unknown kind", { kind, address }),
+        onRefused: refusedInputs.record,
         onFollowedChanged: (address, previous) => logger.info("followed control daemon changed", { address, previous }),
     });
     watcher.watch(options.controlAddresses);
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -157,6 +157,7 @@
         onCrashes: (_daemonId, report) => crashCollector.report(report),
         onLoads: loadTable.report,
         onUnreadablePart: error => logger.warn("part of a report ignored", { error }),
+        onRefused: refusedInputs.record,
     });
 
     function onReport(daemonId: string, received: Report) {
@@ -184,6 +185,7 @@
         }),
         onHeardChanged: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
         onUnknownKind: (kind, address) => logger.warn("frame of an unknown kind", { kind, address }),
+        onRefused: refusedInputs.record,
     });
 
     function isLeader(): boolean {
--- a/src/siteControl/upstreamHints.ts
+++ b/src/siteControl/upstreamHints.ts
@@ -8,6 +8,7 @@
 import * as path from "node:path";
 import { z } from "zod";
 import { type FileOperations, replaceFile } from "../consensus/index.js";
+import { decodeItems } from "../feed/index.js";
 import { announcementSchema, type DirectoryState, type Upstream } from "../fleet/index.js";
 import type { Logger } from "../telemetry/index.js";
 
@@ -32,7 +33,8 @@
     format: z.literal(formatVersion),
     /** The data centres that were evacuated. The log on disk may not yet record the latest evacuation as committed. */
     evacuated: z.array(z.string()),
-    upstreams: z.array(hintSchema).max(maxHints),
+    /** Decoded one by one, so that an odd one doesn't make the others unusable. */
+    upstreams: z.array(z.unknown()).max(maxHints),
 });
 
 export interface UpstreamHints {
@@ -50,7 +52,7 @@
 const maxUrgentShare = 0.1;
 const retryDelayMs = 10_000;
 
-/** Reads the file. Returns no hints if there is none or it can't be read; the latter is logged. */
+/** Reads the file. Upstreams that can't be read are left out; no hints if there is no file or it can't be read. What is odd is logged. */
 export async function readHints(files: FileOperations, folder: string, logger: Logger): Promise<UpstreamHints> {
     try {
         const bytes = await files.read(path.join(folder, fileName));
@@ -61,7 +63,11 @@
             throw new RangeError(`the file has ${bytes.byteLength} bytes`);
         }
         const { evacuated, upstreams } = hintsSchema.parse(JSON.parse(bytes.toString("utf8")));
-        return { evacuated, upstreams };
+        const { items, refused } = decodeItems(hintSchema, upstreams);
+        if (refused.length > 0) {
+            logger.warn("some remembered upstreams cannot be read", { count: refused.length, ...refused[0] });
+        }
+        return { evacuated, upstreams: items };
     }
     catch (error) {
         logger.warn("remembered upstreams cannot be read", { error: (error as Error).message.slice(0, 200) });
--- a/test/feed/upgrade.test.ts
+++ b/test/feed/upgrade.test.ts
@@ -13,7 +13,7 @@
 
 const alive: AliveFrame = { kind: "alive", leads: false, dataCentre: "a", hasContent: true, isInTouch: true, siteVersion: 1 };
 const siteFrame: Frame = { kind: "site", version: 1, text: "text" };
-const upstreamsFrame: Frame = { kind: "upstreams", upstreams: [createUpstream("10.0.0.1:80", "u1")] };
+const upstreamsFrame: Extract<Frame, { kind: "upstreams" }> = { kind: "upstreams", upstreams: [createUpstream("10.0.0.1:80", "u1")] };
 const heardFrame: Frame = { kind: "heard", heard: [{ id: "u1", agoMs: 5 }] };
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 const encodeFrame = (frame: unknown) => create(SiteFrameSchema, { frame: Buffer.from(JSON.stringify(frame)) });
@@ -21,6 +21,7 @@
 describe("an entry", () => {
     let received: Frame[];
     let unknownKinds: string[];
+    let refused: string[];
     let watcher: FeedWatcher;
     let rpc: RpcServer;
 
@@ -35,9 +36,10 @@
     beforeEach(() => {
         received = [];
         unknownKinds = [];
+        refused = [];
         watcher = createFeedWatcher({
             daemonId: "entry-1", isEntry: true, dataCentre: "a", onFrame: frame => received.push(frame), onHeardChanged: () => undefined,
-            onUnknownKind: kind => unknownKinds.push(kind),
+            onUnknownKind: kind => unknownKinds.push(kind), onRefused: kind => refused.push(kind),
         });
     });
 
@@ -150,5 +152,15 @@
             await pause(100);
             expect([unknownKinds, requests.length, received.filter(({ kind }) => kind === "upstreams").length]).to.deep.equal([["weather"], 2, 1]);
         });
+
+        // Guards against an entry that stops following because of an upstream that another version takes, or of a frame that it can't read.
+        it("that relays an odd upstream or frame loses log lines and that upstream, not the stream", async () => {
+            const odd = { ...createUpstream("10.0.0.2:80", "u2"), address: "127.0.0.1:65536" };
+            sent = [siteFrame, { kind: "upstreams", upstreams: [odd, ...upstreamsFrame.upstreams] }, NaN, { kind: "heard" }, heardFrame];
+            await start(router => router.service(SiteService, { watch }));
+            await waitUntil("the last frame is received", () => receivedKinds().has("heard"));
+            expect(received.filter(({ kind }) => kind === "upstreams")).to.deep.equal([upstreamsFrame]);
+            expect([refused, requests.length]).to.deep.equal([["relayed-item", "frame", "frame"], 2]);
+        });
     });
 });
--- a/test/siteControl/upstreamHints.test.ts
+++ b/test/siteControl/upstreamHints.test.ts
@@ -81,6 +81,14 @@
         }
     });
 
+    // Guards against a start without any upstreams because of one that an older version has taken.
+    it("are those that can be read if others in the file can't, with one log line", async () => {
+        const upstreamsOf = (...hints: unknown[]) => Buffer.from(JSON.stringify({ format: 1, evacuated: ["c"], upstreams: hints }));
+        memory.contents.set(file, upstreamsOf(createHint("u1"), createHint("u2", { address: "a/b:80" }), { ...createHint("u3"), slots: 1e300 }, 7));
+        expect(await read()).to.deep.equal({ evacuated: ["c"], upstreams: [createHint("u1")] });
+        expect(log.lines).to.deep.equal(["some remembered upstreams cannot be read"]);
+    });
+
     // Guards against a daemon that fails, retries without pause or fills its log while the disk is full.
     it("stay as they were while the disk is full, with one log line", async () => {
         await change(createKnown("u1"));
