Bound what upstreams state in their answers

What would be seen: one answer with Retry-After: 1e308 took its upstream out for good. The relayed time was infinite, which JSON writes as null, so the entry's reports and the control daemon's frames with it could not be read by anybody. A cold time or a limit had no bound either. Change: a pushback and a cold time of an answer count for an hour at most, and loads and limits up to a million. Relayed limits and pushbacks have the same bounds. All of these stay far below the longest delay of a timer. Evidence: the new test of signals failed on (1e308 as the cold time and infinite pushback) and passes now.

--- a/src/fleet/limits.ts
+++ b/src/fleet/limits.ts
@@ -6,15 +6,17 @@
  */
 
 import { z } from "zod";
+import { maxAmount } from "./signals.js";
+import { agoMsSchema, incarnationSchema } from "./types.js";
 
 /** A limit in the form that is relayed to other processes. */
 export const relayedLimitSchema = z.strictObject({
-    upstreamId: z.string(),
-    bornMs: z.number().int(),
+    upstreamId: incarnationSchema.shape.id,
+    bornMs: incarnationSchema.shape.bornMs,
     /** Requests per second that the upstream accepts from all entries together; undefined if it no longer states a limit. */
-    perSecond: z.number().min(0).optional(),
+    perSecond: z.number().min(0).max(maxAmount).optional(),
     /** How long ago the response was received. */
-    agoMs: z.number(),
+    agoMs: agoMsSchema,
 });
 export type RelayedLimit = z.infer<typeof relayedLimitSchema>;
 
--- a/src/fleet/pushbacks.ts
+++ b/src/fleet/pushbacks.ts
@@ -6,9 +6,11 @@
  */
 
 import { z } from "zod";
+import { maxStatedMs } from "./signals.js";
+import { upstreamIdSchema } from "./types.js";
 
 /** A pushback in the form that is relayed to the other processes on the same VM. */
-export const relayedPushbackSchema = z.strictObject({ upstreamId: z.string(), leftMs: z.number().min(0) });
+export const relayedPushbackSchema = z.strictObject({ upstreamId: upstreamIdSchema, leftMs: z.number().min(0).max(maxStatedMs) });
 export type RelayedPushback = z.infer<typeof relayedPushbackSchema>;
 
 /**
--- a/src/fleet/signals.ts
+++ b/src/fleet/signals.ts
@@ -4,6 +4,11 @@
  * @module
  */
 
+/** Larger loads and limits than this say no more than it. */
+export const maxAmount = 1_000_000;
+/** An upstream that states a longer pushback or cold time gets a request after this time, so that one odd answer doesn't take it out. */
+export const maxStatedMs = 3_600_000;
+
 export interface UpstreamSignals {
     /** The requests at the upstream when it answered; undefined if it doesn't state them. */
     readonly load: { readonly running: number; readonly waiting: number } | undefined;
--- a/src/gateway/signals.ts
+++ b/src/gateway/signals.ts
@@ -4,14 +4,20 @@
  * @module
  */
 
-import type { UpstreamSignals } from "../fleet/index.js";
+import { maxAmount, maxStatedMs, type UpstreamSignals } from "../fleet/index.js";
 import { parseAmount, parseRetryAfterMs } from "../http/index.js";
 import { headerValue, type HeaderNames } from "./headers.js";
 
 const leavingMark = "1";
 
+/** Parses a number that is at least 0; a larger one than `max` counts as `max`. */
+function parseBounded(text: string | undefined, max: number): number | undefined {
+    const amount = parseAmount(text);
+    return amount === undefined ? undefined : Math.min(amount, max);
+}
+
 function parseLoad(text: string | undefined): UpstreamSignals["load"] {
-    const [running, waiting] = (text ?? "").split(",").map(parseAmount);
+    const [running, waiting] = (text ?? "").split(",", 2).map(part => parseBounded(part, maxAmount));
     return running === undefined || waiting === undefined ? undefined : { running, waiting };
 }
 
@@ -19,9 +25,9 @@
 export function readSignals(status: number, rawHeaders: readonly string[], names: HeaderNames): UpstreamSignals {
     return {
         load: parseLoad(headerValue(rawHeaders, names.load)),
-        limitPerSecond: parseAmount(headerValue(rawHeaders, names.limit)),
+        limitPerSecond: parseBounded(headerValue(rawHeaders, names.limit), maxAmount),
         pushbackMs: parseRetryAfterMs(status, name => headerValue(rawHeaders, name)),
-        coldForMs: parseAmount(headerValue(rawHeaders, names.coldForMs)),
+        coldForMs: parseBounded(headerValue(rawHeaders, names.coldForMs), maxStatedMs),
         isLeaving: headerValue(rawHeaders, names.leaving)?.trim() === leavingMark,
     };
 }
--- a/src/http/retryAfter.ts
+++ b/src/http/retryAfter.ts
@@ -5,6 +5,8 @@
  */
 
 const msPerSecond = 1_000;
+/** A sender that names a longer time is tried again after this one, so that one odd answer doesn't take it out. */
+const maxRetryAfterMs = 3_600_000;
 /** The statuses for which RFC 9110 and RFC 6585 define `Retry-After` as the time for which no further request is wanted. */
 const refusalStatuses: ReadonlySet<number> = new Set([429, 503]);
 
@@ -15,8 +17,9 @@
 }
 
 /**
- * Returns for how long an answer asks for no further requests, in ms; undefined if it doesn't, or its value can't be read. A date is
- * compared with the answer's own `Date`, because clocks of VMs differ. `header` returns the value of a header by its name in lower case.
+ * Returns for how long an answer asks for no further requests, in ms and an hour at most; undefined if it doesn't, or its value can't be
+ * read. A date is compared with the answer's own `Date`, because clocks of VMs differ. `header` returns the value of a header by its name
+ * in lower case.
  */
 export function parseRetryAfterMs(status: number, header: (name: string) => string | undefined): number | undefined {
     if (!refusalStatuses.has(status)) {
@@ -25,8 +28,8 @@
     const text = header("retry-after");
     const seconds = parseAmount(text);
     if (seconds !== undefined) {
-        return seconds * msPerSecond;
+        return Math.min(seconds * msPerSecond, maxRetryAfterMs);
     }
     const untilMs = Date.parse(text ?? "") - Date.parse(header("date") ?? "");
-    return Number.isFinite(untilMs) && untilMs >= 0 ? untilMs : undefined;
+    return Number.isFinite(untilMs) && untilMs >= 0 ? Math.min(untilMs, maxRetryAfterMs) : undefined;
 }
--- a/test/gateway/signals.test.ts
+++ b/test/gateway/signals.test.ts
@@ -32,4 +32,20 @@
         const broken = readSignals(200, ["Zinnialanding-Instance-Load", "many", "Server-Limit", "none"], headerNames);
         expect([broken.load, broken.limitPerSecond]).to.deep.equal([undefined, undefined]);
     });
+
+    // Guards against an upstream that one odd answer takes out for days, and against numbers that JSON or timers can't hold.
+    it("are bounded", () => {
+        for (const amount of ["1e308", "9007199254740993", "1e12"]) {
+            const headers = [
+                "Retry-After", amount, "Zinnialanding-Instance-Load", `${amount},${amount}`, "Server-Limit", amount,
+                "Zinnialanding-Cold-Remaining-Ms", amount,
+            ];
+            expect(readSignals(503, headers, headerNames)).to.deep.equal({
+                load: { running: 1_000_000, waiting: 1_000_000 }, limitPerSecond: 1_000_000, pushbackMs: 3_600_000,
+                coldForMs: 3_600_000, isLeaving: false,
+            });
+        }
+        const farDate = readSignals(503, [...date, "Retry-After", "Thu, 03 Dec 9999 10:00:04 GMT"], headerNames);
+        expect(farDate.pushbackMs).to.equal(3_600_000);
+    });
 });
