--- a/src/site/table.ts
+++ b/src/site/table.ts
@@ -28,14 +28,23 @@
     return host.replace(/:\d+$/, "").toLowerCase();
 }
 
+/** The routes of one host. */
+interface HostRoutes {
+    readonly byPrefix: Map<string, Route>;
+    longestPrefixChars: number;
+}
+
+const noRoutes: HostRoutes = { byPrefix: new Map(), longestPrefixChars: 0 };
+
 /** Builds the table of `site`. */
 export function createSiteTable(site: Site): SiteTable {
-    const routesByHost = new Map<string, Map<string, Route>>();
+    const routesByHost = new Map<string, HostRoutes>();
     for (const route of site.routes) {
         const host = normaliseHost(route.host);
-        const byPrefix = routesByHost.get(host) ?? new Map<string, Route>();
-        byPrefix.set(route.pathPrefix, route);
-        routesByHost.set(host, byPrefix);
+        const ofHost = routesByHost.get(host) ?? { byPrefix: new Map(), longestPrefixChars: 0 };
+        ofHost.byPrefix.set(route.pathPrefix, route);
+        ofHost.longestPrefixChars = Math.max(ofHost.longestPrefixChars, route.pathPrefix.length);
+        routesByHost.set(host, ofHost);
     }
     const holders = new Map<string, KeyHolder>();
     for (const organisation of site.organisations ?? []) {
@@ -45,9 +54,10 @@
     return {
         site,
         route(host, path) {
-            const byPrefix = routesByHost.get(normaliseHost(host));
-            // Prefixes end with a slash, so a matching prefix ends at a slash of the path. Tries the longest first.
-            for (let end = path.lastIndexOf("/"); byPrefix !== undefined && end >= 0; end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)) {
+            const { byPrefix, longestPrefixChars } = routesByHost.get(normaliseHost(host)) ?? noRoutes;
+            // Prefixes end with a slash, so a matching prefix ends at a slash of the path. Tries the longest first, but none that is longer
+            // than all prefixes: a path may consist of thousands of slashes.
+            for (let end = path.lastIndexOf("/", longestPrefixChars - 1); end >= 0; end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)) {
                 const route = byPrefix.get(path.slice(0, end + 1));
                 if (route !== undefined) {
                     return route;
