A request that can't be written is not blamed on upstreams

What callers saw: after one request with a tab or a form feed in its path, with two Host headers or with a header without a name, every other request to the same service got 503 ("no other upstream may take it now"): its upstreams counted as refusing connections. The same came of each request of an organisation whose name holds characters outside Latin-1, and of a stream that goes on at another upstream after an event whose id holds a control character. Cause: Node's parser accepts more than the client to upstreams writes. The client refuses such a request before it connects, which was taken for a failed connection, at one upstream after the other. Change: what can't be written is found before an upstream is involved. A caller's request of this kind, or with two attempt ids, whose answer can't be told from that of another attempt, gets 400. Names of organisations are sent as UTF-8. An attempt that would have to carry other text that can't be written doesn't start, and its upstream keeps its standing.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -13,6 +13,7 @@
 import type { ExchangeRequest } from "./connections.js";
 import { countEvents } from "./events.js";
 import { answerHeaders, forwardedHeaders, headerValue } from "./headers.js";
+import { unsendableReason } from "./sendable.js";
 import { readSignals } from "./signals.js";
 
 /**
@@ -25,7 +26,7 @@
 /** How often an attempt checks whether it is stalled. */
 const stallCheckIntervalMs = 100;
 
-/** Sends the request to an upstream and calls back once the attempt has ended. */
+/** Sends the request to an upstream and calls back once the attempt has ended. Throws if the request can't be written. */
 export function startAttempt(options: AttemptOptions, dependencies: AttemptDependencies): RunningAttempt {
     const { request, upstream, answer, splitter, holder } = options;
     const { names, balancer, view } = dependencies;
@@ -41,6 +42,10 @@
     let wasPaused = false;
 
     const contained = createContainment(onThrown);
+    const unsendable = unsendableReason(request.path, options.headers);
+    if (unsendable !== undefined) {
+        throw new Error(unsendable);
+    }
     const observation = isObserved() ? dependencies.latency?.requestSent(upstream, request, needsConnection()) : undefined;
     const exchangeRequest: ExchangeRequest = {
         method: request.method,
--- a/src/gateway/outgoingHeaders.ts
+++ b/src/gateway/outgoingHeaders.ts
@@ -6,6 +6,7 @@
 
 import { type HeaderNames, forwardedHeaders, headerValue } from "./headers.js";
 import type { ParsedRequest } from "./parsedRequest.js";
+import { toHeaderValue } from "./sendable.js";
 
 /** The numerically highest and so least urgent priority that engines support. */
 const lowestPriority = 9;
@@ -32,7 +33,7 @@
     const headers = forwardedHeaders(request.rawHeaders, overridden);
     headers.push(names.deadlineMs, String(Math.max(1, Math.floor(options.leftMs))), names.upstreamId, options.upstreamId);
     if (request.organisation !== undefined) {
-        headers.push(names.organisation, request.organisation);
+        headers.push(names.organisation, toHeaderValue(request.organisation));
     }
     const lastEventId = options.lastEventId ?? headerValue(request.rawHeaders, names.lastEventId);
     if (lastEventId !== undefined) {
--- a/src/gateway/parsedRequest.ts
+++ b/src/gateway/parsedRequest.ts
@@ -8,6 +8,7 @@
 import type { Route, SiteTable } from "../site/index.js";
 import type { HeaderNames } from "./headers.js";
 import type { BodyReading, Holder } from "./memory/index.js";
+import { malformedReason } from "./sendable.js";
 import { parseSharedParts } from "./sharedParts.js";
 
 /** A request that has passed all checks. */
@@ -69,6 +70,10 @@
     if (headersSize(message.rawHeaders) > table.site.limits.maxHeaderBytes) {
         return refuse(431, "the headers are too large");
     }
+    const malformed = malformedReason(message, names);
+    if (malformed !== undefined) {
+        return refuse(400, malformed);
+    }
     const host = message.headers.host;
     const target = message.url ?? "/";
     const query = target.indexOf("?");
