Findings of a refused configuration are bounded

What operators saw: a configuration with a mistake in each of 100,000 routes was answered with 51 MB of findings, which also went into one line of the log, and kept the control daemon busy for 2.6 s; one with a million wrong items took 6.7 s, and 16 MB of nested brackets 5.1 s. A leader loses its lease in that time. A service's name of 10 MB came back in a finding. Cause: the decoder collects every finding with its whole text, and deep nesting is slow to parse. Change: a list reports its first 50 invalid items and looks at no others; at most 50 findings of at most 300 characters are answered and logged, with how many more there are; a text that is nested more than 10,000 levels deep is refused unparsed.

--- a/src/site/index.ts
+++ b/src/site/index.ts
@@ -1,3 +1,4 @@
+export * from "./boundedText.js";
 export * from "./check.js";
 export * from "./dialect.js";
 export * from "./overload.js";
--- a/src/site/types.ts
+++ b/src/site/types.ts
@@ -6,6 +6,7 @@
  */
 
 import { z } from "zod";
+import { listOf } from "./boundedText.js";
 
 const name = z.string().min(1);
 
@@ -31,7 +32,7 @@
     patienceMs: z.number().positive().default(2_000),
     /** 0 is the highest priority. */
     priority: z.number().int().min(0).default(0),
-    targets: z.array(targetSchema).min(1),
+    targets: listOf(targetSchema).refine(targets => targets.length > 0, "a route needs a target"),
     /** The maximum number of upstreams to which one attempt of a caller may be sent. */
     maxAttempts: z.number().int().min(1).default(1),
     /** Whether requests are accepted without a key. */
@@ -58,7 +59,7 @@
 export const engineSchema = z.strictObject({
     /** Number of requests that a group runs concurrently. */
     slots: z.number().int().min(1),
-    models: z.array(engineModelSchema),
+    models: listOf(engineModelSchema),
     stepMs: z.number().min(0),
     stepPerRequestMs: z.number().min(0),
     stepPerThousandTokensMs: z.number().min(0),
@@ -70,7 +71,7 @@
     /** Added to the reading time of a prompt for each million pairs of a token and an earlier one. */
     millionPairsMs: z.number().min(0).default(0),
     /** One-way network delays between data centres. */
-    delays: z.array(z.strictObject({ from: name, to: name, delayMs: z.number().min(0) })).default([]),
+    delays: listOf(z.strictObject({ from: name, to: name, delayMs: z.number().min(0) })).default([]),
     /** Mean prompt and answer sizes of a request, in tokens. */
     usualPromptTokens: z.number().min(0),
     usualAnswerTokens: z.number().min(0),
@@ -93,7 +94,7 @@
 
 export const siteOrganisationSchema = z.strictObject({
     name,
-    keys: z.array(name),
+    keys: listOf(name),
     /** Takes precedence over the route's priority. */
     priority: z.number().int().min(0).optional(),
 });
@@ -107,11 +108,11 @@
 
 export const siteSchema = z.strictObject({
     version: z.number().int().min(0),
-    routes: z.array(routeSchema),
-    services: z.array(siteServiceSchema),
+    routes: listOf(routeSchema),
+    services: listOf(siteServiceSchema),
     limits: inputLimitsSchema,
     /** If undefined, no route requires a key. */
-    organisations: z.array(siteOrganisationSchema).optional(),
+    organisations: listOf(siteOrganisationSchema).optional(),
 });
 
 export type Route = z.infer<typeof routeSchema>;
