Evacuations of names that nobody has are bounded

Cause: the call took any name, and nothing bounds the names; the commands' schema is checked only for commands of other daemons. The end of any evacuation, and a start that holds already, are acknowledged as before, also for names that an older daemon has accepted. The bound is where the command is proposed, not where it is applied, so that daemons of two versions apply the same log in the same way. Evidence: the new case of test/siteControl/evacuations.test.ts; before, a probe of the API got 200 for the empty name. The cases before it compare with "accepted" in place of true.

--- a/src/siteControl/evacuations.ts
+++ b/src/siteControl/evacuations.ts
@@ -21,34 +21,48 @@
     propose(command: Command): Promise<ProposalResult>;
 }
 
-export type Evacuations = (dataCentre: string, isOut: boolean, operator: WaitingCaller) => Promise<boolean>;
+/** `refused`: it can't be carried out and has changed nothing. `unavailable`: it was not accepted in time, or its operator has left. */
+export type EvacuationOutcome = "accepted" | "refused" | "unavailable";
 
-/** Returns the function that starts or ends an evacuation; it resolves to whether that was accepted. */
+export type Evacuations = (dataCentre: string, isOut: boolean, operator: WaitingCaller) => Promise<EvacuationOutcome>;
+
+/** Every evacuated name is kept in the log, whether or not a data centre has it. */
+const maxEvacuated = 1_000;
+const maxNameChars = 256;
+
+/** Returns the function that starts or ends an evacuation. */
 export function createEvacuations({ log, logger, nowMs, propose }: EvacuationsOptions): Evacuations {
     return async (dataCentre, isOut, operator) => {
         const readAtMs = nowMs();
         const report = (outcome: string, fields: object) => logger.info("evacuation", {
-            dataCentre, isOut, outcome, ...fields, term: log.term, leader: log.leaderAddress, tookMs: Math.round(nowMs() - readAtMs),
+            dataCentre: dataCentre.slice(0, maxNameChars), isOut, outcome, ...fields, term: log.term, leader: log.leaderAddress,
+            tookMs: Math.round(nowMs() - readAtMs),
         });
+        const { evacuated } = log.state.published;
+        const isNameOdd = dataCentre.length === 0 || dataCentre.length > maxNameChars;
+        if (!evacuated.includes(dataCentre) && (isNameOdd || (isOut && evacuated.length >= maxEvacuated))) {
+            report("refused", { evacuated: evacuated.length });
+            return "refused";
+        }
         let basedOnRevision = evacuationRevisionOf(log.state.published);
         while (nowMs() - readAtMs < operatorTimeoutMs) {
             // After the revision is read: an operator who waits still hasn't been told of anything that was asked for later.
             if (!await operator.isWaiting()) {
                 report("abandoned", { basedOnRevision });
-                return false;
+                return "unavailable";
             }
             const proposal = await propose({ kind: "evacuate", dataCentre, isOut, basedOnRevision });
             if (proposal.outcome !== "applied") {
                 report(proposal.outcome, { basedOnRevision });
-                return false;
+                return "unavailable";
             }
             const { outcome, revision } = proposal.result as EvacuationResult;
             report(outcome, { basedOnRevision, revision, index: proposal.index });
             if (outcome === "evacuation-applied") {
-                return true;
+                return "accepted";
             }
             basedOnRevision = revision;
         }
-        return false;
+        return "unavailable";
     };
 }
--- a/src/siteControl/siteControlTypes.ts
+++ b/src/siteControl/siteControlTypes.ts
@@ -11,6 +11,7 @@
 import type { PeerConnections } from "../rpc/index.js";
 import type { OverloadMode, SiteDialect, SiteFinding } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import type { EvacuationOutcome } from "./evacuations.js";
 import type { EngineClient } from "./groupLeader.js";
 import type { UpstreamInquirer } from "./restoration.js";
 import type { UpstreamHints } from "./upstreamHints.js";
@@ -54,8 +55,8 @@
     publish(text: string): Promise<PublishOutcome>;
     /** Resolves to the newest published text; undefined if this daemon can't confirm that it is the newest. */
     readSite(): Promise<string | undefined>;
-    /** Resolves to whether the change was accepted. It is not carried out if its operator has given up on it. */
-    evacuate(dataCentre: string, isOut: boolean, operator: WaitingCaller): Promise<boolean>;
+    /** Starts or ends an evacuation. It is not carried out if its operator has given up on it. */
+    evacuate(dataCentre: string, isOut: boolean, operator: WaitingCaller): Promise<EvacuationOutcome>;
     /** Records an announcement. Returns false if it must be made to another daemon because this one may be cut off from the entries. */
     recordAnnouncement(announcement: Announcement): boolean;
     /** Records that an upstream leaves. Returns false if another daemon must be told. */
--- a/test/siteControl/evacuations.test.ts
+++ b/test/siteControl/evacuations.test.ts
@@ -50,8 +50,8 @@
         current = call;
         const evacuate = daemons[Math.floor(random() * daemons.length)]!;
         const operator = { isWaiting: () => Promise.resolve(call.isWaiting) };
-        deliver(() => void evacuate("a", isOut, operator).then(isAccepted => {
-            if (isAccepted && call.isWaiting) {
+        deliver(() => void evacuate("a", isOut, operator).then(outcome => {
+            if (outcome === "accepted" && call.isWaiting) {
                 call.isAcknowledged = true;
                 call.isWaiting = false;
             }
@@ -89,6 +89,22 @@
     return findings;
 }
 
+const waiting = { isWaiting: () => Promise.resolve(true) };
+
+/** A daemon that sees the log as `seen` while the log's state begins as `state`. */
+function createDaemon(seen: ClusterState, state: ClusterState = emptyCluster) {
+    const log = { state };
+    const evacuate = createEvacuations({
+        log: { state: seen, term: 1, leaderAddress: undefined }, logger, nowMs: () => 0,
+        propose(command) {
+            const applied = applyCommand(log.state, command);
+            log.state = applied.state;
+            return Promise.resolve({ outcome: "applied", result: applied.result, index: 1 });
+        },
+    });
+    return { evacuate, log };
+}
+
 describe("operators' starts and ends of evacuations", () => {
     // Guards against an acknowledged order that is undone by an earlier one, wherever that was held up.
     it("hold once acknowledged, whatever is carried out late and in whatever order", async () => {
@@ -99,18 +115,22 @@
 
     // Guards against an operator who is refused because another data centre was evacuated at the same moment.
     it("are handed to the log again while their operator waits", async () => {
-        let state: ClusterState = emptyCluster;
-        const evacuate = createEvacuations({
-            log: { state: emptyCluster, term: 1, leaderAddress: undefined }, logger, nowMs: () => 0,
-            propose(command) {
-                const applied = applyCommand(state, command);
-                ({ state } = applied);
-                return Promise.resolve({ outcome: "applied", result: applied.result, index: 1 });
-            },
-        });
-        const waiting = { isWaiting: () => Promise.resolve(true) };
-        expect(await evacuate("a", true, waiting)).to.equal(true);
-        expect(await evacuate("b", true, waiting)).to.equal(true);
-        expect(state.published.evacuated).to.deep.equal(["a", "b"]);
+        const { evacuate, log } = createDaemon(emptyCluster);
+        expect(await evacuate("a", true, waiting)).to.equal("accepted");
+        expect(await evacuate("b", true, waiting)).to.equal("accepted");
+        expect(log.state.published.evacuated).to.deep.equal(["a", "b"]);
+    });
+
+    // Guards against names that nobody has and that fill the log, and against an operator who can't take one back.
+    it("are refused for names that no data centre can have, and beyond a thousand names", async () => {
+        const names = Array.from({ length: 1_000 }, (_, index) => `dc-${index}`);
+        const full: ClusterState = { ...emptyCluster, published: { ...emptyCluster.published, evacuated: names } };
+        const { evacuate, log } = createDaemon(full, full);
+        const outcomes: string[] = [];
+        for (const [name, isOut] of [["", true], ["x".repeat(1_000), true], ["", false], ["other", true], ["dc-7", true], ["dc-7", false]] as const) {
+            outcomes.push(await evacuate(name, isOut, waiting));
+        }
+        expect(outcomes).to.deep.equal(["refused", "refused", "refused", "refused", "accepted", "accepted"]);
+        expect(log.state.published.evacuated.length).to.equal(999);
     });
 });
