An exception in an operator's call is logged

What operators saw: a call whose handler throws was answered with 500 and the exception's text, and no log line told of it. Cause: the API server has no logger of its own.

--- a/test/platform/controlApi.test.ts
+++ b/test/platform/controlApi.test.ts
@@ -6,7 +6,7 @@
 import { createControlApi } from "../../platform/controlApi.js";
 import type { PublishOutcome, SiteControl } from "../../src/siteControl/index.js";
 import { createLogger } from "../../src/telemetry/index.js";
-import { refusesConnections, type KeepAliveCaller, openCaller } from "../support/gatewaySite.js";
+import { exchangeRaw, type KeepAliveCaller, openCaller, parseStatus, refusesConnections } from "../support/gatewaySite.js";
 import { waitUntil } from "../support/platformSite.js";
 
 const putRequest = "POST /api/config/put HTTP/1.1\r\nHost: c\r\nContent-Length: 2\r\n\r\n{}";
@@ -78,3 +78,24 @@
         halfOpenSocket.destroy();
     });
 });
+
+describe("an exception in a call of the operators' API", () => {
+    // Guards against an exception that nobody learns of, and against its text in an answer.
+    it("is logged and costs that call alone", async () => {
+        const lines: string[] = [];
+        const output = new PassThrough().on("data", line => lines.push(String(line)));
+        const control = {
+            publish: () => Promise.reject(new Error("broken part")),
+            evacuate: () => Promise.resolve("accepted"),
+        } as unknown as SiteControl;
+        const api = createControlApi(control, createLogger("error", "test", output));
+        const port = (await freePorts(1))[0]!;
+        await api.listen({ host: "127.0.0.1", port });
+        const startRequest = "POST /api/evacuations/a/start HTTP/1.1\r\nHost: c\r\n\r\n";
+        const answers = [await exchangeRaw(port, putRequest, 100), await exchangeRaw(port, startRequest, 100)];
+        await api.close();
+        expect(answers.map(parseStatus)).to.deep.equal([500, 200]);
+        expect(answers[0]).not.to.include("broken part");
+        expect(lines.join("")).to.include("exception contained").and.include("broken part").and.include("/api/config/put");
+    });
+});
