A request's tokens and model can't distort an entry's reports

What operators saw: one request with 999,999,999,999 prompt tokens was reported as 2 * 10^12 ms of VM time; the control leader drops a model's work in such a report as implausible, with that of all other requests, and a somewhat smaller number moves the VMs of the site to that model. Each model name that a caller invents became a field of the reports, up to 16 KB long. Cause: the work of a request was computed from what its caller states, without a bound, and counted under the stated model. Change: a request counts for at most the whole of its group until it is given up, and only models of the engine are counted, in the work as in the arrivals.

--- a/src/gateway/loadReports.ts
+++ b/src/gateway/loadReports.ts
@@ -6,7 +6,7 @@
 
 import type { EntryLoads } from "../feed/index.js";
 import type { Upstream } from "../fleet/index.js";
-import type { Site, SiteService } from "../site/index.js";
+import type { Route, Site, SiteService } from "../site/index.js";
 import type { Balancer } from "./balancer.js";
 import type { ParsedRequest } from "./parsedRequest.js";
 import type { SharedLoadsView } from "./sharedLoads.js";
@@ -60,7 +60,10 @@
 
     return {
         requestArrived({ model, route, table }) {
-            if (model !== undefined && route.targets.some(({ service }) => isActive(service, table.site))) {
+            const isServed = ({ service }: Route["targets"][number]) =>
+                isActive(service, table.site) && table.service(service)?.engine?.models.some(({ name }) => name === model);
+            // Callers may name any model.
+            if (model !== undefined && route.targets.some(isServed)) {
                 arrivals[model] = (arrivals[model] ?? 0) + 1;
             }
         },
--- a/src/gateway/workload.ts
+++ b/src/gateway/workload.ts
@@ -31,11 +31,14 @@
     let work: WorkByModel = {};
     return {
         attemptEnded(engine, request, outcome) {
-            if (request.model === undefined) {
+            const model = engine.models.find(({ name }) => name === request.model);
+            // Callers may name any model, and any number of tokens: no request takes more of a group than all of it until it is given up.
+            if (model === undefined) {
                 return;
             }
-            const { vmMs } = estimateWork(engine, request.model, request.promptTokens, expectedAnswerTokens(engine, request));
-            work[request.model] = (work[request.model] ?? 0) + vmMs * (outcome === "delivered" ? 1 : failedAttemptShare);
+            const maxVmMs = model.size * (request.giveUpAtMs - request.arrivedAtMs);
+            const { vmMs } = estimateWork(engine, model.name, request.promptTokens, expectedAnswerTokens(engine, request));
+            work[model.name] = (work[model.name] ?? 0) + Math.min(vmMs, maxVmMs) * (outcome === "delivered" ? 1 : failedAttemptShare);
         },
         drain() {
             const drained = work;
--- a/test/gateway/sharedLoads.test.ts
+++ b/test/gateway/sharedLoads.test.ts
@@ -105,6 +105,7 @@
             reports.requestArrived({ model, table, route: table.site.routes.find(({ name }) => name === routeName)! } as ParsedRequest);
         request("caption", "lm");
         request("caption", "lm");
+        request("caption", "invented");
         request("read", "lm");
         return reports;
     }
--- a/test/gateway/workload.test.ts
+++ b/test/gateway/workload.test.ts
@@ -8,6 +8,7 @@
 function attempt(leftMs: number): ParsedRequest {
     return {
         route: { name: "captions" }, model: "small", promptTokens: 100, sharedParts: [], answerTokens: 400, arrivedAtMs: 0, deadlineAtMs: leftMs,
+        giveUpAtMs: leftMs,
     } as unknown as ParsedRequest;
 }
 
@@ -51,6 +52,14 @@
         }
     });
 
+    // Guards against one caller's numbers and names that move the VMs of a site to a model, or make an entry's report unusable.
+    it("is bounded by what a request can take of its group, and counts the engine's models alone", () => {
+        const workload = createWorkload();
+        workload.attemptEnded(engine, { ...attempt(6_000), promptTokens: 999_999_999_999 }, "delivered");
+        workload.attemptEnded(engine, { ...attempt(6_000), model: "invented" }, "delivered");
+        expect(workload.drain()).to.deep.equal({ small: 2 * 6_000 });
+    });
+
     it("returns each piece of work once", () => {
         const workload = createWorkload();
         workload.attemptEnded(engine, attempt(6_000), "delivered");
