An unreadable message of a voter is lost alone

What operators saw: nothing yet; found by reading. A message that doesn't match the schema, such as one of a kind that only newer daemons know, ended the stream that carried it, with the votes and entries behind it, again on each stream that its sender opened after up to a second. An append whose entries don't follow one another matched the schema: it was written to the log in the wrong place, and no voter can start from such a folder. A term of 2^53 - 1 was taken over, after which no message of a next term can be read. Change: such a message counts as lost, which the protocol tolerates, and the first of a stream is logged with its sender and the reason. Entries of an append have to be consecutive, in terms that don't decrease and don't exceed the sender's. Terms are at most 2^32, far above what elections reach, so that the epochs derived from them stay safe integers. Evidence: the 9 new cases of test/consensus/transport.test.ts failed before (a rejected stream, or the odd message handled) and pass now. Measured: 59 tests of transport, properties (each message of its schedules is checked against the schema), safeguards, storage, openCluster and node pass.

--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -8,7 +8,9 @@
 import { z } from "zod";
 
 const index = z.number().int().min(0);
-const term = z.number().int().min(0);
+/** Terms count elections. Groups are numbered by term and 2^20 epochs in each, which has to stay a safe integer. */
+const maxTerm = 2 ** 32;
+const term = z.number().int().min(0).max(maxTerm);
 
 /** A voter id from the settings and the id of its disk: after its disk is wiped, a voter has a new identity. */
 export const identitySchema = z.strictObject({ voterId: z.string().min(1), diskId: z.string().min(1) });
@@ -90,7 +92,12 @@
 
 const voteResponseSchema = z.strictObject({ kind: z.literal("vote-response"), term, granted: z.boolean() });
 
-const appendSchema = z.strictObject({
+function hasConsecutiveEntries({ term: sentTerm, prevIndex, prevTerm, entries }: z.infer<typeof appendFieldsSchema>): boolean {
+    return entries.every((entry, offset) => entry.index === prevIndex + 1 + offset &&
+        entry.term >= (entries[offset - 1]?.term ?? prevTerm) && entry.term <= sentTerm);
+}
+
+const appendFieldsSchema = z.strictObject({
     kind: z.literal("append"),
     clusterId: z.string(),
     term,
@@ -103,6 +110,9 @@
     sentAtMs: z.number(),
 });
 
+/** Entries out of order would be written to the disk, from which no voter could start then. */
+const appendSchema = appendFieldsSchema.refine(hasConsecutiveEntries, "the entries don't follow one another");
+
 const snapshotMessageSchema = z.strictObject({
     kind: z.literal("snapshot"),
     clusterId: z.string(),
--- a/src/consensus/node.ts
+++ b/src/consensus/node.ts
@@ -241,7 +241,9 @@
     const routes: ConsensusRoutes = router => router.service(ConsensusService, {
         async deliver(envelopes) {
             const onMessage = ({ from, toDiskId, message }: AddressedMessage) => dispatch({ kind: "message", from, toDiskId, message });
-            return create(DeliverSummarySchema, { received: await receive(envelopes, { voterId: self.voterId, onMessage }) });
+            const onUnreadable = (fromVoterId: string, reason: string) =>
+                options.logger?.(`consensus: dropped an unreadable message from ${fromVoterId}: ${reason}`);
+            return create(DeliverSummarySchema, { received: await receive(envelopes, { voterId: self.voterId, onMessage, onUnreadable }) });
         },
         async propose(request) {
             const command = commandSchema.parse(JSON.parse(Buffer.from(request.command).toString("utf8")));
--- a/src/consensus/transport.ts
+++ b/src/consensus/transport.ts
@@ -197,15 +197,35 @@
 export interface Receiver {
     readonly voterId: string;
     onMessage(addressedMessage: AddressedMessage): void;
+    /** Called for the first message of a stream that can't be read. */
+    onUnreadable(fromVoterId: string, reason: string): void;
 }
 
-/** Reads one incoming stream. A message that does not match the schema ends the stream; the sender opens another. */
+const maxReasonChars = 300;
+
+function decodeMessage(bytes: Uint8Array): { readonly addressedMessage: AddressedMessage } | { readonly reason: string } {
+    try {
+        return { addressedMessage: addressedMessageSchema.parse(JSON.parse(Buffer.from(bytes).toString("utf8"))) };
+    }
+    catch (error) {
+        return { reason: (error as Error).message.slice(0, maxReasonChars) };
+    }
+}
+
+/** Reads one incoming stream. A message that does not match the schema, such as one of a newer daemon, counts as lost. */
 export async function receive(envelopes: AsyncIterable<ConsensusEnvelope>, receiver: Receiver): Promise<bigint> {
     let received = 0n;
+    let hasReported = false;
     for await (const envelope of envelopes) {
-        if (envelope.to === receiver.voterId) {
-            const addressedMessage: unknown = JSON.parse(Buffer.from(envelope.message).toString("utf8"));
-            receiver.onMessage(addressedMessageSchema.parse(addressedMessage));
+        const decoded = envelope.to === receiver.voterId ? decodeMessage(envelope.message) : undefined;
+        if (decoded !== undefined && "reason" in decoded) {
+            if (!hasReported) {
+                receiver.onUnreadable(envelope.from, decoded.reason);
+            }
+            hasReported = true;
+        }
+        else if (decoded !== undefined) {
+            receiver.onMessage(decoded.addressedMessage);
         }
         received++;
     }
--- a/test/consensus/transport.test.ts
+++ b/test/consensus/transport.test.ts
@@ -1,8 +1,11 @@
 import * as http2 from "node:http2";
 import type { AddressInfo } from "node:net";
+import { Readable } from "node:stream";
+import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
 import type { AddressedMessage } from "../../src/consensus/messages.js";
-import { createTransport, defaultTransport, type Transport } from "../../src/consensus/transport.js";
+import { createTransport, defaultTransport, receive, type Transport } from "../../src/consensus/transport.js";
+import { ConsensusEnvelopeSchema } from "../../src/rpc/gen/zinnialanding/v1/consensus_pb.js";
 import { waitFor } from "../support/voters.js";
 
 describe("links between voters", () => {
@@ -35,3 +38,31 @@
         expect(streams).to.be.at.least(2);
     });
 });
+
+describe("messages of other voters", () => {
+    const from = { voterId: "b", diskId: "d" };
+    const entry = (index: number, term = 2) => ({ index, term, payload: { kind: "no-op" } });
+    const append = (entries: object[], fields: object = {}) => ({
+        from,
+        message: { kind: "append", clusterId: "c", term: 2, prevIndex: 4, prevTerm: 1, entries, commitIndex: 4, round: 1, sentAtMs: 1, ...fields },
+    });
+    const good = [append([]), append([entry(5, 1), entry(6)])];
+    const odd: Record<string, unknown> = {
+        "another format": "{", "a newer kind": { from, message: { kind: "later" } }, "a further field": { ...append([]), later: 1 },
+        "a gap before the entries": append([entry(6)]), "a gap between entries": append([entry(5), entry(7)]),
+        "entries of a later term": append([entry(5, 3)]), "entries of an earlier term": append([entry(5), entry(6, 1)]),
+        "a term without successor": append([], { term: Number.MAX_SAFE_INTEGER }), "deep nesting": `${"[".repeat(5_000)}${"]".repeat(5_000)}`,
+    };
+    for (const [label, message] of Object.entries(odd)) {
+        // Guards against one message that ends the stream, with those behind it, or that leaves a log no voter can start from.
+        it(`are lost one by one if they can't be read: ${label}`, async () => {
+            const texts = [message, ...good, message].map(item => typeof item === "string" ? item : JSON.stringify(item));
+            const envelopes = texts.map(text => create(ConsensusEnvelopeSchema, { from: "b", to: "a", message: Buffer.from(text) }));
+            const [handled, unreadable]: [unknown[], string[]] = [[], []];
+            const received = await receive(Readable.from(envelopes), {
+                voterId: "a", onMessage: item => handled.push(item), onUnreadable: voterId => unreadable.push(voterId),
+            });
+            expect([handled, unreadable, received]).to.deep.equal([good, ["b"], 4n]);
+        });
+    }
+});
