A voter starts from a log of any number of entries

What operators saw: nothing yet; found by reading. A voter whose log held more than some 120,000 entries in one write ended at each start with "RangeError: Maximum call stack size exceeded", which names neither the file nor the cause. Cause: the entries of a write were passed as arguments of one call. Change: entries are added one by one. Evidence: the new case of test/consensus/storage.test.ts (200,000 entries) failed before with that error and passes now, with the 12 others.

--- a/src/consensus/folder.ts
+++ b/src/consensus/folder.ts
@@ -117,7 +117,8 @@
         throw new CorruptionError(file, 0, `entry ${first.index} does not follow the log`);
     }
     entries.length = isGapCovered ? 0 : position;
-    entries.push(...part);
+    // One by one: a call can't have as many arguments as a part can have entries.
+    part.forEach(entry => entries.push(entry));
 }
 
 /**
--- a/test/consensus/storage.test.ts
+++ b/test/consensus/storage.test.ts
@@ -121,6 +121,15 @@
 
     // A bad sector damages acknowledged entries. Truncating there would silently revoke them, so the voter must refuse to start and name
     // the offset. Its operators then give it an empty folder, and it catches up from the others.
+    // Guards against a voter that can't start because its log holds more entries than a call can have arguments.
+    it("opens a log whose entries were written at once, however many they are", async () => {
+        const storage = await open();
+        const entries = Array.from({ length: 200_000 }, (_, index) => entry(index + 1));
+        await writeAll(storage, [{ entries }]);
+        await storage.close();
+        expect((await openAndClose()).image.entries.length).to.equal(entries.length);
+    });
+
     it("rejects damage in the middle and names the file and the offset", async () => {
         const file = await writeThreeEntries();
         const bytes = await fs.readFile(file);
