--- a/src/siteControl/siteControlTypes.ts
+++ b/src/siteControl/siteControlTypes.ts
@@ -11,6 +11,7 @@
 import type { PeerConnections } from "../rpc/index.js";
 import type { OverloadMode, SiteDialect, SiteFinding } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import type { EvacuationOutcome } from "./evacuations.js";
 import type { EngineClient } from "./groupLeader.js";
 import type { UpstreamInquirer } from "./restoration.js";
 import type { UpstreamHints } from "./upstreamHints.js";
@@ -60,8 +61,8 @@
     publish(text: string): Promise<PublishOutcome>;
     /** Resolves to the newest published text; undefined if this daemon can't confirm that it is the newest. */
     readSite(): Promise<string | undefined>;
-    /** Resolves to whether the change was accepted. It is not carried out if its operator has given up on it. */
-    evacuate(dataCentre: string, isOut: boolean, operator: WaitingCaller): Promise<boolean>;
+    /** Starts or ends an evacuation. It is not carried out if its operator has given up on it. */
+    evacuate(dataCentre: string, isOut: boolean, operator: WaitingCaller): Promise<EvacuationOutcome>;
     recordAnnouncement(announcement: Announcement): AnnouncementOutcome;
     /** Reports an announcement that can't be read; `id` is the one that its sender states. */
     refuseAnnouncement(id: string): void;
