Give the request of a test a method and a path

Cause: attempts check now that what they write can be written, and the request in this test had neither a method nor a path, which no request lacks. Change: it has both. Measured: the file's tests pass; what it asserts is unchanged.

--- a/test/gateway/latencyTracker.test.ts
+++ b/test/gateway/latencyTracker.test.ts
@@ -135,7 +135,7 @@
             } },
         } as unknown as AttemptDependencies;
         const attempt = (change: Partial<AttemptOptions>) => startAttempt({
-            request: { ...world.request, attemptId: "r1" }, upstream: groupHead("g0").upstream, splitter: createEventSplitter(),
+            request: { ...world.request, attemptId: "r1", method: "POST", path: "/caption/1" }, upstream: groupHead("g0").upstream, splitter: createEventSplitter(),
             answer: { start: () => undefined, write: () => false }, isRepeatable: false, stallTimeoutMs: 1_000, headers: [],
             holder: unboundedMemory.open(connection), onEvents: () => undefined, ...change,
         } as unknown as AttemptOptions, dependencies);
