A connection that ends while its answer isn't read on costs one answer

What callers saw: an entry ended by itself with status 1, and all of its requests were cut off, once an upstream reset a connection whose caller read slowly. Besides, a whole answer with a length was given up if its connection was closed while the last bytes waited. Cause: an exchange is paused while its caller has too much to take, which paused undici's parser. If the connection then ends during an answer that may end with it (neither length nor chunks, Connection: close, HTTP/1.0), undici finishes the parser in the socket's event, which asserts that it isn't paused, and the AssertionError reaches the top. undici 7.30.2 has no option against it. Change: the connection is paused in front of the parser, which is never paused: the socket's bytes aren't handed out until the exchange is resumed. What has been read from the socket is still parsed, one chunk at most.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -9,6 +9,7 @@
 
 import { connect as connectTcp, type Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
+import { createReadGate, type ReadGate } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { startAnswerTimeout } from "../runtime/index.js";
 
@@ -41,12 +42,15 @@
 export interface RunningExchange {
     /** Ends the exchange and closes its connection; no callback follows. */
     abort(): void;
+    /** Stops reading from the connection; a part of the answer that has been read still comes. */
     pause(): void;
     resume(): void;
 }
 
 interface Connection {
     readonly client: Client;
+    /** Undefined until the connection is open. */
+    readGate: ReadGate | undefined;
     lastUsedAtMs: number;
     isBusy: boolean;
     wasReset: boolean;
@@ -87,7 +91,9 @@
 
     function openConnection(address: string): Connection {
         const { host, port } = splitAddress(address);
-        const connection: Connection = { lastUsedAtMs: 0, isBusy: false, wasReset: false, client: undefined as unknown as Client };
+        const connection: Connection = {
+            lastUsedAtMs: 0, isBusy: false, wasReset: false, readGate: undefined, client: undefined as unknown as Client,
+        };
         const client = new Client(`http://${address}`, {
             pipelining: 1,
             headersTimeout: 0,
@@ -115,6 +121,7 @@
                     socket.on("end", () => {
                         connection.wasReset ||= socket.remoteAddress === undefined;
                     });
+                    connection.readGate = createReadGate(socket);
                     callback(noError, socket);
                 });
             },
@@ -147,6 +154,7 @@
                 return;
             }
             connection.isBusy = false;
+            connection.readGate?.resume();
             connection.lastUsedAtMs = performance.now();
             if (!isReusable) {
                 remove(address, connection);
@@ -218,8 +226,8 @@
                     controller?.abort(new Error("aborted"));
                 }
             },
-            pause: () => controller?.pause(),
-            resume: () => controller?.resume(),
+            pause: () => !isOver && connection?.readGate?.pause(),
+            resume: () => !isOver && connection?.readGate?.resume(),
         };
     }
 
