A stream without a length that ends before its first event is broken off

What callers saw: a 200 with an empty body that looked complete, where an upstream had stopped after the head of a stream that has neither a length nor chunks and ends with its connection. Cause: an end of the connection counted as the end of the stream unless it came inside an event. After the head there is no event yet, so the same bytes were taken for an empty stream, which no upstream has for an answer: a request that runs begins with an event. Change: such a stream counts as broken off, like one that ends inside an event. It begins at another upstream if it may be repeated, and its caller sees that it is incomplete otherwise. An empty stream with chunks, a length or status 204 stays complete, and so does the continuation of a stream after its last event.

--- a/src/gateway/answerOrigin.ts
+++ b/src/gateway/answerOrigin.ts
@@ -1,5 +1,6 @@
 /**
- * Tells from the head of an answer whether it is the answer to a request and comes from the upstream that the request was sent to.
+ * Tells from the head of an answer whether it is the answer to a request and comes from the upstream that the request was sent to, and how
+ * its end is known.
  *
  * @module
  */
@@ -28,3 +29,9 @@
     return status === 421 && headerValue(rawHeaders, names.faultyUpstreamId) === undefined &&
         headerValue(rawHeaders, names.servedBy) !== upstreamId;
 }
+
+/** Whether the answer to a request other than HEAD has a body whose end only the end of its connection tells. */
+export function endsWithConnection({ status, rawHeaders }: AnswerHead): boolean {
+    return status !== 204 && headerValue(rawHeaders, "content-length") === undefined &&
+        !/\bchunked\b/i.test(headerValue(rawHeaders, "transfer-encoding") ?? "");
+}
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -7,7 +7,7 @@
 
 import type { UpstreamSignals } from "../fleet/index.js";
 import { createContainment } from "../runtime/index.js";
-import { foreignReason, isFromOtherUpstream } from "./answerOrigin.js";
+import { endsWithConnection, foreignReason, isFromOtherUpstream } from "./answerOrigin.js";
 import type { AttemptFailure } from "./attemptFailure.js";
 import type { AttemptDependencies, AttemptOptions, RunningAttempt } from "./attemptTypes.js";
 import type { ExchangeRequest } from "./connections.js";
@@ -277,9 +277,20 @@
         fail({ kind: "not-run", reason: `the upstream refused it with ${status}`, isUpstreamAtFault: status === 503, isUnsent: false });
     }
 
+    /** Returns why the end of a forwarded stream is not its regular one, or undefined. */
+    function truncationReason(): string | undefined {
+        if (!splitter.isAtBoundary) {
+            return "the stream ended in the middle of an event";
+        }
+        // An upstream that stops after the head of a stream that ends with its connection leaves the same bytes as an empty stream.
+        const isEmpty = !hasEvents && splitter.lastId === undefined;
+        return isEmpty && endsWithConnection({ status, rawHeaders }) ? "the stream ended before its first event" : undefined;
+    }
+
     function onEnd() {
-        if (isForwarding && isStream && status < 300 && !splitter.isAtBoundary) {
-            fail({ kind: "unknown", reason: "the stream ended in the middle of an event", isCrash: true });
+        const reason = isForwarding && isStream && status < 300 ? truncationReason() : undefined;
+        if (reason !== undefined) {
+            fail({ kind: "unknown", reason, isCrash: true });
             return;
         }
         if (status === 421 || (!isForwarding && headerValue(rawHeaders, names.notRun) !== undefined)) {
--- a/test/gateway/unframedAnswers.test.ts
+++ b/test/gateway/unframedAnswers.test.ts
@@ -51,6 +51,14 @@
         expect(site.outcomes).to.deep.equal(["failed"]);
     });
 
+    // Guards against an empty stream that looks complete although its upstream has stopped after the head.
+    it("are streams broken off if they end before their first event, and begin at another upstream", async () => {
+        await start("", "id: 1\ndata: a\n\n");
+        const answer = await exchangeRaw(site.port, caption);
+        expect(eventIds(answer)).to.deep.equal(["1"]);
+        expect(answer).to.match(lastChunk);
+    });
+
     it("are whole plain answers", async () => {
         upstreams.push(await startRawUpstream((request, socket) => socket.end(`${unframedHead(request, "text/plain")}done`)));
         site = await startGateway([createUpstream(upstreams[0]!.address, "u1")]);
