A request whose head is broken leaves those before it their answers

What callers saw: a request that runs was answered 408 (which promises that it never does), 400 or 431, without its id, and a stream was broken off, if the head of a further request on the connection was late, malformed, cut or too long. Cause: the listener had no handler for such heads. Node's own writes its answer to the connection at once, in place of the answers that are still due, and closes it. Change: the answers to the requests that have been read completely are sent first, further ones are ignored, and then the connection is closed.

--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -27,6 +27,8 @@
     registerRequest(message: IncomingMessage, response: ServerResponse): RequestPosition | undefined;
     /** Starts draining: from now on, every connection closes after its current response. */
     drain(): void;
+    /** Ignores further requests on one connection. The response to the newest one before announces that the connection closes. */
+    ignoreFurther(socket: Socket): void;
     /**
      * Starts draining, reads data that has arrived, and closes inactive connections. Those that have received part of a request head are
      * closed after a grace period. Resolves to the number of connections closed immediately. Must be called when the listener is closed.
@@ -48,6 +50,8 @@
     consumedBytes: number;
     /** No further requests are accepted. */
     isClosing: boolean;
+    /** The connection is to be closed after the responses to the requests so far. */
+    ignoresFurther: boolean;
 }
 
 /** How long a caller may take to send the rest of a partial request head once the listener is closed. */
@@ -127,7 +131,7 @@
     }
 
     function addConnection(socket: Socket) {
-        connections.set(socket, { socket, requestCount: 0, pending: 0, consumedBytes: 0, isClosing: false });
+        connections.set(socket, { socket, requestCount: 0, pending: 0, consumedBytes: 0, isClosing: false, ignoresFurther: false });
         socket.once("close", () => connections.delete(socket));
     }
 
@@ -150,7 +154,7 @@
         },
         registerRequest(message, response) {
             const connection = connections.get(message.socket);
-            if (connection === undefined || connection.isClosing) {
+            if (connection === undefined || connection.isClosing || connection.ignoresFurther) {
                 return undefined;
             }
             const precedingRequests = connection.requestCount++;
@@ -166,7 +170,7 @@
                 precedingRequests,
                 announcesClose() {
                     // Only the response to the newest request may announce the close: the connection closes before any later response.
-                    const isLastResponse = isDraining && connection.requestCount === precedingRequests + 1;
+                    const isLastResponse = (isDraining || connection.ignoresFurther) && connection.requestCount === precedingRequests + 1;
                     connection.isClosing ||= isLastResponse;
                     return isLastResponse;
                 },
@@ -175,6 +179,12 @@
         drain() {
             isDraining = true;
         },
+        ignoreFurther(socket) {
+            const connection = connections.get(socket);
+            if (connection !== undefined) {
+                connection.ignoresFurther = true;
+            }
+        },
         closeInactive() {
             return closingInactive ??= closeInactive();
         },
