A sidecar outlives an answer that breaks off while nobody reads on

What callers saw: with the own interface, a sidecar ended by itself and all its attempts were lost, once the connection of an answer without a length (or one that closes its connection) ended while its entry read slowly. Besides, an answer without a length counted as incomplete if any other connection to the engine was reset meanwhile. Cause: the body of an answer that isn't taken pauses undici's parser after 64 KiB, and the end of the connection then throws in an event of the socket, as at the gateway. Resets were counted for all connections of the engine together. Change: each request has its own connection, as it had on the wire, which knows whether it was reset. It is paused in front of the parser while an event of its answer is handed on. "Transfer-Encoding" other than chunked no longer counts as a mark of the answer's end. The model of the engine in test/sidecar/pushback.test.ts has the new connection in place of the agent, and checks the same.

--- a/src/sidecar/engine.ts
+++ b/src/sidecar/engine.ts
@@ -4,9 +4,10 @@
  * @module
  */
 
-import { Agent, buildConnector, request } from "undici";
+import { Agent, request } from "undici";
 import { z } from "zod";
 import { readBoundedText } from "../http/index.js";
+import { createEngineConnection, type EngineConnection } from "./engineConnection.js";
 
 const pollIntervalMs = 250;
 const pollTimeoutMs = 1_000;
@@ -35,10 +36,8 @@
     readonly state: EngineState | undefined;
     /** Whether the last poll found no process. A stalled process does not count as gone. */
     readonly isGone: boolean;
-    /** Connections for requests. Streams are unbounded, and there is no timeout between tokens. */
-    readonly agent: Agent;
-    /** Number of connections of `agent` that have been reset. */
-    readonly resets: number;
+    /** Creates a connection for one request, which is closed by the caller, or by `stop`. */
+    connect(): EngineConnection;
     /** Polls immediately, or joins a poll in progress. Used after a connection to the upstream was reset. */
     poll(): Promise<void>;
     /** Sends an order, fenced by its epoch; resolves to false if the engine refused it or did not answer. */
@@ -46,46 +45,13 @@
     stop(): void;
 }
 
-/**
- * Returns a connector that calls back for each connection that is reset. The library reports a reset during an answer without a length as
- * its regular end. A reset that comes together with the last bytes is reported as the end of the stream, and leaves no remote address.
- */
-function createCountingConnector(onReset: () => void): buildConnector.connector {
-    const connect = buildConnector({});
-    return (options, callback) => connect(options, (...[error, socket]) => {
-        if (socket === null) { // eslint-disable-line no-restricted-syntax -- the library passes it for an absent socket
-            callback(error!, socket);
-            return;
-        }
-        let isReset = false;
-        const reset = () => {
-            if (!isReset) {
-                isReset = true;
-                onReset();
-            }
-        };
-        // The library's own error for a connection that was closed in order has another code.
-        socket.on("error", (error: NodeJS.ErrnoException) => {
-            if (error.code === "ECONNRESET") {
-                reset();
-            }
-        });
-        socket.on("end", () => {
-            if (socket.remoteAddress === undefined) {
-                reset();
-            }
-        });
-        callback(error as never, socket);
-    });
-}
-
 /**
  * Starts polling. Calls `onPoll` after each poll; `isChanged` is true if the upstream appeared, disappeared or restarted, or if its
  * loaded or loading models changed.
  */
 export function createEngine(address: string, onPoll: (state: EngineState | undefined, isChanged: boolean) => void): Engine {
-    let resets = 0;
-    const agent = new Agent({ pipelining: 0, headersTimeout: 0, bodyTimeout: 0, connect: createCountingConnector(() => resets++) });
+    const connections = new Set<EngineConnection>();
+    const orderAgent = new Agent({ pipelining: 0, headersTimeout: orderTimeoutMs, bodyTimeout: 0 });
     const pollAgent = new Agent({
         headersTimeout: pollTimeoutMs,
         bodyTimeout: pollTimeoutMs,
@@ -136,19 +102,19 @@
         get isGone() {
             return isGone;
         },
-        agent,
-        get resets() {
-            return resets;
+        connect() {
+            const connection = createEngineConnection(address, closed => connections.delete(closed));
+            connections.add(connection);
+            return connection;
         },
         poll,
         async order(body) {
             try {
                 const answer = await request(`http://${address}/orders`, {
                     method: "POST",
-                    dispatcher: agent,
+                    dispatcher: orderAgent,
                     headers: { "content-type": "application/json" },
                     body: JSON.stringify(body),
-                    headersTimeout: orderTimeoutMs,
                 });
                 await answer.body.dump();
                 return answer.statusCode < 300;
@@ -159,7 +125,8 @@
         },
         stop() {
             clearInterval(timer);
-            void agent.destroy();
+            connections.forEach(connection => connection.close());
+            void orderAgent.destroy();
             void pollAgent.destroy();
         },
     };
--- a/src/sidecar/upstream.ts
+++ b/src/sidecar/upstream.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { request, type Dispatcher } from "undici";
+import type { Dispatcher } from "undici";
 import type { Header, RunRequest } from "../rpc/index.js";
 import type { Engine } from "./engine.js";
 
@@ -73,32 +73,44 @@
     return run.body.length === 0 ? undefined : run.body;
 }
 
-/** Runs the request; throws `UpstreamError` if the answer cannot be completed. */
+/** Whether only the end of the connection tells the end of an answer. */
+function endsWithConnection({ headers }: Dispatcher.ResponseData): boolean {
+    return headers["content-length"] === undefined && !/\bchunked\b/i.test(String(headers["transfer-encoding"]));
+}
+
+/** Runs the request; throws `UpstreamError` if the answer cannot be completed. It reads no faster than its events are taken. */
 export async function* runUpstream(engine: Engine, run: RunRequest, signal: AbortSignal): AsyncGenerator<UpstreamEvent> {
+    const connection = engine.connect();
     let hasResponse = false;
     try {
-        const answer = await request(`http://${engine.address}${run.path}`, {
+        const answer = await connection.client.request({
+            path: run.path,
             method: run.method as Dispatcher.HttpMethod,
-            dispatcher: engine.agent,
             headers: { ...forwardedHeaders(run.headers), "x-request-id": run.attemptId, ...(run.traceparent === "" ? {} : { traceparent: run.traceparent }) },
             body: requestBody(run),
             signal,
+            highWaterMark: Number.MAX_SAFE_INTEGER,
         });
         hasResponse = true;
-        const resetsBefore = engine.resets;
+        connection.pause();
         yield { kind: "started", status: answer.statusCode, headers: answerHeaders(answer) };
+        connection.resume();
         const isEventStream = String(answer.headers["content-type"]).startsWith("text/event-stream");
         const parts = isEventStream ? serverSentData(answer.body) : answer.body as AsyncIterable<Uint8Array>;
         for await (const data of parts) {
+            connection.pause();
             yield { kind: "chunk", data };
+            connection.resume();
         }
-        const isFramed = answer.headers["content-length"] !== undefined || answer.headers["transfer-encoding"] !== undefined;
-        if (!isFramed && engine.resets > resetsBefore) {
-            throw new Error("a connection to the upstream was reset before the answer's end");
+        if (endsWithConnection(answer) && connection.wasReset) {
+            throw new Error("the connection to the upstream was reset before the answer's end");
         }
     }
     catch (error) {
         const code = (error as { code?: string }).code ?? "";
         throw new UpstreamError(hasResponse || !connectFailureCodes.has(code), error);
     }
+    finally {
+        connection.close();
+    }
 }
--- a/test/sidecar/pushback.test.ts
+++ b/test/sidecar/pushback.test.ts
@@ -1,24 +1,23 @@
 import { create } from "@bufbuild/protobuf";
 import { expect } from "chai";
-import { Agent } from "undici";
 import { SlowStartLimiter } from "../../src/admission/index.js";
 import { RunRequestSchema } from "../../src/rpc/index.js";
 import { type Attempts, createAttempts } from "../../src/sidecar/attempts.js";
 import type { Engine } from "../../src/sidecar/engine.js";
+import { createEngineConnection } from "../../src/sidecar/engineConnection.js";
 import { createTracing } from "../../src/telemetry/index.js";
 import { type RawUpstream, startRawUpstream } from "../support/rawUpstream.js";
 
 const pushbackS = 30;
 
-function createEngineAt(address: string, agent: Agent): Engine {
+function createEngineAt(address: string): Engine {
     return {
-        address, agent, resets: 0, state: undefined, isGone: false,
+        address, state: undefined, isGone: false, connect: () => createEngineConnection(address, () => undefined),
         poll: () => Promise.resolve(), order: () => Promise.resolve(false), stop: () => undefined,
     };
 }
 
 describe("a sidecar whose upstream pushes back", () => {
-    const agent = new Agent();
     let upstream: RawUpstream;
     let attempts: Attempts;
     let nowMs = 0;
@@ -29,7 +28,7 @@
             : "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"));
         const limiter = new SlowStartLimiter({ capacity: 8, coldCapacity: 8 });
         attempts = createAttempts({
-            bootId: "b1", engine: () => createEngineAt(upstream.address, agent), limiter: () => limiter, nowMs: () => nowMs,
+            bootId: "b1", engine: () => createEngineAt(upstream.address), limiter: () => limiter, nowMs: () => nowMs,
             tracing: createTracing({ daemonId: "sidecar-1", tracesShare: 0 }),
             onStarted: () => undefined, onCompleted: () => undefined, onFirstToken: () => undefined,
             mayForward: () => true, reportCrash: () => undefined,
@@ -42,7 +41,7 @@
 
     afterEach(async () => {
         attempts.stop();
-        await Promise.all([agent.destroy(), upstream.close()]);
+        await upstream.close();
     });
 
     /** Runs an attempt and returns its first event that is no heartbeat. */
