An upstream of an unknown service puts no other one out at its address

What would be seen: a check-in for a service that no configuration names, made before the first configuration had come, ended a sound upstream at the same address for its life: the later start wins, and an upstream that is gone never returns in the same incarnation. Change: before such an upstream enters the directory, by an announcement or relayed, it is held back until the next site, if one of another service runs at the address. One of a service that the site has ends those of unknown services at its address. Holding everything back until a site is known was weighed: a daemon that restarts without a quorum would relay nothing.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -26,6 +26,8 @@
 export interface Directory {
     /** The current upstreams; the map changes with the directory. */
     readonly upstreams: DirectoryState;
+    /** The upstreams that state an address and have not been replaced. */
+    runningAt(address: string): readonly Upstream[];
     /** Counts the changes that must be published. */
     readonly version: number;
     /** Ids of the upstreams whose last such change came after `version`, in the order of these changes. */
@@ -104,7 +106,12 @@
  */
 export function hasIncarnationEnded(state: DirectoryState, id: string): boolean {
     const upstream = state.get(id);
-    return upstream === undefined || (upstream.isGone && !upstream.hasLeft);
+    return upstream === undefined || !isRunning(upstream);
+}
+
+/** Whether an upstream's process may still run. */
+function isRunning({ isGone, hasLeft }: Upstream): boolean {
+    return !isGone || hasLeft;
 }
 
 /** Returns the upstreams that may still be running; those that have left are returned as draining. */
@@ -192,7 +199,7 @@
         }
         for (const id of [...idsByAddress.get(upstream.address)!]) {
             const other = upstreams.get(id)!;
-            if (id !== upstream.id && (!other.isGone || other.hasLeft)) {
+            if (id !== upstream.id && isRunning(other)) {
                 const superseded = other.bornMs <= upstream.bornMs ? other : upstream;
                 put({ ...superseded, isGone: true, hasLeft: false }, changed);
             }
@@ -213,6 +220,7 @@
 
     return {
         upstreams,
+        runningAt: address => [...idsByAddress.get(address) ?? []].map(id => upstreams.get(id)!).filter(isRunning),
         get version() {
             return version;
         },
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -8,11 +8,12 @@
     aliveIntervalMs, createFeedServer, createFeedWatcher, type DirectoryPosition, type FeedServer, type FeedWatcher, type Frame,
     type FrameKind, type LogPosition, type PositionedFrame, type Report, type WatcherRole,
 } from "../feed/index.js";
-import { type Announcement, createDirectory, createPushbacks, type Incarnation, type Upstream, type UpstreamSignals } from "../fleet/index.js";
+import { type Announcement, createDirectory, createPushbacks, type Incarnation, type RelayedUpstream, type Upstream, type UpstreamSignals } from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { createContainment } from "../runtime/index.js";
 import type { DecodedSite } from "../site/index.js";
 import { createExceptionLog, createRefusedInputs } from "../telemetry/index.js";
+import { createAddressClaims } from "./addressClaims.js";
 import { barredFingerprints, recordCrashes } from "./crashRecords.js";
 import { createCrashCauses } from "./crashCauses.js";
 import { createCrashCollector } from "./crashCollector.js";
@@ -117,9 +118,19 @@
         }
     }
 
+    const addressClaims = createAddressClaims({ directory, table: currentTable, onEnded: publishChanged });
+
     function acceptAnnouncement(announcement: Announcement, heardAtMs: number) {
-        publishChanged(directory.announce(announcement, heardAtMs));
-        directoryFeed.recordHeard([announcement.id], true);
+        if (addressClaims.admits(announcement, () => acceptAnnouncement(announcement, heardAtMs))) {
+            publishChanged(directory.announce(announcement, heardAtMs));
+            directoryFeed.recordHeard([announcement.id], true);
+        }
+    }
+
+    function mergeRelayed(upstreams: readonly RelayedUpstream[], receivedAtMs: number) {
+        const admitted = upstreams.filter(upstream =>
+            upstream.isGone || addressClaims.admits(upstream, () => mergeRelayed([upstream], receivedAtMs)));
+        publishChanged(directory.merge(admitted, receivedAtMs));
     }
 
     function* initialFrames(kinds: readonly FrameKind[], known?: DirectoryPosition): Generator<Frame | PositionedFrame> {
@@ -176,7 +187,7 @@
         dataCentre: options.dataCentre,
         onFrame: contained((frame: Frame) => {
             if (frame.kind === "upstreams") {
-                publishChanged(directory.merge(frame.upstreams, nowMs()));
+                mergeRelayed(frame.upstreams, nowMs());
             }
             if (frame.kind === "heard") {
                 directory.updateHeardTimes(frame.heard, nowMs());
@@ -207,6 +218,7 @@
         if (site !== undefined && site.version !== lastPublished.version) {
             [...siteFrames(site)].forEach(frame => feed.publish(frame));
             feed.publish(aliveFrame(), "entry");
+            addressClaims.siteChanged();
             logger.info("site applied", { version: site.version, index: log.appliedIndex, term: log.term, leader: log.leaderAddress });
         }
         if (evacuatedNames !== lastPublished.evacuated) {
