Bound the number of upstreams that a daemon knows

What would be seen: each check-in under a new id took a place in the directories of all control daemons and entries for as long as they ran. Change: a directory holds at most 50,000 upstreams (a site is designed for 11,000). Beyond that further ids are not taken, and those that are known stay. From four fifths of it on, a control daemon ends upstreams that have been silent for ten minutes, the longest silent first, and tells the entries. The checks of announcements have a module of their own. Evidence: the new test of the directory floods a directory of ten places for 30 minutes of its clock: it never holds more, the sound upstreams stay, and room is made by silent ones. Nothing bounded the number before.

--- a/src/fleet/directory.ts
+++ b/src/fleet/directory.ts
@@ -48,8 +48,20 @@
     updateHeardTimes(heard: readonly HeardUpstream[], nowMs: number): void;
     /** Removes upstreams that have been gone for longer than the retention time. */
     removeExpired(nowMs: number): void;
+    /** Whether an announcement of this upstream would be taken. One of an upstream that is known always is; others are, up to a bound. */
+    hasRoomFor(id: string, nowMs: number): boolean;
+    /** While there is little room left, marks those as gone that have been silent for ten minutes, the longest silent first. */
+    endSilent(nowMs: number): readonly Upstream[];
 }
 
+/** Several times what a site is designed for, so that only ids which nobody uses can reach it. */
+const defaultMaxUpstreams = 50_000;
+/** Part of the bound above which silent upstreams are ended. */
+const crowdedShare = 0.8;
+const maxSilenceMs = 600_000;
+/** Least interval between searches for room, each of which goes over all upstreams. */
+const searchIntervalMs = 1_000;
+
 /** How long an ended incarnation is remembered: much longer than the 12 s by which an announcement may be delayed. */
 const goneRetentionMs = 60_000;
 
@@ -150,9 +162,10 @@
     return a.length === b.length && a.every((item, index) => item === b[index]);
 }
 
-/** Creates an empty directory. */
-export function createDirectory(): Directory {
+/** Creates an empty directory. It never holds more than `maxUpstreams`: further ones are not taken, and known ones stay. */
+export function createDirectory(maxUpstreams = defaultMaxUpstreams): Directory {
     const upstreams = new Map<string, Upstream>();
+    let nextSearchAtMs = -Infinity;
     const idsByAddress = new Map<string, Set<string>>();
     let version = 0;
     /** The version of the last published change of each upstream, in ascending order. */
@@ -218,19 +231,53 @@
         return byId(changed);
     }
 
+    function removeExpired(nowMs: number) {
+        for (const upstream of [...upstreams.values()]) {
+            if (upstream.isGone && nowMs - upstream.heardAtMs >= goneRetentionMs) {
+                upstreams.delete(upstream.id);
+                versions.delete(upstream.id);
+                removeFromIndex(upstream);
+            }
+        }
+    }
+
+    function hasRoomFor(id: string, nowMs: number): boolean {
+        if (upstreams.size >= maxUpstreams && !upstreams.has(id) && nowMs >= nextSearchAtMs) {
+            removeExpired(nowMs);
+            nextSearchAtMs = nowMs + searchIntervalMs;
+        }
+        return upstreams.size < maxUpstreams || upstreams.has(id);
+    }
+
     return {
         upstreams,
+        hasRoomFor,
+        removeExpired,
+        endSilent(nowMs) {
+            const excess = Math.max(0, Math.ceil(upstreams.size - maxUpstreams * crowdedShare));
+            if (excess === 0) {
+                return [];
+            }
+            const changed = new Set<string>();
+            [...upstreams.values()]
+                .filter(upstream => isRunning(upstream) && nowMs - upstream.heardAtMs >= maxSilenceMs)
+                .sort((a, b) => a.heardAtMs - b.heardAtMs)
+                .slice(0, excess)
+                .forEach(upstream => put({ ...upstream, isGone: true, hasLeft: false }, changed));
+            return byId(changed);
+        },
         runningAt: address => [...idsByAddress.get(address) ?? []].map(id => upstreams.get(id)!).filter(isRunning),
         get version() {
             return version;
         },
         changedSince: since => [...versions].filter(([, changedAt]) => changedAt > since).map(([id]) => id),
-        announce: (announcement, nowMs) => update(announcedUpstream(upstreams.get(announcement.id), announcement, nowMs)),
+        announce: (announcement, nowMs) =>
+            hasRoomFor(announcement.id, nowMs) ? update(announcedUpstream(upstreams.get(announcement.id), announcement, nowMs)) : [],
         merge(relayed, nowMs) {
             const changed = new Set<string>();
             for (const upstream of relayed) {
                 const merged = mergeUpstream(upstreams.get(upstream.id), upstream, nowMs);
-                if (merged !== undefined) {
+                if (merged !== undefined && hasRoomFor(upstream.id, nowMs)) {
                     putAtAddress(merged, changed);
                 }
             }
@@ -261,14 +308,5 @@
                 }
             }
         },
-        removeExpired(nowMs) {
-            for (const upstream of [...upstreams.values()]) {
-                if (upstream.isGone && nowMs - upstream.heardAtMs >= goneRetentionMs) {
-                    upstreams.delete(upstream.id);
-                    versions.delete(upstream.id);
-                    removeFromIndex(upstream);
-                }
-            }
-        },
     };
 }
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -14,6 +14,7 @@
 import type { DecodedSite } from "../site/index.js";
 import { createExceptionLog, createRefusedInputs } from "../telemetry/index.js";
 import { createAddressClaims } from "./addressClaims.js";
+import { createAnnouncementCheck } from "./announcementCheck.js";
 import { barredFingerprints, recordCrashes } from "./crashRecords.js";
 import { createCrashCauses } from "./crashCauses.js";
 import { createCrashCollector } from "./crashCollector.js";
@@ -41,11 +42,6 @@
 /** Least interval between divisions of limits that are published because limits have changed: each goes to every entry. */
 const limitsIntervalMs = 20;
 const cleanupIntervalMs = 10_000;
-/**
- * Clocks of VMs differ by less. An upstream that states a later start is not believed: no later incarnation under its id would count until
- * then.
- */
-const maxClockDifferenceMs = 600_000;
 
 /** Creates the role. It plans and publishes nothing before `start` is called. */
 export function createSiteControl(options: SiteControlOptions): SiteControl {
@@ -118,6 +114,9 @@
         }
     }
 
+    const checkAnnouncement = createAnnouncementCheck({
+        directory, refusedInputs, table: currentTable, isInTouch, nowMs, nowUnixMs: () => Date.now(),
+    });
     const addressClaims = createAddressClaims({ directory, table: currentTable, onEnded: publishChanged });
 
     function acceptAnnouncement(announcement: Announcement, heardAtMs: number) {
@@ -265,6 +264,7 @@
         }
         verdicts.update(isLeader(), [...groupLeader.lostIds, ...barredFingerprints(log)]);
         if (nowMs() > nextCleanupAtMs) {
+            publishChanged(directory.endSilent(nowMs()));
             directory.removeExpired(nowMs());
             nextCleanupAtMs = nowMs() + cleanupIntervalMs;
         }
@@ -292,21 +292,11 @@
         },
         evacuate,
         recordAnnouncement(announcement) {
-            const { id, service, bornMs } = announcement;
-            if (bornMs > Date.now() + maxClockDifferenceMs) {
-                refusedInputs.record("announcement", { upstream: id, reason: "starts in the future", bornMs });
-                return "refused";
-            }
-            if (announcement.state === "draining" && !isInTouch()) {
-                return "unavailable";
-            }
-            const table = currentTable();
-            if (table !== undefined && table.service(service) === undefined) {
-                refusedInputs.record("unknown-service", { upstream: id, service });
-                return "recorded";
+            const outcome = checkAnnouncement(announcement);
+            if (outcome === "taken") {
+                acceptAnnouncement(announcement, nowMs());
             }
-            acceptAnnouncement(announcement, nowMs());
-            return "recorded";
+            return outcome;
         },
         refuseAnnouncement: id => refusedInputs.record("announcement", { upstream: id, reason: "unreadable or out of bounds" }),
         recordDeparture({ id, bornMs, mayBeLate }) {
--- a/src/siteControl/siteControlTypes.ts
+++ b/src/siteControl/siteControlTypes.ts
@@ -11,6 +11,7 @@
 import type { PeerConnections } from "../rpc/index.js";
 import type { OverloadMode, SiteDialect, SiteFinding } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import type { AnnouncementOutcome } from "./announcementCheck.js";
 import type { EngineClient } from "./groupLeader.js";
 import type { UpstreamInquirer } from "./restoration.js";
 import type { UpstreamHints } from "./upstreamHints.js";
@@ -49,12 +50,6 @@
     readonly mayBeLate: boolean;
 }
 
-/**
- * An announcement is refused if no upstream can have made it, and `unavailable` if it must be made to another daemon because this one may
- * be cut off from the entries.
- */
-export type AnnouncementOutcome = "recorded" | "refused" | "unavailable";
-
 export interface SiteControl {
     readonly feed: FeedServer;
     publish(text: string): Promise<PublishOutcome>;
--- a/test/fleet/directory.test.ts
+++ b/test/fleet/directory.test.ts
@@ -85,6 +85,25 @@
     });
 
     // Guards against a frame that states an upstream before the one that has left its address.
+    // Guards against a directory that grows with each invented id, and against invented upstreams that take the place of sound ones.
+    it("holds a bounded number, keeps those that it knows, and makes room by those that have been silent for long", () => {
+        const bounded = createDirectory(10);
+        const announce = (ids: readonly string[], nowMs: number) => ids.forEach(id =>
+            bounded.announce(announcementOf({ id, address: `${id}.example:80`, sequence: nowMs }), nowMs));
+        const soundIds = ["u1", "u2", "u3"];
+        announce(soundIds, 1);
+        for (let minute = 1; minute <= 30; minute++) {
+            announce(Array.from({ length: 40 }, (_, index) => `odd-${minute}-${index}`), minute * 60_000);
+            bounded.merge([{ ...toRelayed(bounded.upstreams.get("u1")!, 0), id: "other", address: `other-${minute}:80` }], minute * 60_000);
+            announce(soundIds, minute * 60_000);
+            bounded.endSilent(minute * 60_000);
+            bounded.removeExpired(minute * 60_000);
+            expect(bounded.upstreams.size).to.be.at.most(10);
+        }
+        expect(soundIds.filter(id => bounded.upstreams.get(id)?.isGone !== false)).to.deep.equal([]);
+        expect([...bounded.upstreams.keys()].some(id => id.startsWith("odd-2"))).to.equal(true);
+    });
+
     it("lists what has changed since a version in the order of the last changes, and nothing that only was heard", () => {
         directory.announce(announcementOf(), 10);
         directory.announce(announcementOf({ id: "u2", address: "10.0.0.2:80" }), 10);
