--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -8,11 +8,13 @@
     aliveIntervalMs, createFeedServer, createFeedWatcher, type DirectoryPosition, type FeedServer, type FeedWatcher, type Frame,
     type FrameKind, type LogPosition, type PositionedFrame, type Report, type WatcherRole,
 } from "../feed/index.js";
-import { type Announcement, createDirectory, createPushbacks, type Incarnation, type Upstream, type UpstreamSignals } from "../fleet/index.js";
+import { type Announcement, createDirectory, createPushbacks, type Incarnation, type RelayedUpstream, type Upstream, type UpstreamSignals } from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { createContainment } from "../runtime/index.js";
 import type { DecodedSite } from "../site/index.js";
 import { createExceptionLog, createRefusedInputs } from "../telemetry/index.js";
+import { createAddressClaims } from "./addressClaims.js";
+import { createAnnouncementCheck } from "./announcementCheck.js";
 import { barredFingerprints, recordCrashes } from "./crashRecords.js";
 import { createCrashCauses } from "./crashCauses.js";
 import { createCrashCollector } from "./crashCollector.js";
@@ -40,11 +42,6 @@
 /** Least interval between divisions of limits that are published because limits have changed: each goes to every entry. */
 const limitsIntervalMs = 20;
 const cleanupIntervalMs = 10_000;
-/**
- * Clocks of VMs differ by less. An upstream that states a later start is not believed: no later incarnation under its id would count until
- * then.
- */
-const maxClockDifferenceMs = 600_000;
 
 /** Creates the role. It plans and publishes nothing before `start` is called. */
 export function createSiteControl(options: SiteControlOptions): SiteControl {
@@ -117,9 +114,22 @@
         }
     }
 
+    const checkAnnouncement = createAnnouncementCheck({
+        directory, refusedInputs, table: currentTable, isInTouch, nowMs, nowUnixMs: () => Date.now(),
+    });
+    const addressClaims = createAddressClaims({ directory, table: currentTable, onEnded: publishChanged });
+
     function acceptAnnouncement(announcement: Announcement, heardAtMs: number) {
-        publishChanged(directory.announce(announcement, heardAtMs));
-        directoryFeed.recordHeard([announcement.id], true);
+        if (addressClaims.admits(announcement, () => acceptAnnouncement(announcement, heardAtMs))) {
+            publishChanged(directory.announce(announcement, heardAtMs));
+            directoryFeed.recordHeard([announcement.id], true);
+        }
+    }
+
+    function mergeRelayed(upstreams: readonly RelayedUpstream[], receivedAtMs: number) {
+        const admitted = upstreams.filter(upstream =>
+            upstream.isGone || addressClaims.admits(upstream, () => mergeRelayed([upstream], receivedAtMs)));
+        publishChanged(directory.merge(admitted, receivedAtMs));
     }
 
     function* initialFrames(kinds: readonly FrameKind[], known?: DirectoryPosition): Generator<Frame | PositionedFrame> {
@@ -176,7 +186,7 @@
         dataCentre: options.dataCentre,
         onFrame: contained((frame: Frame) => {
             if (frame.kind === "upstreams") {
-                publishChanged(directory.merge(frame.upstreams, nowMs()));
+                mergeRelayed(frame.upstreams, nowMs());
             }
             if (frame.kind === "heard") {
                 directory.updateHeardTimes(frame.heard, nowMs());
@@ -207,6 +217,7 @@
         if (site !== undefined && site.version !== lastPublished.version) {
             [...siteFrames(site)].forEach(frame => feed.publish(frame));
             feed.publish(aliveFrame(), "entry");
+            addressClaims.siteChanged();
             logger.info("site applied", { version: site.version, index: log.appliedIndex, term: log.term, leader: log.leaderAddress });
         }
         if (evacuatedNames !== lastPublished.evacuated) {
@@ -253,6 +264,7 @@
         }
         verdicts.update(isLeader(), [...groupLeader.lostIds, ...barredFingerprints(log)]);
         if (nowMs() > nextCleanupAtMs) {
+            publishChanged(directory.endSilent(nowMs()));
             directory.removeExpired(nowMs());
             nextCleanupAtMs = nowMs() + cleanupIntervalMs;
         }
@@ -280,21 +292,11 @@
         },
         evacuate,
         recordAnnouncement(announcement) {
-            const { id, service, bornMs } = announcement;
-            if (bornMs > Date.now() + maxClockDifferenceMs) {
-                refusedInputs.record("announcement", { upstream: id, reason: "starts in the future", bornMs });
-                return "refused";
-            }
-            if (announcement.state === "draining" && !isInTouch()) {
-                return "unavailable";
-            }
-            const table = currentTable();
-            if (table !== undefined && table.service(service) === undefined) {
-                refusedInputs.record("unknown-service", { upstream: id, service });
-                return "recorded";
+            const outcome = checkAnnouncement(announcement);
+            if (outcome === "taken") {
+                acceptAnnouncement(announcement, nowMs());
             }
-            acceptAnnouncement(announcement, nowMs());
-            return "recorded";
+            return outcome;
         },
         refuseAnnouncement: id => refusedInputs.record("announcement", { upstream: id, reason: "unreadable or out of bounds" }),
         recordDeparture({ id, bornMs, mayBeLate }) {
