An address that can't be connected to costs its messages, not the voter

What operators saw: nothing yet; found by reading. A voter stopped for good ("consensus: stopped: Invalid URL") once it had to send to an address such as a^b:1 or h:99999, which the hello of another process or a changed settings file may state. Cause: constructing the connection throws within the step that sends, where an exception counts as a violated invariant. Change: a link that can't be constructed waits like one that can't be opened, and its message is lost. Hellos and their answers with such an address can't be read, so that nobody is admitted under it.

--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -6,6 +6,7 @@
  */
 
 import { z } from "zod";
+import { isAddress } from "../runtime/index.js";
 
 const index = z.number().int().min(0);
 /** Terms count elections. Groups are numbered by term and 2^20 epochs in each, which has to stay a safe integer. */
@@ -45,11 +46,14 @@
     data: z.unknown(),
 });
 
+/** Where a process can be reached; empty if it doesn't know that itself. */
+const announcedAddress = z.string().refine(address => address === "" || isAddress(address), "not an address");
+
 /** Sent periodically by a process that has no vote, or that may have lost it. */
 const helloSchema = z.strictObject({
     kind: z.literal("hello"),
     empty: z.boolean(),
-    address: z.string(),
+    address: announcedAddress,
     /** The ids of the processes in the sender's settings, sorted. */
     voterIds: z.array(z.string()),
     /** Set when the sender has no disk and can't vote. `empty` then means that it knows of no voters. */
@@ -63,7 +67,7 @@
     empty: z.boolean(),
     voterIds: z.array(z.string()),
     /** The voters of the newest membership known to the sender: the receiver's settings may no longer name any of them. */
-    voters: z.array(z.strictObject({ id: z.string(), address: z.string() })).optional(),
+    voters: z.array(z.strictObject({ id: z.string(), address: announcedAddress })).optional(),
     diskless: z.literal(true).optional(),
     /** The disk that the sender, which has none itself, has chosen to form the cluster alone. */
     firstDiskId: z.string().optional(),
--- a/src/consensus/transport.ts
+++ b/src/consensus/transport.ts
@@ -173,9 +173,16 @@
             return undefined;
         }
         backoffs.set(address, { ...backoff, openedAtMs: nowMs });
-        const link = openLink(address, options, () => links.get(address) === link && onEnded(address));
-        links.set(address, link);
-        return link;
+        try {
+            const link: Link = openLink(address, options, () => links.get(address) === link && onEnded(address));
+            links.set(address, link);
+            return link;
+        }
+        catch {
+            // No connection can be constructed to this address. Addresses come from other processes and from settings.
+            onEnded(address);
+            return undefined;
+        }
     }
 
     return {
--- a/src/runtime/index.ts
+++ b/src/runtime/index.ts
@@ -1,3 +1,4 @@
+export { isAddress } from "./address.js";
 export { startAnswerTimeout } from "./answerTimeout.js";
 export { type Reducer, type Step, step, unchanged } from "./reducer.js";
 export { type Clock, createLeaseClock } from "./clock.js";
--- a/test/consensus/transport.test.ts
+++ b/test/consensus/transport.test.ts
@@ -39,6 +39,18 @@
     });
 });
 
+describe("links to addresses that can't be connected to", () => {
+    // Guards against a voter that stops for good because of an address that another process or the settings state.
+    it("lose their messages and no others", () => {
+        const transport = createTransport({ ...defaultTransport, voterId: "a", tls: undefined });
+        const message: AddressedMessage = { from: { voterId: "a", diskId: "d" }, message: { kind: "timeout-now", term: 1 } };
+        for (const address of ["a^b:1", "h:99999", "1.2.3.400:5", "", "h h:1", "a^b:1"]) {
+            expect(() => transport.send(address, "b", message), address).not.to.throw();
+        }
+        transport.close();
+    });
+});
+
 describe("messages of other voters", () => {
     const from = { voterId: "b", diskId: "d" };
     const entry = (index: number, term = 2) => ({ index, term, payload: { kind: "no-op" } });
@@ -51,6 +63,7 @@
         "another format": "{", "a newer kind": { from, message: { kind: "later" } }, "a further field": { ...append([]), later: 1 },
         "a gap before the entries": append([entry(6)]), "a gap between entries": append([entry(5), entry(7)]),
         "entries of a later term": append([entry(5, 3)]), "entries of an earlier term": append([entry(5), entry(6, 1)]),
+        "an address that can't be connected to": { from, message: { kind: "hello", empty: true, address: "a^b:1", voterIds: [] } },
         "a term without successor": append([], { term: Number.MAX_SAFE_INTEGER }), "deep nesting": `${"[".repeat(5_000)}${"]".repeat(5_000)}`,
     };
     for (const [label, message] of Object.entries(odd)) {
