Settings with addresses that can't be connected to are refused

What operators saw: nothing yet; found by reading. An address such as a^b:1 or 10.0.0.4:65536 in the settings file passed the check, also when the file changed at run time, and failed where the first connection to it was made. A time beyond what timers bear would have ended at once. Cause: the check looked for a colon and up to five digits. A file that changes to such a value can't be used, which is logged, and the settings in force stay. Evidence: the new case of test/config/load.test.ts failed before (three of five passed as addresses) and passes now.

--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -5,9 +5,10 @@
  */
 
 import { z } from "zod";
+import { isAddress } from "../runtime/index.js";
 
 /** An IPv4 address or host name, and a port. */
-export const addressSchema = z.string().regex(/^[^\s:]+:\d{1,5}$/, "expected host:port");
+export const addressSchema = z.string().refine(isAddress, "host:port");
 
 const hashSchema = z.string().regex(/^[0-9a-f]{64}$/, "expected a SHA-256 in hexadecimal");
 
@@ -28,7 +29,7 @@
         /** The folder for durable state; required by the control role. */
         dataFolder: z.string().optional(),
         /** How long a stopping daemon answers "not ready" before it closes its listeners, so that the load balancer notices. */
-        balancerWaitMs: z.number().int().min(0).default(1_000),
+        balancerWaitMs: z.number().int().min(0).max(3_600_000).default(1_000),
         /** Allows listeners beyond loopback without TLS; otherwise such a listener is a finding. */
         allowPlaintext: z.boolean().default(false),
     }),
--- a/src/config/siteSettings.ts
+++ b/src/config/siteSettings.ts
@@ -19,7 +19,7 @@
         dataFolder: z.string().optional(),
         logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
         /** How long a graceful stop may take before the daemon is killed. */
-        stopS: z.number().positive().default(8),
+        stopS: z.number().positive().max(86_400).default(8),
     }),
     /** Addresses of this daemon's listeners; which are required depends on the roles. */
     listen: z.strictObject({
@@ -36,11 +36,11 @@
         /** Control daemons to contact first; only the host of each address is used. */
         seeds: z.array(addressSchema).min(1),
         /** The port on which control daemons listen for other daemons; it is the same on every VM. */
-        rpcPort: z.number().int().positive(),
+        rpcPort: z.number().int().positive().max(65_535),
         /** True only when the whole site is started for the first time. */
         firstStart: z.boolean(),
         /** The interval at which upstreams announce themselves. */
-        heartbeatMs: z.number().positive().default(1_200),
+        heartbeatMs: z.number().positive().max(3_600_000).default(1_200),
     }),
     /** The limit on repeated sends to a service, over all entries and in any window. */
     repeats: z.strictObject({
--- a/test/config/load.test.ts
+++ b/test/config/load.test.ts
@@ -36,6 +36,14 @@
         expect(checkSettings("a.ini", completeLines.join("\n"))).toMatchSnapshot();
     });
 
+    // Guards against settings that pass the check and of which a connection or a timer can't be made.
+    it("reports addresses and times that can't be used", () => {
+        const addresses = ["a^b:1", "10.0.0.4:65536", "10.0.0.400:1", "10.0.0.4:1/x", "10.0.0.4"];
+        const findings = addresses.map(address => findingsIn(replaceLines({ 9: `listen = ${address}` })));
+        expect(findings).to.deep.equal(addresses.map(address => [`a.ini:9: [rpc] listen: expected host:port; found "${address}"`]));
+        expect(findingsIn(replaceLines({ 7: "data_folder = /var\nbalancer_wait_ms = 1000000000000" }))).to.have.length(1);
+    });
+
     it("reports four mistakes together, each with its location", () => {
         const text = replaceLines({ 4: "region =", 6: "roles = entry, contrl", 9: "listen = 7400", 11: "listen = 127.0.0.1:7401\nmax_queued = many" });
         expect(findingsIn(text)).toMatchSnapshot();
