Names in a published configuration are bounded

What operators saw: nothing yet; found by reading. A route's name of megabytes was accepted, and stood in the log line of each of its requests; keys and prefixes that no request can carry were accepted too. Change: a publication with a name or host of more than 1,024 characters, or a prefix, health path or key of more than 8,192, is refused with 400 and the place. The bound holds for publications only: a site that is in the log already stays readable. Evidence: the new case of test/site/boundedText.test.ts covers each field, and that such a site still decodes.

--- a/src/site/check.ts
+++ b/src/site/check.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { boundedFindings } from "./boundedText.js";
 import type { Site } from "./types.js";
 
 /** A problem found in a published site. */
@@ -66,3 +67,31 @@
         ...checkKeys(site),
     ];
 }
+
+/** Names stand in every line of the log and every metric that concerns them. */
+const maxNameChars = 1_024;
+/** Requests with longer paths or keys could not be sent. */
+const maxHeadPartChars = 8_192;
+
+/**
+ * Returns what is too long in a site that is to be published. It is no part of `checkSite`, since a site that an older daemon has accepted
+ * must stay readable.
+ */
+export function checkLengths({ routes, services, organisations = [] }: Site): SiteFinding[] {
+    const check = (place: string, text: string, maxChars = maxNameChars): SiteFinding[] =>
+        text.length <= maxChars ? [] : [{ place, problem: `is ${text.length} characters long, of at most ${maxChars}` }];
+    return boundedFindings([
+        ...routes.flatMap(({ name, host, pathPrefix }, index) => [
+            ...check(`routes[${index}].name`, name), ...check(`routes[${index}].host`, host),
+            ...check(`routes[${index}].pathPrefix`, pathPrefix, maxHeadPartChars),
+        ]),
+        ...services.flatMap(({ name, healthPath, engine }, index) => [
+            ...check(`services[${index}].name`, name), ...check(`services[${index}].healthPath`, healthPath, maxHeadPartChars),
+            ...(engine?.models ?? []).flatMap((model, position) => check(`services[${index}].engine.models[${position}].name`, model.name)),
+        ]),
+        ...organisations.flatMap(({ name, keys }, index) => [
+            ...check(`organisations[${index}].name`, name),
+            ...keys.flatMap((key, position) => check(`organisations[${index}].keys[${position}]`, key, maxHeadPartChars)),
+        ]),
+    ]);
+}
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -11,7 +11,7 @@
 import { type Announcement, createDirectory, createPushbacks, type Incarnation, type Upstream, type UpstreamSignals } from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { createContainment } from "../runtime/index.js";
-import type { DecodedSite } from "../site/index.js";
+import { checkLengths, type DecodedSite } from "../site/index.js";
 import { createExceptionLog } from "../telemetry/index.js";
 import { barredFingerprints, recordCrashes } from "./crashRecords.js";
 import { createCrashCauses } from "./crashCauses.js";
@@ -258,9 +258,10 @@
         feed,
         async publish(text) {
             const result: DecodedSite = dialect.decodeSite(text);
-            if (result.site === undefined) {
-                logger.warn("site refused", { findings: result.findings });
-                return { outcome: "refused", findings: result.findings };
+            const findings = result.site === undefined ? result.findings : checkLengths(result.site);
+            if (result.site === undefined || findings.length > 0) {
+                logger.warn("site refused", { findings });
+                return { outcome: "refused", findings };
             }
             const { version } = result.site;
             const proposal = await propose({ kind: "publish-site", version, text });
--- a/test/site/boundedText.test.ts
+++ b/test/site/boundedText.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
 import { siteDialect } from "../../platform/siteWire.js";
-import { parseBoundedJson } from "../../src/site/index.js";
+import { checkLengths, parseBoundedJson, type Site } from "../../src/site/index.js";
 import { configurationText } from "../../standin/platform/index.js";
 
 /** Returns the text of a configuration with `fields` in place of its own. */
@@ -48,3 +48,26 @@
         expect(() => parseBoundedJson(`"${"[".repeat(20_000)}\\"${"[".repeat(20_000)}"`)).not.to.throw();
     });
 });
+
+describe("the lengths of names in a site", () => {
+    const long = "x".repeat(10_000);
+    const base = siteDialect.decodeSite(configurationText(3)).site!;
+    const [firstRoute] = base.routes;
+    const sites: Record<string, Site> = {
+        "routes[0].name": { ...base, routes: [{ ...firstRoute!, name: long }] },
+        "routes[0].host": { ...base, routes: [{ ...firstRoute!, host: long }] },
+        "routes[0].pathPrefix": { ...base, routes: [{ ...firstRoute!, pathPrefix: `/${long}/` }] },
+        "services[0].name": { ...base, services: [{ ...base.services[0]!, name: long }] },
+        "services[0].healthPath": { ...base, services: [{ ...base.services[0]!, healthPath: `/${long}` }] },
+        "organisations[0].name": { ...base, organisations: [{ name: long, keys: [] }] },
+        "organisations[0].keys[1]": { ...base, organisations: [{ name: "o", keys: ["k", long] }] },
+    };
+    // Guards against names that make each line of the log as long as themselves, and against a bound that a newer daemon puts on old sites.
+    it("are bounded for a site that is published, but not for one that was accepted before", () => {
+        expect(checkLengths(base)).to.deep.equal([]);
+        const places = Object.values(sites).map(site => checkLengths(site).map(({ place }) => place));
+        expect(places).to.deep.equal(Object.keys(sites).map(place => [place]));
+        const text = textWith({ tenants: [{ name: long, apiKeys: [long] }] });
+        expect(siteDialect.decodeSite(text).site!.organisations![0]!.name).to.equal(long);
+    });
+});
