A class with a far deadline doesn't end its requests at once

What callers saw, with a class whose deadline_ms is beyond what timers bear: found by reading and by a test of the class that a request gets. The timer of the deadline fires after 1 ms, and beyond 2^32 the dispatch to the upstream can't be encoded. Cause: the configuration takes any whole number. The schema stays as it is, since it also reads the configurations that are in the log already.

--- a/src/entry/caller.ts
+++ b/src/entry/caller.ts
@@ -8,6 +8,9 @@
 import type { Configuration, Organisation, Service, ServiceClass } from "../cluster/index.js";
 import { badRequest } from "./problem.js";
 
+/** Longer times of a class count as this one, twelve days: half of what timers bear. With a longer delay, they fire at once. */
+const maxTimeMs = 2 ** 30;
+
 /** Returns the organisation that owns the bearer key; throws a 401 problem if there is none. */
 export function authenticate(configuration: Configuration, authorization: string | undefined): Organisation {
     if (authorization === undefined || !authorization.startsWith("Bearer ")) {
@@ -35,5 +38,7 @@
         const classNames = configuration.classes.map(item => item.name).join(", ");
         throw badRequest("unknown-class", `No class "${name ?? ""}" serves this path`, `Service-Class: one of ${classNames}`);
     }
-    return { serviceClass, service };
+    const latenessMs = Math.min(serviceClass.latenessMs, maxTimeMs);
+    const deadlineMs = Math.min(serviceClass.deadlineMs, maxTimeMs);
+    return { serviceClass: { ...serviceClass, latenessMs, deadlineMs }, service };
 }
