The own interface answers with the first findings only

What callers and operators saw: a completion of 10,000 messages without fields was refused with a detail of 1.1 MB, a change with 1,000 edits of an unknown data centre with 1,000 findings, and an unknown model's name came back whatever its length. Change: 20 issues of a body, 50 findings of a change and 200 characters of a name are answered. A change's findings are no part of the replicated state, so voters of two versions stay equal.

--- a/src/cluster/configuration.ts
+++ b/src/cluster/configuration.ts
@@ -128,6 +128,9 @@
 /** The number of changes kept to answer resends: more than two days at 5,700 changes a day. */
 export const maxHistoryLength = 12_000;
 
+/** Further findings of an invalid change are left out. */
+const maxFindings = 50;
+
 /** The number of changes whose edits are kept. Keeping all edits of a history of full configurations made a snapshot of 119 MB. */
 export const maxChangesWithEdits = 100;
 
@@ -247,7 +250,7 @@
     const value = change.edits.reduce(applyEdit, state.value);
     const findings = [...validateEdits(state.value, change.edits), ...validateConfiguration(value)];
     if (findings.length > 0) {
-        return { state, result: { outcome: "invalid", version: state.version, findings } };
+        return { state, result: { outcome: "invalid", version: state.version, findings: findings.slice(0, maxFindings) } };
     }
     const version = state.version + 1;
     const { changeId, author, atMs, edits } = change;
--- a/src/control/operators.ts
+++ b/src/control/operators.ts
@@ -18,6 +18,8 @@
 
 const readTimeoutMs = 3_000;
 const maxBodyBytes = 4_194_304;
+/** Further findings of an invalid change are left out. */
+const maxFindings = 50;
 
 const voterChangeTimeoutMs = 30_000;
 /** How long a change is proposed again because others have changed the same items. */
@@ -162,7 +164,7 @@
     app.post("/v1/configuration/changes", async (request, reply) => {
         const parsed = changeRequestSchema.safeParse(request.body);
         if (!parsed.success) {
-            const findings = parsed.error.issues.map(issue => `${issue.path.join(".")}: ${issue.message}`);
+            const findings = parsed.error.issues.slice(0, maxFindings).map(issue => `${issue.path.join(".")}: ${issue.message}`);
             return reply.code(422).send({ outcome: "invalid", findings });
         }
         const change = { kind: "change-configuration" as const, atMs: Date.now(), ...parsed.data };
--- a/src/entry/completion.ts
+++ b/src/entry/completion.ts
@@ -9,6 +9,7 @@
 import { badRequest } from "./problem.js";
 
 const maxTokensLimit = 131_072;
+const maxReportedIssues = 20;
 const partIdChars = 16;
 /** Later messages of a long conversation are rarely shared, and each one makes crash reports larger. */
 const maxSharedParts = 16;
@@ -28,7 +29,7 @@
 export function parseCompletion(body: unknown, isChat: boolean): Completion {
     const parsed = completionSchema.safeParse(body);
     if (!parsed.success) {
-        const detail = parsed.error.issues.map(issue => `${issue.path.join(".") || "body"}: ${issue.message}`).join("; ");
+        const detail = parsed.error.issues.slice(0, maxReportedIssues).map(issue => `${issue.path.join(".") || "body"}: ${issue.message}`).join("; ");
         throw badRequest("malformed-body", "The body is not a completion request", detail);
     }
     const missing = isChat ? parsed.data.messages === undefined : parsed.data.prompt === undefined;
--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -29,6 +29,7 @@
 const closeLingerMs = 5_000;
 /** Carries the request id in answers, for `zinnia trace`. */
 const requestIdHeader = "zinnialanding-request-id";
+const maxEchoedChars = 200;
 const forwardedHeaders = new Set(["content-type", "accept", "accept-language"]);
 /** Callers' headers with this prefix are forwarded to the upstream. */
 const customHeaderPrefix = "x-";
@@ -122,7 +123,7 @@
 function checkModel(services: readonly Service[], model: string, serves: (service: Service) => boolean) {
     if (!services.some(serves)) {
         const known = services.flatMap(service => service.model ?? []).join(", ");
-        throw badRequest("unknown-model", `No service has the model "${model}"`, `model: one of ${known}`, 404);
+        throw badRequest("unknown-model", `No service has the model "${model.slice(0, maxEchoedChars)}"`, `model: one of ${known}`, 404);
     }
 }
 
--- a/test/cluster/configuration.test.ts
+++ b/test/cluster/configuration.test.ts
@@ -26,6 +26,13 @@
         expect(result).toMatchSnapshot();
     });
 
+    // Guards against an answer of megabytes to a change with the same mistake in each of its edits.
+    it("reports only the first findings", () => {
+        const edits = Array.from({ length: 1_000 }, () => ({ kind: "set-drained" as const, dataCentre: "moka", drained: true }));
+        const { result } = applyConfigurationChange(emptyConfiguration, { ...addClass("c", 0, 1), edits });
+        expect(result.outcome === "invalid" && result.findings.length).to.equal(50);
+    });
+
     it("reports the indexes of both items with the same name", () => {
         const change = addClass("d", 0, 1);
         const [edit] = change.edits;
