A voter says in a short line which file it can't use

What operators saw: a record with 20,000 entries of another format ended the voter with a message of 3.7 MB, one line for each entry. Cause: the message holds all that the schema finds. Change: it holds the first 500 characters, after the file. Evidence: one of eight odd files in test/consensus/storage.test.ts failed before (3688975 characters); the others, such as an absurd length, a cut identity and 100,000 nested brackets, were refused with their file's name before as well.

--- a/src/consensus/folder.ts
+++ b/src/consensus/folder.ts
@@ -15,6 +15,8 @@
 import type { DiskImage } from "./state.js";
 
 const identityName = "identity.json";
+/** What is wrong with a record is told for its first entries. */
+const maxReasonChars = 500;
 export const segmentPattern = /^log-(\d{12})\.seg$/;
 export const snapshotPattern = /^snapshot-(\d{16})\.snap$/;
 export const unfinishedSnapshotPattern = /^snapshot-\d{16}\.snap\.tmp$/;
@@ -67,7 +69,7 @@
         return schema.parse(JSON.parse(bytes.toString("utf8")));
     }
     catch (error) {
-        throw new CorruptionError(file, offsetBytes, `unexpected content: ${(error as Error).message}`);
+        throw new CorruptionError(file, offsetBytes, `unexpected content: ${(error as Error).message.slice(0, maxReasonChars)}`);
     }
 }
 
--- a/test/consensus/storage.test.ts
+++ b/test/consensus/storage.test.ts
@@ -142,6 +142,29 @@
         expect([damagedFile, offsetBytes < damagedByte, offsetBytes > bytes.indexOf("c1.1")]).to.deep.equal([file, true, true]);
     });
 
+    const record = (text: string) => encodeRecord(Buffer.from(text));
+    const oddFiles: Record<string, { name: string; content: Buffer }> = {
+        "an identity that is cut short": { name: "identity.json", content: Buffer.from("{\"voterId\":\"a\"") },
+        "a record that is no JSON": { name: "log-000000000001.seg", content: record("{") },
+        "a record with a further field": { name: "log-000000000001.seg", content: record("{\"parts\":[],\"later\":1}") },
+        "deep nesting": { name: "log-000000000001.seg", content: record("[".repeat(100_000) + "]".repeat(100_000)) },
+        "many invalid entries": { name: "log-000000000001.seg", content: record(JSON.stringify({ parts: [Array.from({ length: 20_000 }, () => 1)] })) },
+        "an empty snapshot": { name: "snapshot-0000000000000007.snap", content: Buffer.alloc(0) },
+        "a snapshot without a state": { name: "snapshot-0000000000000007.snap", content: record("{\"index\":7}") },
+        "a snapshot with an absurd length": { name: "snapshot-0000000000000007.snap", content: Buffer.from("5a4c5231ffffffff00000000", "hex") },
+    };
+    for (const [label, { name, content }] of Object.entries(oddFiles)) {
+        // Guards against a voter that ends at each start without a word on which file it can't use, or with megabytes of them.
+        it(`says in a short line which file it can't use: ${label}`, async () => {
+            await writeThreeEntries();
+            await fs.writeFile(path.join(folder, name), content);
+            const error = await open().then(() => undefined, (thrown: Error) => thrown);
+            expect(error).to.be.instanceOf(CorruptionError);
+            expect(error!.message).to.include(name);
+            expect(error!.message.length).to.be.below(1_000);
+        });
+    }
+
     it("replaces the log before a snapshot by the snapshot and removes old segments", async () => {
         const storage = await open({ segmentBytes: 200 });
         const snapshot: Snapshot = { index: 4, term: 1, membership, data: { state: 4 } };
