An exception in a step of the own interface's control role costs that step

What operators saw: nothing yet; found by reading. Evidence: test/control/exceptions.test.ts failed before (TypeError out of the log's listener) and passes now, with the 6 other tests of control.

--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -21,7 +21,7 @@
     type VmReport,
 } from "../rpc/index.js";
 import { SpareFirst } from "../placement/index.js";
-import type { Clock } from "../runtime/index.js";
+import { type Clock, createContainment } from "../runtime/index.js";
 import { configLeaseMs, createSessionServer, type SessionServer, serializeStableFields, sidecarSilenceTimeoutMs } from "../session/index.js";
 import { vmSilenceTimeoutMs } from "./directory.js";
 import { createDirectoryFeed } from "./directoryFeed.js";
@@ -85,6 +85,10 @@
     let lastSentSuspects = log.state.suspects.byFingerprint;
     let lastSentEvidence = log.state.crashEvidence;
 
+    /** An exception costs the step in which it is thrown; the next tick makes up for it. */
+    const onThrown = (error: unknown) => options.onChange("exception", { error: error instanceof Error ? error.stack : String(error) });
+    const contained = createContainment(onThrown);
+
     function isLeader(): boolean {
         return log.role === "leader" && log.leaseHeld;
     }
@@ -117,7 +121,7 @@
             vmIds.forEach(vmId => table.markSilent(vmId, clock.nowMs() - sidecarSilenceTimeoutMs));
             isDirty = true;
         },
-        onCrashes: crashes => crashes.forEach(crash => void reportCrash(crash)),
+        onCrashes: crashes => crashes.forEach(crash => void reportCrash(crash).catch(onThrown)),
         onEnded() {
             sessionEndedAtMs = clock.nowMs();
         },
@@ -229,7 +233,7 @@
         sessions.sweep(nowMs - clockMarginMs, nowMs - vmRetentionMs);
         refreshDirectory();
         meters.update(log.state, table.vms, directory.upstreams, nowMs);
-        void plan();
+        plan().catch(onThrown);
     }
 
     /**
@@ -245,13 +249,13 @@
         lastSeenReplicas = log.state.replicas;
     }
 
-    const unsubscribe = log.subscribe(() => {
+    const unsubscribe = log.subscribe(contained(() => {
         updateRole();
         sessions.pushConfiguration();
         pushSuspects();
         pushCrashCauses();
-    });
-    const timer = setInterval(tick, tickIntervalMs);
+    }));
+    const timer = setInterval(contained(tick), tickIntervalMs);
     updateRole();
     return {
         log,
