--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -8,10 +8,12 @@
     aliveIntervalMs, createFeedServer, createFeedWatcher, type DirectoryPosition, type FeedServer, type FeedWatcher, type Frame,
     type FrameKind, type LogPosition, type PositionedFrame, type Report, type WatcherRole,
 } from "../feed/index.js";
-import { type Announcement, createDirectory, createPushbacks, type Incarnation, type RelayedUpstream, type Upstream, type UpstreamSignals } from "../fleet/index.js";
+import {
+    type Announcement, createDirectory, createPushbacks, type Incarnation, type RelayedUpstream, type Upstream, type UpstreamSignals,
+} from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { createContainment } from "../runtime/index.js";
-import type { DecodedSite } from "../site/index.js";
+import { checkLengths, type DecodedSite } from "../site/index.js";
 import { createExceptionLog, createRefusedInputs } from "../telemetry/index.js";
 import { createAddressClaims } from "./addressClaims.js";
 import { createAnnouncementCheck } from "./announcementCheck.js";
@@ -278,9 +280,10 @@
         feed,
         async publish(text) {
             const result: DecodedSite = dialect.decodeSite(text);
-            if (result.site === undefined) {
-                logger.warn("site refused", { findings: result.findings });
-                return { outcome: "refused", findings: result.findings };
+            const findings = result.site === undefined ? result.findings : checkLengths(result.site);
+            if (result.site === undefined || findings.length > 0) {
+                logger.warn("site refused", { findings });
+                return { outcome: "refused", findings };
             }
             const { version } = result.site;
             const proposal = await propose({ kind: "publish-site", version, text });
