--- a/src/consensus/transport.ts
+++ b/src/consensus/transport.ts
@@ -7,8 +7,9 @@
 
 import { type Client, type ConnectRouter, createClient } from "@connectrpc/connect";
 import { create } from "@bufbuild/protobuf";
-import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { createConnectTransport } from "@connectrpc/connect-node";
 import { type ConsensusEnvelope, ConsensusEnvelopeSchema, ConsensusService } from "../rpc/gen/zinnialanding/v1/consensus_pb.js";
+import { createSessionManager, type SessionManager } from "../rpc/sessionManager.js";
 import { type AddressedMessage, addressedMessageSchema } from "./messages.js";
 
 /** PEM certificates and key for links between daemons. */
@@ -89,12 +90,12 @@
 /** Opens a client for another voter, over its own connection. */
 export function openClient(address: string, options: Pick<TransportOptions, "tls" | "pingMs" | "pingTimeoutMs">): {
     client: Client<typeof ConsensusService>;
-    session: Http2SessionManager;
+    session: SessionManager;
 } {
     const { tls } = options;
     const baseUrl = `${tls === undefined ? "http" : "https"}://${address}`;
     const secure = tls === undefined ? {} : { ca: tls.authority, cert: tls.certificate, key: tls.key };
-    const session = new Http2SessionManager(baseUrl, { pingIntervalMs: options.pingMs, pingTimeoutMs: options.pingTimeoutMs }, secure);
+    const session = createSessionManager(baseUrl, { pingIntervalMs: options.pingMs, pingTimeoutMs: options.pingTimeoutMs }, secure);
     const transport = createConnectTransport({ httpVersion: "2", baseUrl, sessionManager: session });
     return { client: createClient(ConsensusService, transport), session };
 }
@@ -197,15 +198,35 @@
 export interface Receiver {
     readonly voterId: string;
     onMessage(addressedMessage: AddressedMessage): void;
+    /** Called for the first message of a stream that can't be read. */
+    onUnreadable(fromVoterId: string, reason: string): void;
 }
 
-/** Reads one incoming stream. A message that does not match the schema ends the stream; the sender opens another. */
+const maxReasonChars = 300;
+
+function decodeMessage(bytes: Uint8Array): { readonly addressedMessage: AddressedMessage } | { readonly reason: string } {
+    try {
+        return { addressedMessage: addressedMessageSchema.parse(JSON.parse(Buffer.from(bytes).toString("utf8"))) };
+    }
+    catch (error) {
+        return { reason: (error as Error).message.slice(0, maxReasonChars) };
+    }
+}
+
+/** Reads one incoming stream. A message that does not match the schema, such as one of a newer daemon, counts as lost. */
 export async function receive(envelopes: AsyncIterable<ConsensusEnvelope>, receiver: Receiver): Promise<bigint> {
     let received = 0n;
+    let hasReported = false;
     for await (const envelope of envelopes) {
-        if (envelope.to === receiver.voterId) {
-            const addressedMessage: unknown = JSON.parse(Buffer.from(envelope.message).toString("utf8"));
-            receiver.onMessage(addressedMessageSchema.parse(addressedMessage));
+        const decoded = envelope.to === receiver.voterId ? decodeMessage(envelope.message) : undefined;
+        if (decoded !== undefined && "reason" in decoded) {
+            if (!hasReported) {
+                receiver.onUnreadable(envelope.from, decoded.reason);
+            }
+            hasReported = true;
+        }
+        else if (decoded !== undefined) {
+            receiver.onMessage(decoded.addressedMessage);
         }
         received++;
     }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -7,12 +7,13 @@
 
 import type { UpstreamSignals } from "../fleet/index.js";
 import { createContainment } from "../runtime/index.js";
-import { foreignReason, isFromOtherUpstream } from "./answerOrigin.js";
+import { endsWithConnection, foreignReason, isFromOtherUpstream } from "./answerOrigin.js";
 import type { AttemptFailure } from "./attemptFailure.js";
 import type { AttemptDependencies, AttemptOptions, RunningAttempt } from "./attemptTypes.js";
 import type { ExchangeRequest } from "./connections.js";
 import { countEvents } from "./events.js";
 import { answerHeaders, forwardedHeaders, headerValue } from "./headers.js";
+import { unsendableReason } from "./sendable.js";
 import { readSignals } from "./signals.js";
 
 /**
@@ -25,7 +26,7 @@
 /** How often an attempt checks whether it is stalled. */
 const stallCheckIntervalMs = 100;
 
-/** Sends the request to an upstream and calls back once the attempt has ended. */
+/** Sends the request to an upstream and calls back once the attempt has ended. Throws if the request can't be written. */
 export function startAttempt(options: AttemptOptions, dependencies: AttemptDependencies): RunningAttempt {
     const { request, upstream, answer, splitter, holder } = options;
     const { names, balancer, view } = dependencies;
@@ -41,6 +42,10 @@
     let wasPaused = false;
 
     const contained = createContainment(onThrown);
+    const unsendable = unsendableReason(request.path, options.headers);
+    if (unsendable !== undefined) {
+        throw new Error(unsendable);
+    }
     const observation = isObserved() ? dependencies.latency?.requestSent(upstream, request, needsConnection()) : undefined;
     const exchangeRequest: ExchangeRequest = {
         method: request.method,
@@ -277,9 +282,20 @@
         fail({ kind: "not-run", reason: `the upstream refused it with ${status}`, isUpstreamAtFault: status === 503, isUnsent: false });
     }
 
+    /** Returns why the end of a forwarded stream is not its regular one, or undefined. */
+    function truncationReason(): string | undefined {
+        if (!splitter.isAtBoundary) {
+            return "the stream ended in the middle of an event";
+        }
+        // An upstream that stops after the head of a stream that ends with its connection leaves the same bytes as an empty stream.
+        const isEmpty = !hasEvents && splitter.lastId === undefined;
+        return isEmpty && endsWithConnection({ status, rawHeaders }) ? "the stream ended before its first event" : undefined;
+    }
+
     function onEnd() {
-        if (isForwarding && isStream && status < 300 && !splitter.isAtBoundary) {
-            fail({ kind: "unknown", reason: "the stream ended in the middle of an event", isCrash: true });
+        const reason = isForwarding && isStream && status < 300 ? truncationReason() : undefined;
+        if (reason !== undefined) {
+            fail({ kind: "unknown", reason, isCrash: true });
             return;
         }
         if (status === 421 || (!isForwarding && headerValue(rawHeaders, names.notRun) !== undefined)) {
