--- a/src/siteControl/siteControlTypes.ts
+++ b/src/siteControl/siteControlTypes.ts
@@ -58,6 +58,7 @@
     readSite(): Promise<string | undefined>;
     /** Starts or ends an evacuation. It is not carried out if its operator has given up on it. */
     evacuate(dataCentre: string, isOut: boolean, operator: WaitingCaller): Promise<EvacuationOutcome>;
+    /** Records an announcement, if it is taken. */
     recordAnnouncement(announcement: Announcement): AnnouncementOutcome;
     /** Reports an announcement that can't be read; `id` is the one that its sender states. */
     refuseAnnouncement(id: string): void;
