A request whose caller left before it was read is not sent on

What callers saw: with an entry that stands still or is saturated, requests reached upstreams although their callers had given up before the entry could read them; upstreams then lack the room for those who wait. Cause: a request and the end of its connection wait in the socket together, but the end is read an iteration of the event loop later; by then the request has been sent on. Change: after a block of the event loop (75 ms and more within the last 0.5 s), the entry reads what else has arrived before it sends a request on, and drops it if its caller has left. Otherwise nothing waits.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,9 +17,11 @@
 import { createConnectionShedding } from "./connectionShedding.js";
 import { createConnections } from "./connections.js";
 import { createCrashLog, fingerprintOf } from "./crashes.js";
+import { createDepartureCheck } from "./departedCallers.js";
 import { createEntryCount, shareOfSlack } from "./entryCount.js";
 import { createGroupPrediction } from "./groupPrediction.js";
 import type { HeaderNames } from "./headers.js";
+import { messageHeader } from "./parsedRequest.js";
 import { createLoadReports } from "./loadReports.js";
 import { createContainment, createLoopTicks } from "../runtime/index.js";
 import { createLimits } from "./limits.js";
@@ -68,6 +70,8 @@
 const reportIntervalMs = 250;
 /** Without a tick for this long, three halves of the tick interval, the event loop counts as blocked. */
 const blockedAfterMs = 75;
+/** After the event loop was blocked, requests that waited for it are read within this time. */
+const readAfterBlockMs = 500;
 /** How often group heads are checked for suspects. It is short compared with the 0.5 s within which a lost member is detected. */
 const suspectCheckIntervalMs = 50;
 const sweepIntervalMs = 500;
@@ -234,6 +238,10 @@
         recordArrival: loadReports.requestArrived,
         isBarred: request => view.crashesEngines(request.sharedParts) || (view.barred.size > 0 && view.barred.has(fingerprintOf(request))),
         countFailedAttempt: kind => metrics.recordAttemptWithoutAnswer(kind),
+        hasLeft: createDepartureCheck({
+            logger, mayHaveWaited: () => loopTicks.hasBlockedSince(nowMs() - readAfterBlockMs),
+            idOf: message => messageHeader(message, options.headerNames.attemptId),
+        }),
         acceptsConnection() {
             const isAccepted = shedding.accepts();
             if (!isAccepted) {
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -70,6 +70,8 @@
     /** Holds callers while the entry starts; without it they are refused at once. */
     readonly startHold?: StartHold;
     readonly memory: Memory;
+    /** Resolves to whether the caller has left although its request has just been read; its connection is closed then. */
+    hasLeft?(message: IncomingMessage): Promise<boolean>;
     /** Whether a new connection is accepted. One that isn't is closed unread, so that its caller knows that its request has not run. */
     acceptsConnection?(): boolean;
     /** Counts a request that was refused before an upstream was chosen. */
@@ -212,7 +214,7 @@
             refuseBody(served, "its body could not be read in time", head.request.deadlineAtMs);
             return;
         }
-        if (served.isClosed || answer.isOver) {
+        if (await dependencies.hasLeft?.(message) || served.isClosed || answer.isOver) {
             return;
         }
         // Reading the body may have taken long.
