An answer in a transfer coding other than chunks is not forwarded

What callers saw: a 200 whose body was in a coding such as gzip without any header that says so. Cause: Transfer-Encoding concerns one connection and isn't forwarded, and only chunks are decoded here; an answer with Content-Encoding was turned down already. Change: an answer whose transfer codings aren't all "chunked" or "identity" counts as encoded as well. Evidence: the new test in test/gateway/answers.test.ts failed before (200 for "gzip" and for "gzip, chunked").

--- a/src/gateway/answerOrigin.ts
+++ b/src/gateway/answerOrigin.ts
@@ -7,6 +7,8 @@
 
 import { type HeaderNames, headerValue } from "./headers.js";
 
+const plainCodings: ReadonlySet<string> = new Set(["chunked", "identity"]);
+
 export interface AnswerHead {
     readonly status: number;
     /** Names and values in turn. */
@@ -21,7 +23,13 @@
     if (status < 300 && headerValue(rawHeaders, names.signature) === undefined) {
         return "the success bears no mark of the upstream";
     }
-    return headerValue(rawHeaders, "content-encoding") === undefined ? undefined : "the answer is encoded";
+    return isEncoded(rawHeaders) ? "the answer is encoded" : undefined;
+}
+
+/** Whether the bytes that come are not the body itself. Nothing here decodes more than chunks. */
+function isEncoded(rawHeaders: readonly string[]): boolean {
+    const codings = headerValue(rawHeaders, "transfer-encoding")?.toLowerCase().split(",").map(coding => coding.trim()) ?? [];
+    return headerValue(rawHeaders, "content-encoding") !== undefined || codings.some(coding => !plainCodings.has(coding));
 }
 
 /** Whether an answer comes from another upstream, which has taken over the address. */
--- a/test/gateway/answers.test.ts
+++ b/test/gateway/answers.test.ts
@@ -126,6 +126,20 @@
         expect(parseStatus(await exchangeRaw(site.port, encodeRequest("POST", "/charge/1", { body: "x" })))).to.equal(502);
     });
 
+    // Guards against a body in a coding that its caller can't know of, since the header is that of one connection alone.
+    it("that are encoded are not forwarded", async () => {
+        const codings = ["Content-Encoding: gzip", "Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: identity"];
+        upstream = await startRawUpstream((request, socket, index) => socket.end(
+            `HTTP/1.1 200 OK\r\nZinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n${signed}${codings[index]}\r\n` +
+            `Connection: close\r\n\r\n${index === 2 ? "4\r\ndone\r\n0\r\n\r\n" : "done"}`));
+        site = await startGateway([createUpstream(upstream.address, "u1")]);
+        const statuses: (number | undefined)[] = [];
+        for (const coding of codings) {
+            statuses.push(parseStatus(await exchangeRaw(site.port, encodeRequest("POST", "/charge/1", { id: coding.replace(/\W/g, ""), body: "x" }))));
+        }
+        expect(statuses).to.deep.equal([502, 502, 502, 200]);
+    });
+
     // The first head's connection is reset in the middle of its third event. The caller gets each event once and in order, from two
     // upstreams, with the headers of the first.
     it("that are streams continue at another upstream after the last complete event", async () => {
