Every listener leaves requests their answers when bytes follow that are none

What callers saw: at the own interface and the operators' listener too, a stream or an answer was broken off, or replaced by a 400, 408 or 431, if bytes followed on its connection that are no request. Cause: fastify's handler writes its answer to the connection at once as well. Change: the connections that drain handle such bytes for all listeners, and fastify leaves that to them. They know the unanswered requests of each connection, so the gateway's listener needs no part in it.

--- a/src/control/operators.ts
+++ b/src/control/operators.ts
@@ -188,7 +188,9 @@
 /** Starts the operators' listener. */
 export async function createOperatorsServer(options: OperatorsOptions): Promise<OperatorsServer> {
     const listener = createGracefulListener({ tls: options.tls });
-    const app = fastify({ bodyLimit: maxBodyBytes, serverFactory: listener.serverFactory }) as FastifyInstance;
+    const app = fastify({
+        bodyLimit: maxBodyBytes, serverFactory: listener.serverFactory, clientErrorHandler: listener.clientErrorHandler,
+    }) as FastifyInstance;
     const callers = createWaitingCallers();
     mountRoutes(app, options, callers);
     const { host, port } = splitAddress(options.listen);
--- a/src/entry/http.ts
+++ b/src/entry/http.ts
@@ -197,6 +197,7 @@
     const listener = createGracefulListener({ http, tls: options.tls, closeLingerMs });
     const app = fastify({
         bodyLimit: options.maxBodyBytes, serverFactory: listener.serverFactory, return503OnClosing: false,
+        clientErrorHandler: listener.clientErrorHandler,
     }) as FastifyInstance;
     app.addHook("onRequest", async () => {
         if (isStopping) {
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -10,7 +10,6 @@
 import { createHttpConnections, type RequestPosition, startListening, waitForPendingReads } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { createContainment } from "../runtime/index.js";
-import { closeBrokenConnections } from "./brokenRequests.js";
 import { type CallerAnswer, createCallerAnswer } from "./answer.js";
 import { createCallerConnection } from "./callerConnection.js";
 import type { Holder, Memory } from "./memory/index.js";
@@ -292,7 +291,6 @@
         }
     });
     connections.watch(server);
-    closeBrokenConnections(server, connections, socket => [...runningBySocket.get(socket) ?? []]);
     server.on("connection", socket => {
         const servedOnSocket = new Set<ServedRequest>();
         runningBySocket.set(socket, servedOnSocket);
--- a/src/gateway/brokenRequests.ts
+++ b/src/http/brokenRequests.ts
@@ -9,7 +9,6 @@
 
 import { type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import type { Socket } from "node:net";
-import type { HttpConnections } from "../http/index.js";
 
 const statusByCode: Readonly<Record<string, number>> = {
     HPE_HEADER_OVERFLOW: 431, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, ERR_HTTP_REQUEST_TIMEOUT: 408,
@@ -19,14 +18,15 @@
 /** How long a caller has to close its side, so that it can read the end of the last answer first. */
 const closeLingerMs = 1_000;
 
-/**
- * Closes each connection on which no whole request comes, once the requests before it have their answers, or with one that tells why.
- * `runningOn` returns the unanswered requests of a connection, in order.
- */
-export function closeBrokenConnections(
-    server: Server, connections: Pick<HttpConnections, "ignoreFurther">,
-    runningOn: (socket: Socket) => readonly { readonly message: IncomingMessage; readonly response: ServerResponse }[],
-) {
+export interface OpenRequests {
+    /** The requests of a connection whose responses are not finished, in order. */
+    unanswered(socket: Socket): readonly { readonly message: IncomingMessage; readonly response: ServerResponse }[];
+    /** Ignores further requests on a connection. */
+    ignoreFurther(socket: Socket): void;
+}
+
+/** Closes each connection on which no whole request comes, once the requests before it have their answers, or with one that tells why. */
+export function closeBrokenConnections(server: Server, requests: OpenRequests) {
     const closing = new WeakSet<Socket>();
 
     function closeAfter(socket: Socket, last: ServerResponse) {
@@ -35,7 +35,7 @@
             return;
         }
         closing.add(socket);
-        connections.ignoreFurther(socket);
+        requests.ignoreFurther(socket);
         last.once("close", () => {
             socket.end();
             const timer = setTimeout(() => socket.destroy(), closeLingerMs);
@@ -46,7 +46,7 @@
     server.on("clientError", (error: NodeJS.ErrnoException, connection) => {
         const socket = connection as Socket;
         // The last one may be the broken request itself, without the end of its body.
-        const last = runningOn(socket).findLast(({ message }) => message.complete)?.response;
+        const last = requests.unanswered(socket).findLast(({ message }) => message.complete)?.response;
         if (last !== undefined && !leftCodes.has(error.code)) {
             closeAfter(socket, last);
             return;
--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -10,6 +10,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { Server as SecureServer } from "node:tls";
+import { closeBrokenConnections } from "./brokenRequests.js";
 
 /** The position of a request on its connection. */
 export interface RequestPosition {
@@ -21,14 +22,15 @@
 
 /** The connections of one listener. */
 export interface HttpConnections {
-    /** Tracks the connections of `server`, and replaces Node's detection of idle connections when the server closes. */
+    /**
+     * Tracks the connections of `server`, replaces Node's detection of idle connections when the server closes, and handles connections on
+     * which no whole request comes.
+     */
     watch(server: Server): void;
     /** Registers a received request. Returns undefined if its connection is closing, in which case it must not be processed. */
     registerRequest(message: IncomingMessage, response: ServerResponse): RequestPosition | undefined;
     /** Starts draining: from now on, every connection closes after its current response. */
     drain(): void;
-    /** Ignores further requests on one connection. The response to the newest one before announces that the connection closes. */
-    ignoreFurther(socket: Socket): void;
     /**
      * Starts draining, reads data that has arrived, and closes inactive connections. Those that have received part of a request head are
      * closed after a grace period. Resolves to the number of connections closed immediately. Must be called when the listener is closed.
@@ -52,6 +54,7 @@
     isClosing: boolean;
     /** The connection is to be closed after the responses to the requests so far. */
     ignoresFurther: boolean;
+    unanswered: { readonly message: IncomingMessage; readonly response: ServerResponse }[];
 }
 
 /** How long a caller may take to send the rest of a partial request head once the listener is closed. */
@@ -131,7 +134,9 @@
     }
 
     function addConnection(socket: Socket) {
-        connections.set(socket, { socket, requestCount: 0, pending: 0, consumedBytes: 0, isClosing: false, ignoresFurther: false });
+        connections.set(socket, {
+            socket, requestCount: 0, pending: 0, consumedBytes: 0, isClosing: false, ignoresFurther: false, unanswered: [],
+        });
         socket.once("close", () => connections.delete(socket));
     }
 
@@ -151,6 +156,12 @@
             server.on(server instanceof SecureServer ? "secureConnection" : "connection", addConnection);
             // Node's implementation skips connections without a request, which then delay the close, and drops unsent responses.
             server.closeIdleConnections = () => void (closingInactive ??= closeInactive());
+            closeBrokenConnections(server, {
+                unanswered: socket => connections.get(socket)?.unanswered ?? [],
+                ignoreFurther(socket) {
+                    connections.get(socket)!.ignoresFurther = true;
+                },
+            });
         },
         registerRequest(message, response) {
             const connection = connections.get(message.socket);
@@ -165,7 +176,11 @@
                 connection.consumedBytes = message.socket.bytesRead;
             });
             message.once("close", () => completePart(connection));
-            response.once("close", () => completePart(connection));
+            connection.unanswered.push({ message, response });
+            response.once("close", () => {
+                connection.unanswered = connection.unanswered.filter(({ response: other }) => other !== response);
+                completePart(connection);
+            });
             return {
                 precedingRequests,
                 announcesClose() {
@@ -179,12 +194,6 @@
         drain() {
             isDraining = true;
         },
-        ignoreFurther(socket) {
-            const connection = connections.get(socket);
-            if (connection !== undefined) {
-                connection.ignoresFurther = true;
-            }
-        },
         closeInactive() {
             return closingInactive ??= closeInactive();
         },
--- a/src/http/gracefulListener.ts
+++ b/src/http/gracefulListener.ts
@@ -21,6 +21,8 @@
 export interface GracefulListener {
     /** Creates the HTTP server, for fastify's `serverFactory` option. */
     serverFactory(handler: (request: IncomingMessage, response: ServerResponse) => void): Server;
+    /** For fastify's option of this name: the listener itself handles what is no request. */
+    clientErrorHandler(): void;
     /** Starts draining: from now on, every connection closes after its current response. */
     drain(): void;
     /** Resolves once the listener is closed and all accepted requests are answered. Callers may not yet have closed their connections. */
@@ -73,6 +75,7 @@
             server.on("error", () => undefined);
             return server;
         },
+        clientErrorHandler: () => undefined,
         drain: () => connections.drain(),
         settled: () => connections.settled(),
         abortConnections() {
--- a/test/entry/stopping.test.ts
+++ b/test/entry/stopping.test.ts
@@ -91,6 +91,16 @@
         expect(caller.text).to.match(/data: last\n\n[^]*\[DONE\][^]*\r\n0\r\n\r\n$/);
     });
 
+    // Guards against a stream that is broken off by the 400 to bytes that follow its request.
+    it("finishes a stream although bytes follow that are no request, and then closes its connection", async () => {
+        caller.send(completion());
+        await waitUntil("the stream has begun", () => caller.text.includes("first"));
+        caller.send("GET / HTTP/1.1\r\nHost\0: e\r\n\r\n");
+        setTimeout(finish, 100);
+        await waitUntil("the connection ends", () => caller.isEnded);
+        expect(caller.text).to.match(/data: last\n\n[^]*\[DONE\][^]*\r\n0\r\n\r\n$/);
+    });
+
     // A request arrives while the connection is closing. Destroying the socket then sent a reset, and a slow reader lost the rest of its
     // stream.
     it("lets a slow caller read the whole stream although it sends a request while the connection closes", async () => {
