--- a/src/consensus/messages.ts
+++ b/src/consensus/messages.ts
@@ -6,9 +6,12 @@
  */
 
 import { z } from "zod";
+import { isAddress } from "../runtime/index.js";
 
 const index = z.number().int().min(0);
-const term = z.number().int().min(0);
+/** Terms count elections. Groups are numbered by term and 2^20 epochs in each, which has to stay a safe integer. */
+const maxTerm = 2 ** 32;
+const term = z.number().int().min(0).max(maxTerm);
 
 /** A voter id from the settings and the id of its disk: after its disk is wiped, a voter has a new identity. */
 export const identitySchema = z.strictObject({ voterId: z.string().min(1), diskId: z.string().min(1) });
@@ -43,11 +46,14 @@
     data: z.unknown(),
 });
 
+/** Where a process can be reached; empty if it doesn't know that itself. */
+const announcedAddress = z.string().refine(address => address === "" || isAddress(address), "not an address");
+
 /** Sent periodically by a process that has no vote, or that may have lost it. */
 const helloSchema = z.strictObject({
     kind: z.literal("hello"),
     empty: z.boolean(),
-    address: z.string(),
+    address: announcedAddress,
     /** The ids of the processes in the sender's settings, sorted. */
     voterIds: z.array(z.string()),
     /** Set when the sender has no disk and can't vote. `empty` then means that it knows of no voters. */
@@ -61,7 +67,7 @@
     empty: z.boolean(),
     voterIds: z.array(z.string()),
     /** The voters of the newest membership known to the sender: the receiver's settings may no longer name any of them. */
-    voters: z.array(z.strictObject({ id: z.string(), address: z.string() })).optional(),
+    voters: z.array(z.strictObject({ id: z.string(), address: announcedAddress })).optional(),
     diskless: z.literal(true).optional(),
     /** The disk that the sender, which has none itself, has chosen to form the cluster alone. */
     firstDiskId: z.string().optional(),
@@ -90,7 +96,12 @@
 
 const voteResponseSchema = z.strictObject({ kind: z.literal("vote-response"), term, granted: z.boolean() });
 
-const appendSchema = z.strictObject({
+function hasConsecutiveEntries({ term: sentTerm, prevIndex, prevTerm, entries }: z.infer<typeof appendFieldsSchema>): boolean {
+    return entries.every((entry, offset) => entry.index === prevIndex + 1 + offset &&
+        entry.term >= (entries[offset - 1]?.term ?? prevTerm) && entry.term <= sentTerm);
+}
+
+const appendFieldsSchema = z.strictObject({
     kind: z.literal("append"),
     clusterId: z.string(),
     term,
@@ -103,6 +114,9 @@
     sentAtMs: z.number(),
 });
 
+/** Entries out of order would be written to the disk, from which no voter could start then. */
+const appendSchema = appendFieldsSchema.refine(hasConsecutiveEntries, "the entries don't follow one another");
+
 const snapshotMessageSchema = z.strictObject({
     kind: z.literal("snapshot"),
     clusterId: z.string(),
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,5 +1,5 @@
 export { BodyTooLargeError, readBoundedText } from "./boundedBody.js";
-export { waitForPendingReads, type RequestPosition, createHttpConnections, type HttpConnections } from "./connections.js";
+export { createHttpConnections, type HttpConnections, type RequestPosition, waitForPendingReads } from "./connections.js";
 export { createGracefulListener, type GracefulListener } from "./gracefulListener.js";
 export { startListening } from "./listening.js";
 export { createReadGate, type ReadGate } from "./readGate.js";
--- a/src/siteControl/siteControl.ts
+++ b/src/siteControl/siteControl.ts
@@ -8,11 +8,15 @@
     aliveIntervalMs, createFeedServer, createFeedWatcher, type DirectoryPosition, type FeedServer, type FeedWatcher, type Frame,
     type FrameKind, type LogPosition, type PositionedFrame, type Report, type WatcherRole,
 } from "../feed/index.js";
-import { type Announcement, createDirectory, createPushbacks, type Incarnation, type Upstream, type UpstreamSignals } from "../fleet/index.js";
+import {
+    type Announcement, createDirectory, createPushbacks, type Incarnation, type RelayedUpstream, type Upstream, type UpstreamSignals,
+} from "../fleet/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { createContainment } from "../runtime/index.js";
-import type { DecodedSite } from "../site/index.js";
-import { createExceptionLog } from "../telemetry/index.js";
+import { checkLengths, type DecodedSite } from "../site/index.js";
+import { createExceptionLog, createRefusedInputs } from "../telemetry/index.js";
+import { createAddressClaims } from "./addressClaims.js";
+import { createAnnouncementCheck } from "./announcementCheck.js";
 import { barredFingerprints, recordCrashes } from "./crashRecords.js";
 import { createCrashCauses } from "./crashCauses.js";
 import { createCrashCollector } from "./crashCollector.js";
@@ -47,6 +51,7 @@
     const nowMs = () => performance.now();
     const exceptions = createExceptionLog({ logger, count: options.metrics.recordException, nowMs });
     const contained = createContainment(error => exceptions.record("task", error));
+    const refusedInputs = createRefusedInputs({ logger, countInputs: options.metrics.recordRefusedInputs, nowMs });
     const propose = createProposer({ ...options, nowMs });
     const evacuate = createEvacuations({ log, logger, nowMs, propose });
     const directory = createDirectory();
@@ -111,9 +116,22 @@
         }
     }
 
+    const checkAnnouncement = createAnnouncementCheck({
+        directory, refusedInputs, table: currentTable, isInTouch, nowMs, nowUnixMs: () => Date.now(),
+    });
+    const addressClaims = createAddressClaims({ directory, table: currentTable, onEnded: publishChanged });
+
     function acceptAnnouncement(announcement: Announcement, heardAtMs: number) {
-        publishChanged(directory.announce(announcement, heardAtMs));
-        directoryFeed.recordHeard([announcement.id], true);
+        if (addressClaims.admits(announcement, () => acceptAnnouncement(announcement, heardAtMs))) {
+            publishChanged(directory.announce(announcement, heardAtMs));
+            directoryFeed.recordHeard([announcement.id], true);
+        }
+    }
+
+    function mergeRelayed(upstreams: readonly RelayedUpstream[], receivedAtMs: number) {
+        const admitted = upstreams.filter(upstream =>
+            upstream.isGone || addressClaims.admits(upstream, () => mergeRelayed([upstream], receivedAtMs)));
+        publishChanged(directory.merge(admitted, receivedAtMs));
     }
 
     function* initialFrames(kinds: readonly FrameKind[], known?: DirectoryPosition): Generator<Frame | PositionedFrame> {
@@ -151,6 +169,7 @@
         onCrashes: (_daemonId, report) => crashCollector.report(report),
         onLoads: loadTable.report,
         onUnreadablePart: error => logger.warn("part of a report ignored", { error }),
+        onRefused: refusedInputs.record,
     });
 
     function onReport(daemonId: string, received: Report) {
@@ -169,7 +188,7 @@
         dataCentre: options.dataCentre,
         onFrame: contained((frame: Frame) => {
             if (frame.kind === "upstreams") {
-                publishChanged(directory.merge(frame.upstreams, nowMs()));
+                mergeRelayed(frame.upstreams, nowMs());
             }
             if (frame.kind === "heard") {
                 directory.updateHeardTimes(frame.heard, nowMs());
@@ -178,6 +197,7 @@
         }),
         onHeardChanged: (address, isHeard) => logger.info(isHeard ? "control daemon heard" : "control daemon lost", { address }),
         onUnknownKind: (kind, address) => logger.warn("frame of an unknown kind", { kind, address }),
+        onRefused: refusedInputs.record,
     });
 
     function isLeader(): boolean {
@@ -199,6 +219,7 @@
         if (site !== undefined && site.version !== lastPublished.version) {
             [...siteFrames(site)].forEach(frame => feed.publish(frame));
             feed.publish(aliveFrame(), "entry");
+            addressClaims.siteChanged();
             logger.info("site applied", { version: site.version, index: log.appliedIndex, term: log.term, leader: log.leaderAddress });
         }
         if (evacuatedNames !== lastPublished.evacuated) {
@@ -245,6 +266,7 @@
         }
         verdicts.update(isLeader(), [...groupLeader.lostIds, ...barredFingerprints(log)]);
         if (nowMs() > nextCleanupAtMs) {
+            publishChanged(directory.endSilent(nowMs()));
             directory.removeExpired(nowMs());
             nextCleanupAtMs = nowMs() + cleanupIntervalMs;
         }
@@ -258,9 +280,10 @@
         feed,
         async publish(text) {
             const result: DecodedSite = dialect.decodeSite(text);
-            if (result.site === undefined) {
-                logger.warn("site refused", { findings: result.findings });
-                return { outcome: "refused", findings: result.findings };
+            const findings = result.site === undefined ? result.findings : checkLengths(result.site);
+            if (result.site === undefined || findings.length > 0) {
+                logger.warn("site refused", { findings });
+                return { outcome: "refused", findings };
             }
             const { version } = result.site;
             const proposal = await propose({ kind: "publish-site", version, text });
@@ -272,17 +295,13 @@
         },
         evacuate,
         recordAnnouncement(announcement) {
-            if (announcement.state === "draining" && !isInTouch()) {
-                return false;
+            const outcome = checkAnnouncement(announcement);
+            if (outcome === "taken") {
+                acceptAnnouncement(announcement, nowMs());
             }
-            const table = currentTable();
-            if (table !== undefined && table.service(announcement.service) === undefined) {
-                logger.warn("announcement of an unknown service", { upstream: announcement.id, service: announcement.service });
-                return true;
-            }
-            acceptAnnouncement(announcement, nowMs());
-            return true;
+            return outcome;
         },
+        refuseAnnouncement: id => refusedInputs.record("announcement", { upstream: id, reason: "unreadable or out of bounds" }),
         recordDeparture({ id, bornMs, mayBeLate }) {
             // Another incarnation may have started under this id since a late call that doesn't say which one leaves.
             if (!isInTouch() || (mayBeLate && bornMs === undefined)) {
--- a/test/consensus/storage.test.ts
+++ b/test/consensus/storage.test.ts
@@ -121,6 +121,15 @@
 
     // A bad sector damages acknowledged entries. Truncating there would silently revoke them, so the voter must refuse to start and name
     // the offset. Its operators then give it an empty folder, and it catches up from the others.
+    // Guards against a voter that can't start because its log holds more entries than a call can have arguments.
+    it("opens a log whose entries were written at once, however many they are", async () => {
+        const storage = await open();
+        const entries = Array.from({ length: 200_000 }, (_, index) => entry(index + 1));
+        await writeAll(storage, [{ entries }]);
+        await storage.close();
+        expect((await openAndClose()).image.entries.length).to.equal(entries.length);
+    });
+
     it("rejects damage in the middle and names the file and the offset", async () => {
         const file = await writeThreeEntries();
         const bytes = await fs.readFile(file);
@@ -133,6 +142,29 @@
         expect([damagedFile, offsetBytes < damagedByte, offsetBytes > bytes.indexOf("c1.1")]).to.deep.equal([file, true, true]);
     });
 
+    const record = (text: string) => encodeRecord(Buffer.from(text));
+    const oddFiles: Record<string, { name: string; content: Buffer }> = {
+        "an identity that is cut short": { name: "identity.json", content: Buffer.from("{\"voterId\":\"a\"") },
+        "a record that is no JSON": { name: "log-000000000001.seg", content: record("{") },
+        "a record with a further field": { name: "log-000000000001.seg", content: record("{\"parts\":[],\"later\":1}") },
+        "deep nesting": { name: "log-000000000001.seg", content: record("[".repeat(100_000) + "]".repeat(100_000)) },
+        "many invalid entries": { name: "log-000000000001.seg", content: record(JSON.stringify({ parts: [Array.from({ length: 20_000 }, () => 1)] })) },
+        "an empty snapshot": { name: "snapshot-0000000000000007.snap", content: Buffer.alloc(0) },
+        "a snapshot without a state": { name: "snapshot-0000000000000007.snap", content: record("{\"index\":7}") },
+        "a snapshot with an absurd length": { name: "snapshot-0000000000000007.snap", content: Buffer.from("5a4c5231ffffffff00000000", "hex") },
+    };
+    for (const [label, { name, content }] of Object.entries(oddFiles)) {
+        // Guards against a voter that ends at each start without a word on which file it can't use, or with megabytes of them.
+        it(`says in a short line which file it can't use: ${label}`, async () => {
+            await writeThreeEntries();
+            await fs.writeFile(path.join(folder, name), content);
+            const error = await open().then(() => undefined, (thrown: Error) => thrown);
+            expect(error).to.be.instanceOf(CorruptionError);
+            expect(error!.message).to.include(name);
+            expect(error!.message.length).to.be.below(1_000);
+        });
+    }
+
     it("replaces the log before a snapshot by the snapshot and removes old segments", async () => {
         const storage = await open({ segmentBytes: 200 });
         const snapshot: Snapshot = { index: 4, term: 1, membership, data: { state: 4 } };
