A continuation without a length that ends before an event is broken off

What callers saw: a stream that looked complete without its last events. It had broken off, and the upstream that was asked for the rest stopped after the head of an answer that ends with its connection. Cause: that was taken for a continuation after the last event, which brings no more. The same bytes come from an upstream that stops. Change: no answer that ends with its connection is complete without an event. Where the stream had all of its events, its caller sees it broken off and may ask for the rest itself.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -288,8 +288,7 @@
             return "the stream ended in the middle of an event";
         }
         // An upstream that stops after the head of a stream that ends with its connection leaves the same bytes as an empty stream.
-        const isEmpty = !hasEvents && splitter.lastId === undefined;
-        return isEmpty && endsWithConnection({ status, rawHeaders }) ? "the stream ended before its first event" : undefined;
+        return !hasEvents && endsWithConnection({ status, rawHeaders }) ? "the stream ended before its first event" : undefined;
     }
 
     function onEnd() {
--- a/test/gateway/unframedAnswers.test.ts
+++ b/test/gateway/unframedAnswers.test.ts
@@ -59,6 +59,14 @@
         expect(answer).to.match(lastChunk);
     });
 
+    // Guards against a stream without its last events that looks complete, since its continuation has stopped after the head.
+    it("are no continuations if they end before an event", async () => {
+        await start("id: 1\ndata: a\n\nid: 2\nda", "");
+        const answer = await exchangeRaw(site.port, caption);
+        expect(eventIds(answer)).to.deep.equal(["1"]);
+        expect(answer).not.to.match(lastChunk);
+    });
+
     it("are whole plain answers", async () => {
         upstreams.push(await startRawUpstream((request, socket) => socket.end(`${unframedHead(request, "text/plain")}done`)));
         site = await startGateway([createUpstream(upstreams[0]!.address, "u1")]);
