--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -134,8 +134,8 @@
                     refusedJoins++;
                     return 412;
                 }
-                if (isCurrentMembership) {
-                    return 200;
+                if (isCurrentMembership || (order.expectedRevision ?? orderSeq) !== orderSeq) {
+                    return isCurrentMembership ? 200 : 409;
                 }
                 const members = order.members as string[];
                 const head = membership === undefined ? undefined : options.peer(membership.members[0]!);
--- a/test/platform/engines.test.ts
+++ b/test/platform/engines.test.ts
@@ -62,7 +62,7 @@
             const { signals, ...answer } = await client.inquire({ id: "u1", address: engine.address }, healthPath);
             answers.push({ ...answer, pushbackMs: signals?.pushbackMs });
         }
-        const own = { bornMs: 9, domain: "3", stagedModels: ["lm"], group: { name: "lm/2", epoch: 2, rank: 1, state: "open" } };
+        const own = { bornMs: 9, domain: "3", stagedModels: ["lm"], group: { name: "lm/2", epoch: 2, rank: 1, state: "open" }, revision: 4 };
         expect(answers).to.deep.equal([
             { kind: "report", report: own, pushbackMs: undefined },
             { kind: "unusable", reason: "unreadable report", pushbackMs: undefined },
