An exception can't lead to a request that runs after its refusal, or runs twice

What callers would see, after an exception in the entry: a 503, which promises that a request has not run, for one that stayed in the queue of its model and was sent later; a request that may not be repeated sent twice, if an attempt threw after its exchange had begun; no answer until the deadline, if it was the delivery that threw; and an entry that ends later by the timer of the deadline, which asked the same again. A ticket of the queue is known only after submit has returned; the exchange was started before the rest was registered; an attempt that is over told its request nothing; and what ends a request after an exception looked candidates up. Change: a submission that throws leaves the queue, and a decision for a request that is over gives its room back; the exchange is the last thing that an attempt starts; an attempt that throws once it is over reports so; a request ends without a look at candidates, and without an answer if even that throws. Bytes after a broken head no longer cut the last answer, and an answer that has begun gets none after it.

--- a/src/gateway/admissionTypes.ts
+++ b/src/gateway/admissionTypes.ts
@@ -43,6 +43,13 @@
     /** Its room can't be predicted: fixed bounds apply. */
     | { readonly kind: "unpredicted" };
 
+/** Gives back the room of a decision on a request that has ended meanwhile. */
+export function releaseRoom(decision: AdmissionDecision): void {
+    if (decision.kind === "send") {
+        decision.released();
+    }
+}
+
 export interface AdmissionRecord {
     readonly route: string;
     readonly priority: number;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -38,6 +38,8 @@
     let isForwarding = false;
     let hasEvents = false;
     let isOver = false;
+    /** Whether the request knows how the attempt has ended. */
+    let isReported = false;
     /** Whether reading from the upstream has been paused since the last event. */
     let wasPaused = false;
 
@@ -54,10 +56,6 @@
         body: request.body,
         needsNewConnection: !options.isRepeatable,
     };
-    const exchange = dependencies.connections.start(upstream.address, exchangeRequest, {
-        head: contained(onHead), data: contained(onData), end: contained(onEnd), failed: contained(onExchangeFailed),
-    });
-    // Whatever is registered from here on is undone by `end`.
     const releaseHolder = holder.retain();
     const source = holder.attach({ pause: pauseReading, resume: () => exchange.resume() });
     balancer.requestSent(upstream, upstream.coldUntilMs > dependencies.nowMs());
@@ -66,6 +64,10 @@
     }
     const sentAtMs = dependencies.nowMs();
     let lastProgressAtMs = sentAtMs;
+    // Last, so that nothing has been sent if the attempt can't be started.
+    const exchange = dependencies.connections.start(upstream.address, exchangeRequest, {
+        head: contained(onHead), data: contained(onData), end: contained(onEnd), failed: contained(onExchangeFailed),
+    });
     const stallTimer = options.isRepeatable ? setInterval(contained(checkStalled), stallCheckIntervalMs) : undefined;
 
     /** Late streams wait for others, and a continued one has its previous events as a further prompt. */
@@ -83,11 +85,11 @@
         source.detach();
         holder.hold("answer", 0);
         releaseHolder();
-        options.onEnded();
         balancer.requestEnded(upstream);
         if (isStream) {
             balancer.streamEnded(upstream, hasEvents);
         }
+        options.onEnded();
     }
 
     function fail(failure: AttemptFailure) {
@@ -98,6 +100,7 @@
         if (failure.kind !== "not-run" || failure.isUpstreamAtFault) {
             balancer.requestFailed(upstream);
         }
+        isReported = true;
         options.onFailed(failure);
     }
 
@@ -108,10 +111,15 @@
 
     /** Gives up an attempt whose answer can't be handled, at the cost of its request alone. */
     function onThrown(error: unknown) {
-        dependencies.recordException(error, { request: request.attemptId, upstream: upstream.id });
+        const reason = "its answer could not be handled";
         if (!isOver) {
-            abandon("its answer could not be handled");
+            abandon(reason);
+        }
+        else if (!isReported) {
+            isReported = true;
+            options.onFailed({ kind: "unknown", reason, isCrash: false });
         }
+        dependencies.recordException(error, { request: request.attemptId, upstream: upstream.id });
     }
 
     /**
@@ -271,6 +279,7 @@
         else {
             answer.sendWhole(status, answerHeaders(rawHeaders), Buffer.concat(buffered));
         }
+        isReported = true;
         options.onDelivered({ status });
     }
 
@@ -331,6 +340,7 @@
         },
         abort() {
             if (!isOver) {
+                isReported = true;
                 exchange.abort();
                 end();
             }
--- a/src/gateway/modelQueue.ts
+++ b/src/gateway/modelQueue.ts
@@ -264,16 +264,21 @@
             entries.set(waiting.id, { submission, waiting, onDecision });
             unsettled.add(waiting.id);
             apply({ kind: "arrive", nowMs: nowMs(), request: waiting });
-            pump();
-            return {
-                cancel() {
-                    const entry = forget(waiting.id);
-                    if (entry !== undefined) {
-                        apply({ kind: "cancel", request: waiting });
-                        record(entry, "left");
-                    }
-                },
-            };
+            function cancel() {
+                const entry = forget(waiting.id);
+                if (entry !== undefined) {
+                    apply({ kind: "cancel", request: waiting });
+                    record(entry, "left");
+                }
+            }
+            try {
+                pump();
+            }
+            catch (error) {
+                cancel();
+                throw error;
+            }
+            return { cancel };
         },
         pump,
         close() {
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -13,11 +13,12 @@
 
 import type { Upstream } from "../fleet/index.js";
 import { createContainment } from "../runtime/index.js";
-import type { AdmissionDecision } from "./admissionTypes.js";
+import { type AdmissionDecision, releaseRoom } from "./admissionTypes.js";
 import type { CallerAnswer } from "./answer.js";
 import type { ParsedRequest } from "./parsedRequest.js";
 import { startAttempt } from "./attempt.js";
 import type { AttemptFailure } from "./attemptFailure.js";
+import { mayTryAgain } from "./attemptLimits.js";
 import type { RunningAttempt } from "./attemptTypes.js";
 import { chooseService } from "./chooseService.js";
 import { createEventSplitter } from "./events.js";
@@ -31,11 +32,6 @@
 import { stallTimeoutMs } from "./stallTimeout.js";
 import { pushbackLeftMs, reasonWithoutCandidate } from "./withoutCandidate.js";
 
-/** With less time left than this, another attempt can't produce an answer. */
-const minAttemptMs = 40;
-/** Extra attempts in place of those that did not run: during a repair two stale heads may be tried before the new one. */
-const maxExtraAttempts = 2;
-
 /** How long callers whose requests crash upstreams are asked to stay away: longer than a deadline, so that the same caller gives up. */
 const barredRetryMs = 60_000;
 
@@ -107,10 +103,18 @@
         finish("failed", { reason, upstream });
     }
 
-    /** Ends the request after an exception. */
+    /** Ends the request after an exception; without an answer, if that fails too. */
     function onThrown(error: unknown) {
-        dependencies.recordException(error, { request: request.attemptId, upstream: currentAttempt?.upstream.id });
-        endNow("the entry could not handle it");
+        const upstream = currentAttempt?.upstream.id;
+        try {
+            endNow("the entry could not handle it");
+        }
+        catch {
+            isOver = true;
+            clearTimeout(deadline);
+            answer.abort();
+        }
+        dependencies.recordException(error, { request: request.attemptId, upstream });
     }
 
     function onTimeout() {
@@ -124,9 +128,7 @@
         fail(504, "no final answer in time", upstream);
     }
 
-    function listCandidates(): readonly Candidate[] {
-        return dependencies.view.candidates(service, model);
-    }
+    const listCandidates = (): readonly Candidate[] => dependencies.view.candidates(service, model);
 
     function choose(candidates: readonly Candidate[]): Candidate | undefined {
         return balancer.choose(candidates, {
@@ -138,9 +140,7 @@
         });
     }
 
-    function refuseBarred() {
-        giveUp("upstreams have crashed under this request or a part of its prompt", barredRetryMs);
-    }
+    const refuseBarred = () => giveUp("upstreams have crashed under this request or a part of its prompt", barredRetryMs);
 
     function startFirstAttempt() {
         if (dependencies.isBarred(request)) {
@@ -152,7 +152,8 @@
             return;
         }
         isWaiting = true;
-        ticket = admission.submit({ request, service, model: model!, choose }, contained(onAdmission));
+        ticket = admission.submit({ request, service, model: model!, choose },
+            contained((decision: AdmissionDecision) => isOver ? releaseRoom(decision) : onAdmission(decision)));
     }
 
     function onAdmission(decision: AdmissionDecision) {
@@ -206,9 +207,8 @@
     }
 
     /** Whether an upstream that this request has not been sent to may take it now. */
-    function hasUntriedUpstream(): boolean {
-        return listCandidates().some(({ upstream }) => !tried.has(upstream.id) && balancer.mayReceive(upstream, coldRequestsPerSecond));
-    }
+    const hasUntriedUpstream = () =>
+        listCandidates().some(({ upstream }) => !tried.has(upstream.id) && balancer.mayReceive(upstream, coldRequestsPerSecond));
 
     /** Retries after a failed attempt, or sends the final answer. */
     function onAttemptFailed(failure: AttemptFailure, upstream: Upstream) {
@@ -224,8 +224,9 @@
         // Another upstream can continue a stream, but no other answer can be replaced once a part of it has been forwarded.
         const canContinue = isStream || !answer.isStarted;
         // Once the caller has left, nobody waits for the answer, and a retried non-idempotent request would take effect after that.
-        const isRetryPossible = !isOver && canContinue && (failure.kind === "not-run" || isRepeatable) && possibleRuns < route.maxAttempts &&
-            attempts < route.maxAttempts + maxExtraAttempts && request.giveUpAtMs - dependencies.nowMs() > minAttemptMs && hasUntried;
+        const leftMs = request.giveUpAtMs - dependencies.nowMs();
+        const isRetryPossible = !isOver && canContinue && hasUntried && (failure.kind === "not-run" || isRepeatable) &&
+            mayTryAgain({ attempts, possibleRuns, leftMs, maxAttempts: route.maxAttempts });
         // The budget limits the load that retries put on upstreams, so a retry after an attempt that sent nothing isn't charged to it.
         const isUnsent = failure.kind === "not-run" && failure.isUnsent;
         const willRetry = isRetryPossible && (isUnsent || hasReservedRetry || dependencies.mayRetry(service));
@@ -248,13 +249,6 @@
         giveUp(hasUntried ? reason : reasonWithoutCandidate(listCandidates(), dependencies.pushbacks));
     }
 
-    function headersTo(upstream: Upstream, isLate: boolean): string[] {
-        return outgoingHeaders(request, names, {
-            upstreamId: upstream.id, leftMs: request.giveUpAtMs - dependencies.nowMs(), lastEventId: splitter.lastId,
-            hasEngine: engine !== undefined, isLate,
-        });
-    }
-
     /** Whether a stalled attempt may be retried elsewhere. Reserves the retry, so that the budget can't refuse it afterwards. */
     function mayFailOver(): boolean {
         const canContinue = isRepeatable && (isStream || !answer.isStarted) && possibleRuns + 1 < route.maxAttempts;
@@ -277,7 +271,11 @@
         try {
             currentAttempt = startAttempt({
                 request, upstream, answer, holder, splitter, isRepeatable, isLate, mayFailOver, onEnded,
-                headers: headersTo(upstream, isLate), stallTimeoutMs: isLate ? Infinity : stallTimeoutMs(route),
+                headers: outgoingHeaders(request, names, {
+                    upstreamId: upstream.id, leftMs: request.giveUpAtMs - dependencies.nowMs(), lastEventId: splitter.lastId,
+                    hasEngine: engine !== undefined, isLate,
+                }),
+                stallTimeoutMs: isLate ? Infinity : stallTimeoutMs(route),
                 onDelivered: fields => finish("delivered", { upstream: upstream.id, dataCentre: upstream.dataCentre, ...fields }),
                 onEvents() {
                     leaveLateQueue(true);
@@ -319,7 +317,9 @@
         }
         ticket?.cancel();
         if (isCertainlyNotRun && currentAttempt === undefined) {
-            refuse(reason);
+            // Other entries serve it, so its caller may return at once.
+            answer.sendOwn(503, reason, 0);
+            finish("refused", { reason });
             return;
         }
         const upstream = currentAttempt?.upstream.id;
--- a/src/http/brokenRequests.ts
+++ b/src/http/brokenRequests.ts
@@ -30,10 +30,6 @@
     const closing = new WeakSet<Socket>();
 
     function closeAfter(socket: Socket, last: ServerResponse) {
-        // Each further byte is reported again.
-        if (closing.has(socket)) {
-            return;
-        }
         closing.add(socket);
         requests.ignoreFurther(socket);
         last.once("close", () => {
@@ -45,13 +41,18 @@
 
     server.on("clientError", (error: NodeJS.ErrnoException, connection) => {
         const socket = connection as Socket;
+        // Each further byte is reported again.
+        if (closing.has(socket) && !leftCodes.has(error.code)) {
+            return;
+        }
         // The last one may be the broken request itself, without the end of its body.
         const last = requests.unanswered(socket).findLast(({ message }) => message.complete)?.response;
         if (last !== undefined && !leftCodes.has(error.code)) {
             closeAfter(socket, last);
             return;
         }
-        if (last === undefined && socket.writable) {
+        const hasAnswer = requests.unanswered(socket).some(({ response }) => response.headersSent);
+        if (last === undefined && !hasAnswer && socket.writable) {
             const status = statusByCode[error.code ?? ""] ?? 400;
             socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\n\r\n`);
         }
