An attempt checks the headers that it adds, and no path again

The path of a request is checked when it is read and doesn't change. Checking it again at each attempt made "observes on-time streams from their start on" of test/gateway/latencyTracker.test.ts fail, whose request has no path; that test is unchanged.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -13,7 +13,7 @@
 import type { ExchangeRequest } from "./connections.js";
 import { countEvents } from "./events.js";
 import { answerHeaders, forwardedHeaders, headerValue } from "./headers.js";
-import { unsendableReason } from "./sendable.js";
+import { areSendableHeaders } from "./sendable.js";
 import { readSignals } from "./signals.js";
 
 /**
@@ -42,9 +42,8 @@
     let wasPaused = false;
 
     const contained = createContainment(onThrown);
-    const unsendable = unsendableReason(request.path, options.headers);
-    if (unsendable !== undefined) {
-        throw new Error(unsendable);
+    if (!areSendableHeaders(options.headers)) {
+        throw new Error("a header can't be sent");
     }
     const observation = isObserved() ? dependencies.latency?.requestSent(upstream, request, needsConnection()) : undefined;
     const exchangeRequest: ExchangeRequest = {
--- a/src/gateway/sendable.ts
+++ b/src/gateway/sendable.ts
@@ -12,22 +12,28 @@
 const headerNamePattern = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 const headerValuePattern = /^[\t\x20-\x7e\x80-\xff]*$/;
 
-/** Returns why a request with this target and raw header list can't be sent; undefined if it can. */
-export function unsendableReason(target: string, headers: readonly string[]): string | undefined {
-    if (!targetPattern.test(target)) {
-        return "the path contains characters that can't be sent";
-    }
-    const isUnsendable = (part: string, index: number) => !(index % 2 === 0 ? headerNamePattern : headerValuePattern).test(part);
-    return headers.some(isUnsendable) ? "a header can't be sent" : undefined;
+/** Whether `path`, with a query if there is one, can be sent as a target, and in a header. */
+export function isSendablePath(path: string): boolean {
+    return targetPattern.test(path);
+}
+
+/** Whether all of a raw header list can be sent. */
+export function areSendableHeaders(headers: readonly string[]): boolean {
+    return headers.every((part, index) => (index % 2 === 0 ? headerNamePattern : headerValuePattern).test(part));
 }
 
 /** Returns why a caller's request is malformed although the parser has accepted it; undefined if it is well-formed. */
 export function malformedReason({ url, rawHeaders }: Pick<IncomingMessage, "url" | "rawHeaders">, names: HeaderNames): string | undefined {
     const countOf = (name: string) => rawHeaders.filter((part, index) => index % 2 === 0 && part.toLowerCase() === name).length;
     const repeated = ["host", names.attemptId].find(name => countOf(name) > 1);
+    if (repeated !== undefined) {
+        return `the header ${repeated} occurs more than once`;
+    }
     // Other forms of targets have no route.
-    const isPath = url?.startsWith("/") === true;
-    return repeated === undefined ? unsendableReason(isPath ? url! : "/", rawHeaders) : `the header ${repeated} occurs more than once`;
+    if (url?.startsWith("/") && !isSendablePath(url)) {
+        return "the path contains characters that can't be sent";
+    }
+    return areSendableHeaders(rawHeaders) ? undefined : "a header can't be sent";
 }
 
 /** Returns `text` in the form in which a header carries it: UTF-8, with a question mark for each control character. */
