Merge the checks of attempts' headers; answer the rest of the review

- HEAD on a stream has no events and isn't broken off.
- Tests of these exceptions: registration, success, candidates, and a queue that threw.

--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -32,7 +32,8 @@
         console.log(`${values.settings}: no findings`);
         return;
     }
-    logFatalException(createLogger("error", settings.daemon.id));
+    const log = { logger: createLogger("error", settings.daemon.id), flushLog: () => Promise.resolve() };
+    logFatalException(() => log);
     const started = Promise.resolve().then(() => createDaemon(settings));
     let isStopping = false;
     const stop = () => {
--- a/src/fleet/address.ts
+++ b/src/fleet/address.ts
@@ -12,7 +12,8 @@
 const maxPort = 65_535;
 const maxAddressChars = maxHostChars + 1 + String(maxPort).length;
 
-const labelPattern = /^[a-z0-9](?:[a-z0-9-]*[a-z0-9])?$/i;
+/** With underscores, which resolvers take although host names have none. */
+const labelPattern = /^[a-z0-9_](?:[a-z0-9_-]*[a-z0-9_])?$/i;
 
 /** Whether a text is a host name that URLs accept: they take a last label that looks like a number for a part of an IP address. */
 function isHostName(text: string): boolean {
@@ -27,7 +28,7 @@
 }
 
 /** Whether a text is an IPv4 address or a DNS host name, with a port from 1 to 65535. */
-export function isAddress(text: string): boolean {
+export function isUpstreamAddress(text: string): boolean {
     const separator = text.lastIndexOf(":");
     if (separator < 0 || text.length > maxAddressChars || !isPort(text.slice(separator + 1))) {
         return false;
@@ -37,4 +38,4 @@
 }
 
 /** The address of an upstream, `HOST:PORT`. */
-export const addressSchema = z.string().refine(isAddress, "is not a host and a port");
+export const addressSchema = z.string().refine(isUpstreamAddress, "is not a host and a port");
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -82,7 +82,7 @@
         timer = undefined;
         if (dueMs < Infinity) {
             const delayMs = Math.max(minTimerMs, Math.ceil(dueMs - nowMs()));
-            timer = { dueMs, cancel: setTimer(onTimer, delayMs) };
+            timer = { dueMs, cancel: setTimer(contained(onTimer), delayMs) };
         }
     }
 
@@ -90,10 +90,10 @@
     function wake() {
         if (!isWoken) {
             isWoken = true;
-            defer(() => {
+            defer(contained(() => {
                 isWoken = false;
                 pumpAll();
-            });
+            }));
         }
     }
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -13,7 +13,7 @@
 import type { ExchangeRequest } from "./connections.js";
 import { countEvents } from "./events.js";
 import { answerHeaders, forwardedHeaders, headerValue } from "./headers.js";
-import { unsendableReason } from "./sendable.js";
+import { areSendableHeaders } from "./sendable.js";
 import { readSignals } from "./signals.js";
 
 /**
@@ -44,9 +44,8 @@
     let wasPaused = false;
 
     const contained = createContainment(onThrown);
-    const unsendable = unsendableReason(request.path, options.headers);
-    if (unsendable !== undefined) {
-        throw new Error(unsendable);
+    if (!areSendableHeaders(options.headers)) {
+        throw new Error("a header can't be sent");
     }
     const observation = isObserved() ? dependencies.latency?.requestSent(upstream, request, needsConnection()) : undefined;
     const exchangeRequest: ExchangeRequest = {
@@ -297,7 +296,8 @@
             return "the stream ended in the middle of an event";
         }
         // An upstream that stops after the head of a stream that ends with its connection leaves the same bytes as an empty stream.
-        return !hasEvents && endsWithConnection({ status, rawHeaders }) ? "the stream ended before its first event" : undefined;
+        const mayBeCut = !hasEvents && request.method !== "HEAD" && endsWithConnection({ status, rawHeaders });
+        return mayBeCut ? "the stream ended before its first event" : undefined;
     }
 
     function onEnd() {
--- a/src/sidecar/engine.ts
+++ b/src/sidecar/engine.ts
@@ -14,6 +14,8 @@
 const orderTimeoutMs = 5_000;
 /** Far more than a state takes. */
 const maxStateBytes = 262_144;
+/** More than is ever held, so that the library never pauses its parser, which may throw if the connection ends meanwhile. */
+const stateHighWaterMarkBytes = 2 * maxStateBytes;
 const connectionRefusedCode = "ECONNREFUSED";
 const connectionBrokenCodes = new Set(["ECONNRESET", "EPIPE", "UND_ERR_SOCKET"]);
 
@@ -67,7 +69,9 @@
      */
     async function fetchState(isRetry = false): Promise<EngineState | undefined> {
         try {
-            const answer = await request(`http://${address}/state`, { dispatcher: pollAgent, signal: AbortSignal.timeout(pollTimeoutMs) });
+            const answer = await request(`http://${address}/state`, {
+                dispatcher: pollAgent, signal: AbortSignal.timeout(pollTimeoutMs), highWaterMark: stateHighWaterMarkBytes,
+            });
             isGone = false;
             return engineStateSchema.parse(JSON.parse(await readBoundedText(answer.body, maxStateBytes)));
         }
--- a/src/siteControl/prober.ts
+++ b/src/siteControl/prober.ts
@@ -65,7 +65,8 @@
     async function probe(upstream: Upstream, state: ProbeState) {
         state.isProbing = true;
         state.lastProbeAtMs = options.nowMs();
-        const result = await options.probe(upstream);
+        // A probe that fails says no more than one that gets no answer.
+        const result = await options.probe(upstream).catch(() => "silent" as const);
         const wasLost = state.result !== undefined;
         state.isProbing = false;
         if (result === "answered") {
--- a/src/siteControl/restorer.ts
+++ b/src/siteControl/restorer.ts
@@ -92,7 +92,7 @@
                 continue;
             }
             inFlight++;
-            void ask(hint).finally(() => {
+            ask(hint).catch((error: Error) => skip(hint, error.message)).finally(() => {
                 inFlight--;
                 askNext();
             });
--- a/src/telemetry/exceptions.ts
+++ b/src/telemetry/exceptions.ts
@@ -46,13 +46,20 @@
     };
 }
 
+/** Where a process writes why it ends. `flushLog` resolves once lines that are still held are written, or after a short time. */
+export interface FatalLog {
+    readonly logger: Pick<Logger, "error">;
+    flushLog(): Promise<void>;
+}
+
 /**
  * Has the process write why it ends when an exception or a rejected promise reaches the top, and then end with status 1: what it was doing
- * is left half-done, so it can't go on. `flushLog` writes log lines that are still held.
+ * is left half-done, so it can't go on.
  */
-export function logFatalException(logger: Pick<Logger, "error">, flushLog: () => Promise<void> = () => Promise.resolve()) {
+export function logFatalException(currentLog: () => FatalLog) {
     let isEnding = false;
     process.on("uncaughtException", (error, origin) => {
+        const { logger, flushLog } = currentLog();
         logger.error("ending because of an exception", { origin, error: describeException(error) });
         if (!isEnding) {
             isEnding = true;
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -5,5 +5,5 @@
 export { createTracing, type TraceSpan, type TraceSpanAttributes, type TraceSpanName, type Tracing } from "./tracing.js";
 export { type BoundedOutput, createBoundedOutput } from "./boundedOutput.js";
 export { createSiteMetrics, type ExceptionCost, type SiteMetrics } from "./exposition.js";
-export { createExceptionLog, type ExceptionLog, logFatalException } from "./exceptions.js";
+export { createExceptionLog, type ExceptionLog, type FatalLog, logFatalException } from "./exceptions.js";
 export { createRefusedInputs, type InputKind, type RefusedInputs } from "./refusedInputs.js";
--- a/test/gateway/exceptions.test.ts
+++ b/test/gateway/exceptions.test.ts
@@ -1,4 +1,7 @@
 import { expect } from "chai";
+import { type Admission, createAdmission } from "../../src/gateway/admission.js";
+import { createBalancer } from "../../src/gateway/balancer.js";
+import type { SiteView } from "../../src/gateway/siteView.js";
 import type { ServerDependencies } from "../../src/gateway/server.js";
 import { unboundedMemory } from "../../src/gateway/memory/index.js";
 import {
@@ -60,7 +63,10 @@
     const fail = () => {
         throw new Error("broken");
     };
+    const balancer = createBalancer({ nowMs: () => performance.now(), random: () => 0, entries: () => 1 });
     const places: Record<string, { overrides: Partial<ServerDependencies>; statuses: (number | undefined)[] }> = {
+        "when it is registered": { overrides: { balancer: { ...balancer, requestSent: fail } }, statuses: [503, 503, 503] },
+        "when its success is recorded": { overrides: { balancer: { ...balancer, requestSucceeded: fail } }, statuses: [502, 502, 200] },
         "when it has been read": { overrides: { recordArrival: fail }, statuses: [503, 503, 503] },
         "when it is checked": { overrides: { isBarred: fail }, statuses: [503, 503, 503] },
         "when it is sent": { overrides: { latency: { requestSent: fail } }, statuses: [200, 200, 503] },
@@ -73,6 +79,37 @@
             expect(await sendAll()).to.deep.equal(statuses);
             expect(exceptions.length).to.be.at.least(statuses.filter(status => status !== 200).length);
             expect(site.server.running).to.equal(0);
+            // A request that may not be repeated is sent once, and not at all if it was refused.
+            const charges = upstream.requests.filter(({ head }) => head.startsWith("POST"));
+            expect(charges.length).to.equal(statuses[1] === 503 ? 0 : 1);
         });
     }
+
+    // Guards against a timer that ends the entry later, because what the exception came from is asked again to end its request.
+    it("costs that request alone, when nothing can be chosen any more", async () => {
+        await start({}, createUpstream(upstream.address, "u1"));
+        Object.assign(site.view, { candidates: fail });
+        expect(await sendAll()).to.deep.equal([503, 503, 503]);
+        expect([exceptions.length, site.server.running, upstream.requests.length]).to.deep.equal([3, 0, 0]);
+    });
+
+    // Guards against a request that runs although its caller was told that it never will: it stayed in the queue.
+    it("leaves no request that was refused in a queue", async () => {
+        let calls = 0;
+        let admission: Admission | undefined;
+        const recordException = (error: unknown) => exceptions.push(error);
+        const createAdmissionFor = (view: SiteView) => admission = createAdmission({
+            view, nowMs: () => performance.now(), random: () => 0.5, isAvoided: () => false, pushbackLeftMs: () => 0, record: () => undefined,
+            isActive: () => true, recordException,
+            room: { at: () => ++calls === 2 ? fail() : { running: 0, limit: 4, allowance: 4, firstEventMs: 20, ageMs: 0 } },
+        });
+        site = await startGateway(
+            [createGroupHead(engine.address, "u2", 1)], createSite(), Infinity, undefined, {}, createAdmissionFor, unboundedMemory, { recordException },
+        );
+        expect(await send("GET", "/caption/1")).to.equal(503);
+        admission!.roomChanged();
+        await new Promise(resolve => setTimeout(resolve, checkedMs));
+        expect([exceptions.length, engine.requests.length, site.server.running]).to.deep.equal([1, 0, 0]);
+        expect(await send("GET", "/caption/1")).to.equal(200);
+    });
 });
