Soak: odd check-ins, cut heads, and checks of the daemons themselves

Change: `odd-check-ins` posts check-ins with odd fields, under new ids and, where they must be refused whole, under those of upstreams that serve; `cut-heads` has upstreams run requests and answer with a part of a head. Each start of a daemon is recorded with its end. New checks: a daemon ends only when it was told to and its log says why it ended otherwise; nothing throws; odd check-ins are refused; what was passed on is answered; each kind of requests is served; stated limits are kept, for which `limit-upstream` lasts longer now. A complete answer with another status below 400 than 200 is a finding too. A fault that overlaps another one of its kind on the same upstream no longer leaves its change behind. A reload is sent only to an entry that has started: before its program is loaded, the signal ends it. Tests: the calls of the test of crashing parts have the status that an entry gives for a crash, as calls without an answer are a finding now.

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -6,6 +6,7 @@
  */
 
 import { Agent, request } from "node:http";
+import { setTimeout as pause } from "node:timers/promises";
 import { bulkPadding, callControlDaemon } from "../../standin/platform/index.js";
 import { createRandom, nextArrivalMs, type Random } from "../random.js";
 import type { Call, CallKind } from "./history.js";
@@ -73,10 +74,6 @@
     readonly stopsReadingMs?: number;
 }
 
-function pause(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 /** Starts callers and the balancer. */
 export function startCallers(options: CallersOptions): Callers {
     const { entries, random } = options;
--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -5,7 +5,9 @@
  */
 
 import { eventIds, eventsPerAnswer } from "../../standin/platform/index.js";
-import type { Call, History, Outage } from "./history.js";
+import { type Call, type CallKind, type History, isDisturbed, isServed, type Outage } from "./history.js";
+import { daemonsStay, logsSayWhy, nothingThrows, oddCheckInsAreRefused } from "./processChecks.js";
+import { coldUpstreamsAreSpared, leavingUpstreamsGetNothing, pushbacksAreKept, statedLimitsAreKept } from "./statementChecks.js";
 
 /** Bounds in ms, as the settings of the site state them. */
 export interface Bounds {
@@ -32,13 +34,12 @@
     readonly marginMs: number;
 }
 
-/** A pushback allows this many requests from this time after it until its end. */
-const [pushbackActivationMs, pushbackAllowance] = [500, 2];
 /** Part of the requests that must be served again after the recovery. */
 const minServedAfterRecovery = 0.25;
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-type Check = (history: History, bounds: Bounds) => string[];
+/** Returns what it finds, in words. */
+export type Check = (history: History, bounds: Bounds) => string[];
 
 function runCounts({ upstreams }: History): Map<string, number> {
     const counts = new Map<string, number>();
@@ -46,10 +47,6 @@
     return counts;
 }
 
-function isDisturbed(outages: readonly Outage[], daemon: string, fromMs: number, toMs: number): boolean {
-    return outages.some(outage => outage.daemon === daemon && outage.fromMs <= toMs && outage.toMs >= fromMs);
-}
-
 const runsAtMostOnce: Check = history => {
     const counts = runCounts(history);
     return history.calls.filter(({ kind, id }) => kind === "charge" && (counts.get(id) ?? 0) > 1)
@@ -72,47 +69,8 @@
 }
 
 const answersAreWholeAndOwn: Check = ({ calls }) =>
-    calls.filter(call => call.status === 200 && call.isComplete && !isWhole(call))
-        .map(({ id, kind, body }) => `${kind} ${id} was answered with ${JSON.stringify(body.slice(0, 200))}`);
-
-const pushbacksAreKept: Check = ({ upstreams, calls, outages }) => {
-    const entryOf = new Map(calls.map(({ id, entry }) => [id, entry]));
-    return upstreams.flatMap(({ id: upstream, pushbacks, arrivals }) => pushbacks.flatMap(({ id, atMs, forMs }) => {
-        const entry = entryOf.get(id);
-        const [fromMs, toMs] = [atMs + pushbackActivationMs, atMs + forMs];
-        if (entry === undefined || isDisturbed(outages, entry, atMs, toMs)) {
-            return [];
-        }
-        const count = arrivals.filter(arrival => entryOf.get(arrival.id) === entry && arrival.atMs > fromMs && arrival.atMs < toMs).length;
-        return count > pushbackAllowance ? [`${upstream} asked ${entry} for none for ${forMs} ms and got ${count} requests`] : [];
-    }));
-};
-
-const leavingUpstreamsGetNothing: Check = ({ upstreams, calls, outages }, { drainMs }) => calls.flatMap(notice => {
-    const { leavingUpstream, entry, endedAtMs } = notice;
-    const upstream = upstreams.find(({ id }) => id === leavingUpstream);
-    if (upstream === undefined) {
-        return [];
-    }
-    const arrived = new Set(upstream.arrivals.map(({ id }) => id));
-    const late = calls.filter(call => call.entry === entry && call.sentAtMs > endedAtMs + drainMs && arrived.has(call.id));
-    return late.filter(call => !isDisturbed(outages, entry, endedAtMs, call.endedAtMs))
-        .map(({ id }) => `${upstream.id} told ${entry} that it leaves and got ${id}`);
-});
-
-const coldWindowMs = 1_000;
-
-/** Counts requests that were sent and have arrived inside the same second. */
-const coldUpstreamsAreSpared: Check = ({ upstreams, calls }, { coldPerSecond }) => {
-    const sentAtMs = new Map(calls.map(call => [call.id, call.sentAtMs]));
-    return upstreams.flatMap(({ id: upstream, arrivals }) => {
-        const cold = arrivals.filter(({ isCold }) => isCold);
-        const counts = cold.map(first => cold.filter(({ id, atMs }) =>
-            (sentAtMs.get(id) ?? 0) >= first.atMs && atMs < first.atMs + coldWindowMs).length);
-        const most = Math.max(0, ...counts);
-        return most > coldPerSecond ? [`${upstream} was cold and got ${most} requests in a second`] : [];
-    });
-};
+    calls.filter(call => call.status !== undefined && call.status < 400 && call.isComplete && !(call.status === 200 && isWhole(call)))
+        .map(({ id, kind, status, body }) => `${kind} ${id} was answered ${status} with ${JSON.stringify(body.slice(0, 200))}`);
 
 /** Whether neither the entry of a call nor any control daemon, which may cut off the entry, was disturbed for long enough. */
 function isInTouch(call: Call, outages: readonly Outage[], { contactMs, configurationAppliesMs }: Bounds): boolean {
@@ -233,8 +191,6 @@
         !isDisturbed(outages, entry, sentAtMs, endedAtMs))
     .map(({ id, kind, entry, sentAtMs, endedAtMs }) => `${entry} held ${kind} ${id} for ${Math.round(endedAtMs - sentAtMs)} ms`);
 
-const isServed = ({ status, isComplete }: Call) => status === 200 && isComplete;
-
 /** An organisation that is as likely served as the others has none served of so many with a probability of e^-10. */
 const minExpectedServed = 10;
 
@@ -284,11 +240,30 @@
     return late.length > crashingAllowance ? [`${late.length} requests with a part that crashes upstreams reached them after it was known`] : [];
 };
 
+/** A request that an entry has passed on gets an answer, if only one that it failed. */
+const callersAreAnswered: Check = ({ calls, upstreams, outages }) => {
+    const arrived = new Set(upstreams.flatMap(({ arrivals }) => arrivals.map(({ id }) => id)));
+    return calls.filter(({ id, entry, status, leftAtMs, sentAtMs, endedAtMs }) =>
+        status === undefined && leftAtMs === undefined && arrived.has(id) && !isDisturbed(outages, entry, sentAtMs, endedAtMs))
+        .map(({ id, kind, entry, sentAtMs, endedAtMs }) => `${entry} gave ${kind} ${id} no answer for ${Math.round(endedAtMs - sentAtMs)} ms`);
+};
+
+/** Faults leave some of so many requests served. */
+const minServableCalls = 100;
+const servableKinds: readonly CallKind[] = ["charge", "read", "caption", "route"];
+
+const someAreServed: Check = ({ calls }) => [undefined, ...servableKinds].flatMap(kind => {
+    const own = calls.filter(call => kind === undefined || call.kind === kind);
+    return own.some(isServed) || (kind !== undefined && own.length < minServableCalls)
+        ? []
+        : [`none of ${own.length} ${kind ?? ""} requests was served`];
+});
+
 const groupsAreSound: Check = ({ upstreams }) => upstreams.flatMap(({ anomalies }) => anomalies);
 
 const recovers: Check = ({ calls, calmFromMs, endedAtMs }, { recoveryMs }) => {
     const late = calls.filter(({ kind, sentAtMs }) => kind !== "route" && kind !== "keyed" && sentAtMs > calmFromMs + recoveryMs);
-    const served = late.filter(({ status, isComplete }) => status === 200 && isComplete);
+    const served = late.filter(isServed);
     return late.length === 0 || served.length < minServedAfterRecovery * late.length
         ? [`${served.length} of ${late.length} requests served in the last ${Math.round(endedAtMs - calmFromMs - recoveryMs)} ms`]
         : [];
@@ -299,6 +274,8 @@
     evacuatedDataCentresGetNothing, returnedDataCentresAreUsed, revokedKeysAreRefused, readsAreNotStale,
     configurationsNeverRevert, configurationsApply, plannedStopsLoseNothing, groupsAreSound, recovers,
     callersWhoLeftAreNotServed, deadlinesAreKept, crashingPartsAreRefused, organisationsAreServed, urgentOnesAreServedAsOften,
+    statedLimitsAreKept, callersAreAnswered, someAreServed,
+    daemonsStay, logsSayWhy, nothingThrows, oddCheckInsAreRefused,
 };
 export type CheckName = keyof typeof checks;
 
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { Arrival, Pushback, Run } from "../../standin/platform/index.js";
+import type { Arrival, ProcessRun, Pushback, Run } from "../../standin/platform/index.js";
 
 export type CallKind = "charge" | "read" | "caption" | "route" | "keyed" | "urgent" | "tolerant" | "bulk" | "crashing";
 
@@ -67,6 +67,19 @@
     readonly toMs: number;
 }
 
+/** A check-in that no sound upstream has sent. */
+export interface OddCheckIn {
+    /** What is odd about it. */
+    readonly name: string;
+    readonly id: string;
+    /** Whether none of it may be taken up; others could be those of an upstream, so their ids are those of no other. */
+    readonly isRefusable: boolean;
+    readonly daemon: string;
+    readonly sentAtMs: number;
+    /** Undefined if the daemon gave no answer. */
+    readonly status: number | undefined;
+}
+
 export interface UpstreamRecord {
     readonly id: string;
     readonly zone: string;
@@ -84,8 +97,19 @@
     /** In the order in which they were sent. */
     readonly evacuations: readonly EvacuationOrder[];
     readonly outages: readonly Outage[];
+    readonly oddCheckIns: readonly OddCheckIn[];
+    /** Every start of a daemon. */
+    readonly processes: readonly ProcessRun[];
     readonly upstreams: readonly UpstreamRecord[];
     /** The end of the last fault, and the end of the run. */
     readonly calmFromMs: number;
     readonly endedAtMs: number;
 }
+
+export function isDisturbed(outages: readonly Outage[], daemon: string, fromMs: number, toMs: number): boolean {
+    return outages.some(outage => outage.daemon === daemon && outage.fromMs <= toMs && outage.toMs >= fromMs);
+}
+
+export function isServed({ status, isComplete }: Call): boolean {
+    return status === 200 && isComplete;
+}
--- a/bench/soak/operator.ts
+++ b/bench/soak/operator.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { setTimeout as pause } from "node:timers/promises";
 import { callControlDaemon } from "../../standin/platform/index.js";
 import { type Relay, startRelay } from "../../standin/relay.js";
 import type { EvacuationOrder } from "./history.js";
@@ -29,10 +30,6 @@
 /** Longer than an evacuation takes to come into force. */
 const minRepeatedMs = 8_000;
 
-function pause(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 /** Starts an operator of the control daemons at `addresses`. */
 export async function startOperator(addresses: readonly string[]): Promise<Operator> {
     const relays: Relay[] = await Promise.all(addresses.map(startRelay));
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -7,10 +7,11 @@
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
 import { createRandom } from "../random.js";
 import { deadlineMs, startCallers } from "./callers.js";
 import { type Bounds, findViolations, type Finding } from "./checks.js";
-import type { Call, History } from "./history.js";
+import { type Call, type History, isServed } from "./history.js";
 import { createSchedule, type Fault, type FaultKind, isLoad } from "./schedule.js";
 import { coldPerSecond, logFileOf, startWorld } from "./world.js";
 
@@ -52,10 +53,6 @@
 /** Time after the recovery in which callers must be served again. */
 const servedMs = 3_000;
 
-function pause(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 /** Runs one seed. Ends every process that it has started. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const { seed, lengthMs, entries, callers: count, pauseMs } = options;
@@ -85,7 +82,7 @@
             const daemons = [...processes.controls, ...processes.entries];
             daemons.forEach(({ id }) => writeFileSync(logFileOf(options.logFolder, id), processes.output(id)));
         }
-        const countServed = (calls: readonly Call[]) => calls.filter(({ status, isComplete }) => status === 200 && isComplete).length;
+        const countServed = (calls: readonly Call[]) => calls.filter(isServed).length;
         // Others may rightly be refused: their key is revoked, or their route is no longer in the configuration.
         const whenCalm = callers.calls.filter(({ kind, sentAtMs }) =>
             kind !== "keyed" && kind !== "route" && sentAtMs > calmFromMs + bounds.recoveryMs);
@@ -102,11 +99,9 @@
 
 function keepLogs({ logFolder }: SoakOptions, faults: readonly Fault[], history: History, findings: readonly Finding[]) {
     mkdirSync(logFolder, { recursive: true });
-    const { calls, publications, reads, evacuations, outages, upstreams, calmFromMs, endedAtMs } = history;
-    const records = upstreams.map(({ id, zone, arrivals, runs, pushbacks, anomalies }) =>
+    const upstreams = history.upstreams.map(({ id, zone, arrivals, runs, pushbacks, anomalies }) =>
         ({ id, zone, arrivals, runs, pushbacks, anomalies }));
-    const text = JSON.stringify({
-        findings, faults, calmFromMs, endedAtMs, publications, evacuations, outages, upstreams: records, calls, reads,
-    });
+    const processes = history.processes.map(process => ({ ...process, output: undefined }));
+    const text = JSON.stringify({ findings, faults, ...history, upstreams, processes });
     writeFileSync(join(logFolder, "history.json"), text);
 }
--- a/bench/soak/schedule.ts
+++ b/bench/soak/schedule.ts
@@ -11,6 +11,7 @@
     "terminate-entry", "kill-entry", "freeze-entry", "reload-entry",
     "terminate-control", "kill-control", "freeze-control", "wipe-control", "kill-all",
     "power-off-upstream", "push-back", "limit-upstream", "replace-upstream", "delay-orders", "reset-streams", "lose-answers",
+    "cut-heads", "odd-check-ins",
     "add-cold-upstream",
     "silence-link", "reset-link", "refuse-link",
     "publish", "revoke-key", "evacuate", "cut-operator",
@@ -41,13 +42,17 @@
 const controlFreezeFactor = 3;
 /** How much longer evacuations last than other faults, so that they outlast the time in which they come into force. */
 const evacuationFactor = 4;
+/** How much longer limits are stated, so that they outlast the time in which entries share them. */
+const limitFactor = 4;
 /** How much longer the operator's link is cut, so that calls that were given up arrive late. */
 const operatorCutFactor = 2;
 const lengthFactors: Partial<Record<FaultKind, number>> = {
-    "freeze-control": controlFreezeFactor, evacuate: evacuationFactor, "cut-operator": operatorCutFactor,
+    "freeze-control": controlFreezeFactor, evacuate: evacuationFactor, "cut-operator": operatorCutFactor, "limit-upstream": limitFactor,
 };
 /** How often a kind is drawn in comparison with the others. */
-const kindWeights: Partial<Record<FaultKind, number>> = { publish: 4, "revoke-key": 2, "push-back": 2, burst: 2, evacuate: 2, "cut-operator": 2 };
+const kindWeights: Partial<Record<FaultKind, number>> = {
+    publish: 4, "revoke-key": 2, "push-back": 2, burst: 2, evacuate: 2, "cut-operator": 2, "cut-heads": 2, "odd-check-ins": 2,
+};
 /** Time from the end of a control daemon's fault to the next one; after the loss of a disk, until the daemon has caught up and votes. */
 const [controlRestMs, wipeRestMs] = [3_000, 8_000];
 const maxReplacements = 2;
--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -6,12 +6,15 @@
  */
 
 import { join } from "node:path";
+import { setTimeout as pause } from "node:timers/promises";
 import {
     callControlDaemon, configurationText, createSiteProcesses, type DaemonSpec, type Runner, type SiteProcesses, startRunner,
 } from "../../standin/platform/index.js";
 import { type Relay, startRelay } from "../../standin/relay.js";
+import { createRandom } from "../random.js";
 import { crashingPart, streamRoutes, tenants } from "./callers.js";
-import type { ConfigurationRead, History, Outage, Publication } from "./history.js";
+import type { ConfigurationRead, History, OddCheckIn, Outage, Publication } from "./history.js";
+import { drawOddCheckIn } from "./oddCheckIns.js";
 import { startOperator } from "./operator.js";
 import type { Fault } from "./schedule.js";
 
@@ -47,12 +50,10 @@
 export const coldPerSecond = 10;
 /** How long an upstream that starts during the run is cold. */
 const coldMs = 5_000;
+/** Odd check-ins come in groups. */
+const [oddCheckInIntervalMs, oddCheckInsAtOnce] = [300, 3];
 const dataCentres = ["dc-0", "dc-1", "dc-2"];
 
-function pause(ms: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 async function waitUntil(description: string, condition: () => Promise<boolean> | boolean): Promise<void> {
     const deadlineMs = performance.now() + readinessTimeoutMs;
     while (!await condition()) {
@@ -63,6 +64,8 @@
     }
 }
 
+type ChangedProperty = "isPoweredOff" | "pushbackS" | "limitPerSecond" | "orderDelayMs" | "resetAfterEvents" | "losesAnswers" | "cutsHeads";
+
 export interface World {
     readonly processes: SiteProcesses;
     /** The newest acknowledged version; its route is also in the next few configurations. */
@@ -86,6 +89,9 @@
     const publications: (Publication & { acknowledgedAtMs: number | undefined })[] = [];
     const reads: ConfigurationRead[] = [];
     const outages: Outage[] = [];
+    const oddCheckIns: OddCheckIn[] = [];
+    /** Properties of runners that are changed for a while. */
+    const changes = new Map<string, { count: number; readonly before: unknown }>();
     let nextRunner = 0;
     let nextKey = 0;
     let isStopped = false;
@@ -181,14 +187,42 @@
         leaving.isPoweredOff = true;
     }
 
-    /** Sets a property of a runner for a while. */
-    async function during<Key extends "isPoweredOff" | "pushbackS" | "limitPerSecond" | "orderDelayMs" | "resetAfterEvents" | "losesAnswers">(
-        runner: Runner, key: Key, value: Runner[Key], forMs: number,
-    ) {
-        const before = runner[key];
+    /** Sets a property of a runner for a while; what was before returns with the end of the last one that overlaps. */
+    async function during<Key extends ChangedProperty>(runner: Runner, key: Key, value: Runner[Key], forMs: number) {
+        const name = `${runner.id} ${key}`;
+        const change = changes.get(name) ?? { count: 0, before: runner[key] };
+        changes.set(name, change);
+        change.count++;
         runner[key] = value;
         await pause(forMs);
-        runner[key] = before;
+        if (--change.count === 0) {
+            runner[key] = change.before as Runner[Key];
+            changes.delete(name);
+        }
+    }
+
+    async function reload(daemon: DaemonSpec) {
+        const isStarting = outages.some(outage => outage.daemon === daemon.id && outage.toMs > performance.now());
+        if (!isStarting) {
+            // Until its program is loaded, a process has no handler and the signal ends it.
+            await processes.signal(daemon.id, "SIGHUP");
+        }
+    }
+
+    async function checkInOddly(forMs: number, seed: number) {
+        const random = createRandom(seed);
+        const untilMs = performance.now() + forMs;
+        const livingIds = runners.map(({ id }) => id);
+        const post = async (control: DaemonSpec) => {
+            const { path, body, ...record } = drawOddCheckIn(random, livingIds);
+            const sentAtMs = performance.now();
+            const { status } = await callControlDaemon(processes.controlAddress(control), "POST", path, body);
+            oddCheckIns.push({ ...record, daemon: control.id, sentAtMs, status });
+        };
+        while (performance.now() < untilMs && !isStopped) {
+            const receivers = Array.from({ length: oddCheckInsAtOnce }, () => controls[Math.floor(random() * controls.length)]!);
+            await Promise.all([pause(oddCheckInIntervalMs), ...receivers.map(post)]);
+        }
     }
 
     async function apply({ kind, forMs, target }: Fault): Promise<void> {
@@ -207,7 +241,7 @@
             case "freeze-entry":
                 return freeze(entry, forMs);
             case "reload-entry":
-                return processes.signal(entry.id, "SIGHUP");
+                return reload(entry);
             case "terminate-control":
                 return restart(control, "SIGTERM", forMs);
             case "kill-control":
@@ -241,6 +275,10 @@
                 return during(engine, "resetAfterEvents", eventsUntilReset, forMs);
             case "lose-answers":
                 return during(plain[target % plain.length]!, "losesAnswers", true, forMs);
+            case "cut-heads":
+                return during(serving, "cutsHeads", true, forMs);
+            case "odd-check-ins":
+                return checkInOddly(forMs, target);
             case "silence-link":
                 relay.silence(...target % 2 === 0 ? ["there", "back"] as const : ["back"] as const);
                 return;
@@ -279,7 +317,9 @@
         routeVersion: () => publications.findLast(({ acknowledgedAtMs }) => acknowledgedAtMs !== undefined)?.version,
         key: () => publications.at(-1 - publications.length % 3)?.keys[0],
         apply,
-        record: () => ({ publications, reads, evacuations: operator.evacuations, outages, upstreams: runners }),
+        record: () => ({
+            publications, reads, evacuations: operator.evacuations, outages, oddCheckIns, processes: processes.runs(), upstreams: runners,
+        }),
         async stop() {
             isStopped = true;
             operator.stop();
--- a/standin/platform/callers.ts
+++ b/standin/platform/callers.ts
@@ -96,7 +96,7 @@
 }
 
 /** Calls a control daemon's HTTP API; the status is undefined when no answer arrived. */
-export async function callControlDaemon(address: string, method: "GET" | "POST", path: string, body?: string): Promise<{ status: number | undefined; text: string }> {
+export async function callControlDaemon(address: string, method: "GET" | "POST", path: string, body?: string | Buffer): Promise<{ status: number | undefined; text: string }> {
     const answer = await fetch(`http://${address}${path}`, {
         method, signal: AbortSignal.timeout(1_500), ...body === undefined ? {} : { body, headers: { "content-type": "application/json" } },
     }).catch(() => undefined);
--- a/standin/platform/daemons.ts
+++ b/standin/platform/daemons.ts
@@ -25,6 +25,19 @@
     readonly execArgv?: readonly string[];
 }
 
+/** One start of a daemon: a process from its start to its end. Times are on the clock of `performance.now()`. */
+export interface ProcessRun {
+    readonly daemon: string;
+    readonly pid: number | undefined;
+    readonly startedAtMs: number;
+    /** What has been sent to the process that may end it. */
+    readonly endOrders: readonly NodeJS.Signals[];
+    /** When and how the process ended, on its own or not; undefined while it runs. */
+    readonly end: { readonly atMs: number; readonly status: number | undefined; readonly signal: NodeJS.Signals | undefined } | undefined;
+    /** What it has written to stdout and stderr so far. */
+    readonly output: string;
+}
+
 export interface SiteProcesses {
     readonly controls: readonly DaemonSpec[];
     readonly entries: readonly DaemonSpec[];
@@ -40,6 +53,8 @@
     /** The output that a daemon has written to stdout and stderr so far, over all its starts. */
     output(id: string): string;
     isRunning(id: string): boolean;
+    /** Every start of every daemon so far, in the order of time. */
+    runs(): ProcessRun[];
     stop(): Promise<void>;
 }
 
@@ -56,6 +71,15 @@
     readonly memoryLimitMb?: number;
 }
 
+interface RecordedRun extends Omit<ProcessRun, "output"> {
+    readonly child: ChildProcess;
+    readonly endOrders: NodeJS.Signals[];
+    readonly chunks: string[];
+    end: ProcessRun["end"];
+}
+
+const endingSignals: readonly NodeJS.Signals[] = ["SIGTERM", "SIGKILL"];
+
 function formatSettings(daemon: DaemonSpec, seeds: readonly string[], firstStart: boolean, options: SiteProcessesOptions): string {
     const { port, memoryLimitMb } = options;
     const listen = daemon.role === "entry"
@@ -90,8 +114,8 @@
     const controls = Array.from({ length: options.controls }, (_, index) => createSpec("control", index));
     const entries = Array.from({ length: options.entries }, (_, index) => createSpec("entry", index));
     const specs = new Map([...controls, ...entries].map(item => [item.id, item]));
-    const running = new Map<string, ChildProcess>();
-    const outputs = new Map<string, string[]>();
+    const running = new Map<string, RecordedRun>();
+    const runs: RecordedRun[] = [];
     const seeds = controls.slice(0, 3).map(item => `${item.host}:${port + 2}`);
 
     return {
@@ -112,29 +136,40 @@
             const child = spawn(process.execPath, [...execArgv, "dist/platform/main.js"], {
                 env: { ...process.env, ZINNIALANDING_NODE_FILE: file }, stdio: ["ignore", "pipe", "pipe"],
             });
-            const lines = outputs.get(id) ?? [];
-            outputs.set(id, lines);
-            child.stdout.on("data", chunk => lines.push(String(chunk)));
-            child.stderr.on("data", chunk => lines.push(String(chunk)));
-            running.set(id, child);
-            child.on("exit", () => running.get(id) === child && running.delete(id));
+            const run: RecordedRun = {
+                daemon: id, pid: child.pid, startedAtMs: performance.now(), child, endOrders: [], end: undefined, chunks: [],
+            };
+            runs.push(run);
+            running.set(id, run);
+            child.stdout.on("data", chunk => run.chunks.push(String(chunk)));
+            child.stderr.on("data", chunk => run.chunks.push(String(chunk)));
+            child.on("exit", (status, signal) => {
+                run.end = { atMs: performance.now(), status: status ?? undefined, signal: signal ?? undefined };
+                running.delete(id);
+            });
         },
         signal(id, signal) {
-            const child = running.get(id);
-            if (child === undefined) {
+            const run = running.get(id);
+            if (run === undefined) {
                 return Promise.resolve();
             }
-            const endsProcess = signal === "SIGKILL" || signal === "SIGTERM";
+            const { child, endOrders } = run;
+            const endsProcess = endingSignals.includes(signal);
             const exited = endsProcess ? new Promise<void>(resolve => child.once("exit", () => resolve())) : Promise.resolve();
             child.kill(signal);
+            if (endsProcess) {
+                endOrders.push(signal);
+            }
             return exited;
         },
         wipe: id => rmSync(join(folder, id), { recursive: true, force: true }),
-        output: id => (outputs.get(id) ?? []).join(""),
+        output: id => runs.filter(({ daemon }) => daemon === id).flatMap(({ chunks }) => chunks).join(""),
         isRunning: id => running.has(id),
+        runs: () => runs.map(({ daemon, pid, startedAtMs, endOrders, end, chunks }) => ({ daemon, pid, startedAtMs, endOrders, end, output: chunks.join("") })),
         async stop() {
-            const exits = [...running.values()].map(child => new Promise<void>(resolve => {
+            const exits = [...running.values()].map(({ child, endOrders }) => new Promise<void>(resolve => {
                 child.once("exit", () => resolve());
+                endOrders.push("SIGKILL");
                 child.kill("SIGCONT");
                 child.kill("SIGKILL");
             }));
--- a/standin/platform/runner.ts
+++ b/standin/platform/runner.ts
@@ -8,6 +8,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { carryOutLate } from "./lateOrders.js";
+import { isHeadCut, readBody, writePartOfHead } from "./messages.js";
 import type { Arrival, Membership, Pushback, Run, Runner, RunnerOptions } from "./runnerTypes.js";
 
 /** Events in a streamed answer; an event stands for five tokens. */
@@ -19,14 +20,6 @@
 const healthPath = "/";
 const restartAfterCrashMs = 300;
 
-async function readBody(message: IncomingMessage): Promise<string> {
-    let text = "";
-    for await (const chunk of message) {
-        text += String(chunk);
-    }
-    return text;
-}
-
 /** Starts a runner on a free loopback port. */
 export async function startRunner(options: RunnerOptions): Promise<Runner> {
     let startedAtMs = Date.now();
@@ -77,6 +70,7 @@
         pushbackS: undefined,
         saysLeaving: false,
         losesAnswers: false,
+        cutsHeads: false,
         get crashes() {
             return crashTimesMs.length;
         },
@@ -206,7 +200,7 @@
             response.writeHead(421, commonHeaders).end();
             return;
         }
-        const arrival: Arrival = { id, atMs: performance.now(), isCold: coldRemainingMs() > 0 };
+        const arrival: Arrival = { id, atMs: performance.now(), isCold: coldRemainingMs() > 0, limitPerSecond: runner.limitPerSecond };
         arrivals.push(arrival);
         if (runner.pushbackS !== undefined) {
             pushbacks.push({ ...arrival, forMs: runner.pushbackS * 1_000 });
@@ -220,6 +214,9 @@
                 response.socket?.resetAndDestroy();
                 return;
             }
+            if (runner.cutsHeads && isHeadCut()) {
+                return writePartOfHead(response.socket!, commonHeaders);
+            }
             response.writeHead(200, { ...commonHeaders, "zinnialanding-upstream-signature": `${options.id}.${id}` }).end(`done ${id}`);
             return;
         }
@@ -232,6 +229,9 @@
             crash();
             return;
         }
+        if (runner.cutsHeads && isHeadCut()) {
+            return writePartOfHead(response.socket!, commonHeaders);
+        }
         const padding = message.url?.startsWith(bulkPath) ? bulkPadding : "";
         const parts = String(message.headers["zinnialanding-prefix-hash"] ?? "").split(",").map(entry => entry.split(":")[0]!);
         const isCrashing = runner.crashPart !== undefined && parts.includes(runner.crashPart);
--- a/standin/platform/runnerTypes.ts
+++ b/standin/platform/runnerTypes.ts
@@ -41,6 +41,8 @@
     readonly atMs: number;
     /** Whether the runner was cold. */
     readonly isCold: boolean;
+    /** The limit in requests per second that the answer states; undefined if it states none. */
+    readonly limitPerSecond?: number | undefined;
 }
 
 /** A request that was turned away, and for how long no others are wanted. */
@@ -80,6 +82,8 @@
     resetAfterEvents: number | undefined;
     /** While set, a plain service runs requests and resets their connections in place of an answer. */
     losesAnswers: boolean;
+    /** While set, every second request is run and gets only a part of its answer's head. */
+    cutsHeads: boolean;
     /** Simulates a crash whenever a request with this path begins to run; the runner restarts under the same id. */
     crashPath: string | undefined;
     /** Simulates a crash whenever a request with this part of its prompt begins to write its answer. */
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { type Bounds, findViolations } from "../../bench/soak/checks.js";
 import type { Call, History, UpstreamRecord } from "../../bench/soak/history.js";
+import type { ProcessRun } from "../../standin/platform/index.js";
 
 const bounds: Bounds = {
     configurationAppliesMs: 2_000, evacuationAppliesMs: 5_000, contactMs: 3_000, drainMs: 2_000, recoveryMs: 10_000, coldPerSecond: 20,
@@ -17,10 +18,15 @@
     return { id: "u1", zone: "dc-0", arrivals: [], runs: [], pushbacks: [], anomalies: [], crashTimesMs: [], ...change };
 }
 
+const emptyHistory: History = {
+    calls: [], publications: [], reads: [], evacuations: [], outages: [], oddCheckIns: [], processes: [], upstreams: [],
+    calmFromMs: 0, endedAtMs: 20_000,
+};
+
 /** A history without findings but for what `change` brings. */
 function checksOf(change: Partial<History>): string[] {
     const history: History = {
-        publications: [], reads: [], evacuations: [], outages: [], upstreams: [], calmFromMs: 0, endedAtMs: 20_000, ...change,
+        ...emptyHistory, ...change,
         calls: [...change.calls ?? [], call("last", { kind: "read", sentAtMs: 15_000, endedAtMs: 15_010 })],
     };
     return findViolations(history, bounds).map(({ check }) => check);
@@ -39,7 +45,10 @@
         const twice = upstream({ runs: [run("a"), run("a")] });
         expect(checksOf({ calls: [call("a")], upstreams: [twice] })).to.deep.equal(["runsAtMostOnce"]);
         expect(checksOf({ calls: [call("a", { status: 503 })], upstreams: [upstream({ runs: [run("a")] })] })).to.deep.equal(["refusalsAreTrue"]);
-        expect(checksOf({ calls: [call("a", { body: "done b" })] })).to.deep.equal(["answersAreWholeAndOwn"]);
+        for (const change of [{ body: "done b" }, { body: "" }, { body: "done " }, { status: 204, body: "" }]) {
+            expect(checksOf({ calls: [call("a", change)] })).to.deep.equal(["answersAreWholeAndOwn"]);
+        }
+        expect(checksOf({ calls: [call("a", { kind: "caption", body: "" })] })).to.deep.equal(["answersAreWholeAndOwn"]);
         expect(checksOf({ calls: [call("a", { kind: "caption", body: "id: 1\ndata: a 1\n\n" })] })).to.deep.equal(["answersAreWholeAndOwn"]);
     });
 
@@ -108,6 +117,53 @@
         expect(checksOf({ calls, upstreams: [upstream({ arrivals: arrivals.slice(1) })] })).to.deep.equal([]);
     });
 
+    it("find more requests than a limit allows, of entries that know it and weren't disturbed", () => {
+        const calls = Array.from({ length: 32 }, (_, index) => call(`c${index}`, { sentAtMs: index * 130, endedAtMs: index * 130 + 10 }));
+        const arrivals = [0, ...calls.slice(1).map(({ sentAtMs }) => 3_000 + sentAtMs)].map((atMs, index) =>
+            ({ ...at(`c${index}`, atMs), limitPerSecond: 3 }));
+        const outages = [{ daemon: "entry-0", kind: "unplanned" as const, fromMs: 0, toMs: 100 }];
+        expect(new Set(checksOf({ calls, upstreams: [upstream({ arrivals })] }))).to.deep.equal(new Set(["statedLimitsAreKept"]));
+        expect(checksOf({ calls, upstreams: [upstream({ arrivals: arrivals.slice(0, 24) })] })).to.deep.equal([]);
+        expect(checksOf({ calls, upstreams: [upstream({ arrivals })], outages })).to.deep.equal([]);
+    });
+
+    it("find requests that were passed on and got no answer, and kinds of which none is served", () => {
+        const lost = call("a", { status: undefined, isComplete: false, body: "" });
+        const upstreams = [upstream({ arrivals: [at("a", 5)] })];
+        expect(checksOf({ calls: [lost] })).to.deep.equal([]);
+        expect(checksOf({ calls: [lost], upstreams })).to.deep.equal(["callersAreAnswered"]);
+        expect(checksOf({ calls: [{ ...lost, leftAtMs: 7 }], upstreams })).to.deep.equal([]);
+        const failed = Array.from({ length: 100 }, (_, index) => call(`c${index}`, { status: 502 }));
+        expect(checksOf({ calls: failed })).to.deep.equal(["someAreServed"]);
+    });
+
+    it("find daemons that end by themselves, logs that don't say why, and exceptions", () => {
+        const process = (change: Partial<ProcessRun>) =>
+            ({ daemon: "entry-0", pid: 7, startedAtMs: 0, endOrders: [], end: undefined, output: "started\n", ...change });
+        const ended = (status?: number, signal?: NodeJS.Signals) => ({ atMs: 9, status, signal });
+        const output = "ending because of an exception\n";
+        const cases: readonly (readonly [Partial<ProcessRun>, string[]])[] = [
+            [{}, []],
+            [{ end: ended(undefined, "SIGKILL"), endOrders: ["SIGKILL"] }, []],
+            [{ end: ended(0), endOrders: ["SIGTERM"] }, []],
+            [{ end: ended(1), output }, ["daemonsStay"]],
+            [{ end: ended(1), endOrders: ["SIGTERM"], output }, ["daemonsStay"]],
+            [{ end: ended(1), endOrders: ["SIGKILL"] }, ["daemonsStay", "logsSayWhy"]],
+            [{ end: ended(0) }, ["daemonsStay", "logsSayWhy"]],
+            [{ end: ended(undefined, "SIGABRT") }, ["daemonsStay"]],
+            [{ output: "{\"message\":\"exception contained\"}" }, ["nothingThrows"]],
+        ];
+        cases.forEach(([change, found]) => expect(checksOf({ processes: [process(change)] })).to.deep.equal(found));
+        const processes = [process({ end: ended(1), output: "first\nlast\n" })];
+        expect(findViolations({ ...emptyHistory, processes }, bounds).find(({ check }) => check === "daemonsStay")).to.matchSnapshot();
+    });
+
+    it("find odd check-ins that were taken up", () => {
+        const checkIn = { name: "a port", id: "u1", isRefusable: true, daemon: "control-0", sentAtMs: 5, status: 200 };
+        expect(checksOf({ oddCheckIns: [checkIn] })).to.deep.equal(["oddCheckInsAreRefused"]);
+        expect(checksOf({ oddCheckIns: [{ ...checkIn, status: 400 }, { ...checkIn, isRefusable: false }] })).to.deep.equal([]);
+    });
+
     it("find streams run after their callers left, unless the entry was disturbed, and requests held past their deadlines", () => {
         const left = call("a", { kind: "urgent", status: undefined, isComplete: false, leftAtMs: 200, endedAtMs: 200 });
         const upstreams = [upstream({ runs: [{ ...run("a"), atMs: 400 }] })];
@@ -121,7 +177,7 @@
     });
 
     it("find requests with a part that crashes upstreams, once it is known, unless a daemon was disturbed", () => {
-        const calls = [0, 1, 2, 3].map(index => call(`c${index}`, { kind: "crashing", status: undefined, isComplete: false }));
+        const calls = [0, 1, 2, 3].map(index => call(`c${index}`, { kind: "crashing", status: 502 }));
         const crashTimesMs = [100, 200, 300, 400, 500];
         const arrivals = (atMs: number) => [upstream({ crashTimesMs, arrivals: calls.map(({ id }, index) => at(id, atMs + index)) })];
         expect(checksOf({ calls, upstreams: arrivals(3_600) })).to.deep.equal(["crashingPartsAreRefused"]);
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -24,9 +24,10 @@
     it("finds nothing in a short run of real processes", async () => {
         const logFolder = mkdtempSync(join(tmpdir(), "soak-logs-"));
         const result = await runSoak({
-            seed: 43, lengthMs: 12_000, entries: 3, engines: 6, callers: 8, pauseMs: 60, net: 96, port: 23_400, logFolder,
+            seed: 56, lengthMs: 12_000, entries: 3, engines: 6, callers: 8, pauseMs: 60, net: 96, port: 23_400, logFolder,
         });
         rmSync(logFolder, { recursive: true });
+        expect(result.faults.map(({ kind }) => kind)).to.include.members(["odd-check-ins", "cut-heads", "kill-entry"]);
         expect(result.findings).to.deep.equal([]);
         expect(result.served).to.be.greaterThan(0);
     });
