Soak: stalls of its own process, and starts that take long on a busy machine

A stream that reaches an engine after its caller has left is recorded by the process of the soak itself; what that process stalls in between is no longer counted against an entry, and its longest stall and the machine's load stand in the verdict. A daemon counts as disturbed until it has said that it has started, and 2.5 s longer, in place of 3 s from the start of its process: at a load of 24 entries took 4.6 and 10.9 s to start, and requests in that time counted as held by an undisturbed one. That a daemon doesn't start is a finding.

--- a/bench/soak/checks.ts
+++ b/bench/soak/checks.ts
@@ -6,7 +6,7 @@
 
 import { eventIds, eventsPerAnswer } from "../../standin/platform/index.js";
 import { type Call, type CallKind, type History, isDisturbed, isServed, type Outage } from "./history.js";
-import { daemonsStay, logsSayWhy, nothingThrows, oddCheckInsAreRefused } from "./processChecks.js";
+import { daemonsStart, daemonsStay, logsSayWhy, nothingThrows, oddCheckInsAreRefused } from "./processChecks.js";
 import { coldUpstreamsAreSpared, leavingUpstreamsGetNothing, pushbacksAreKept, statedLimitsAreKept } from "./statementChecks.js";
 
 /** Bounds in ms, as the settings of the site state them. */
@@ -177,10 +177,14 @@
     });
 };
 
-const callersWhoLeftAreNotServed: Check = ({ calls, upstreams, outages }, { inFlightMs }) => {
+/** Upstreams record a request later than it has reached them by as much as their process stalls. */
+const callersWhoLeftAreNotServed: Check = ({ calls, upstreams, outages, stalls }, { inFlightMs }) => {
     const runs = upstreams.flatMap(upstream => upstream.runs);
     const lastRunAtMs = new Map(runs.map(({ id, atMs }) => [id, atMs]));
-    return calls.filter(({ id, entry, leftAtMs = Infinity, sentAtMs }) => (lastRunAtMs.get(id) ?? 0) > leftAtMs + inFlightMs &&
+    const stalledMs = (startMs: number, endMs: number) =>
+        stalls.reduce((sum, { fromMs, toMs }) => sum + Math.max(0, Math.min(toMs, endMs) - Math.max(fromMs, startMs)), 0);
+    return calls.filter(({ id, entry, leftAtMs = Infinity, sentAtMs }) =>
+        (lastRunAtMs.get(id) ?? 0) > leftAtMs + inFlightMs + stalledMs(leftAtMs, lastRunAtMs.get(id) ?? 0) &&
         !isDisturbed(outages, entry, sentAtMs, lastRunAtMs.get(id)!))
         .map(({ id, entry, leftAtMs }) => `${entry} had ${id} run ${Math.round(lastRunAtMs.get(id)! - leftAtMs!)} ms after its caller left`);
 };
@@ -275,7 +279,7 @@
     configurationsNeverRevert, configurationsApply, plannedStopsLoseNothing, groupsAreSound, recovers,
     callersWhoLeftAreNotServed, deadlinesAreKept, crashingPartsAreRefused, organisationsAreServed, urgentOnesAreServedAsOften,
     statedLimitsAreKept, callersAreAnswered, someAreServed,
-    daemonsStay, logsSayWhy, nothingThrows, oddCheckInsAreRefused,
+    daemonsStart, daemonsStay, logsSayWhy, nothingThrows, oddCheckInsAreRefused,
 };
 export type CheckName = keyof typeof checks;
 
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -80,6 +80,11 @@
     readonly status: number | undefined;
 }
 
+export interface Stall {
+    readonly fromMs: number;
+    readonly toMs: number;
+}
+
 export interface UpstreamRecord {
     readonly id: string;
     readonly zone: string;
@@ -98,6 +103,8 @@
     readonly evacuations: readonly EvacuationOrder[];
     readonly outages: readonly Outage[];
     readonly oddCheckIns: readonly OddCheckIn[];
+    /** When the process of the soak itself, with its callers, relays and upstreams, did nothing that was due. */
+    readonly stalls: readonly Stall[];
     /** Every start of a daemon. */
     readonly processes: readonly ProcessRun[];
     readonly upstreams: readonly UpstreamRecord[];
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { loadavg } from "node:os";
 import { join } from "node:path";
 import { parseArgs } from "node:util";
 import { runSoak } from "./run.js";
@@ -47,7 +48,7 @@
     for (let seed = options.seed; seed < options.seed + options.count; seed++) {
         console.log(`seed ${seed}: ${options.seconds} s, ${options.entries} entries, ${options.engines} engines, ${options.callers} callers`);
         const logFolder = join(options.logs, `seed-${seed}`);
-        const { calls, served, callsWhenCalm, servedWhenCalm, faults, findings } = await runSoak({
+        const { calls, served, callsWhenCalm, servedWhenCalm, faults, findings, longestStallMs } = await runSoak({
             seed, lengthMs: options.seconds * 1_000, entries: options.entries, engines: options.engines, callers: options.callers,
             pauseMs, net: options.net, port: options.port, logFolder, keepsAll: options.keep,
             ...options.kinds === undefined ? {} : { kinds: options.kinds },
@@ -55,7 +56,8 @@
         findings.slice(0, 20).forEach(({ check, text }) => console.log(`  ${check}: ${text}`));
         const verdict = findings.length === 0 ? "passed" : `FAILED with ${findings.length} findings, logs in ${logFolder}`;
         const counts = `${served} of ${calls} requests served, ${servedWhenCalm} of ${callsWhenCalm} once calm`;
-        console.log(`seed ${seed}: ${verdict}; ${faults.length} faults, ${counts}`);
+        const circumstances = `load ${loadavg()[0]!.toFixed(0)}, longest stall ${Math.round(longestStallMs)} ms`;
+        console.log(`seed ${seed}: ${verdict}; ${faults.length} faults, ${counts}; ${circumstances}`);
         if (findings.length > 0) {
             failed.push(seed);
         }
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -11,7 +11,7 @@
 import { createRandom } from "../random.js";
 import { deadlineMs, startCallers } from "./callers.js";
 import { type Bounds, findViolations, type Finding } from "./checks.js";
-import { type Call, type History, isServed } from "./history.js";
+import { type Call, type History, isServed, type Stall } from "./history.js";
 import { createSchedule, type Fault, type FaultKind, isLoad } from "./schedule.js";
 import { coldPerSecond, logFileOf, startWorld } from "./world.js";
 
@@ -42,6 +42,8 @@
     readonly callsWhenCalm: number;
     readonly servedWhenCalm: number;
     readonly findings: readonly Finding[];
+    /** The longest stall of the event loop in ms. */
+    readonly longestStallMs: number;
 }
 
 /** The bounds that the smaller of the users' sites state. */
@@ -53,12 +55,29 @@
 /** Time after the recovery in which callers must be served again. */
 const servedMs = 3_000;
 
+const [stallCheckMs, minStallMs] = [10, 40];
+
+/** Records when the event loop stalls, until `stop` is called. */
+function recordStalls() {
+    const stalls: Stall[] = [];
+    let lastMs = performance.now();
+    const timer = setInterval(() => {
+        const nowMs = performance.now();
+        if (nowMs - lastMs > minStallMs) {
+            stalls.push({ fromMs: lastMs, toMs: nowMs });
+        }
+        lastMs = nowMs;
+    }, stallCheckMs);
+    return { stalls, stop: () => clearInterval(timer) };
+}
+
 /** Runs one seed. Ends every process that it has started. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
     const { seed, lengthMs, entries, callers: count, pauseMs } = options;
     const faults = createSchedule({ seed, lengthMs, entries, ...options.kinds === undefined ? {} : { kinds: options.kinds } });
     const folder = mkdtempSync(join(tmpdir(), "soak-"));
     const world = await startWorld({ ...options, folder });
+    const { stalls, stop } = recordStalls();
     try {
         const { processes } = world;
         const callers = startCallers({
@@ -75,7 +94,7 @@
         const calmFromMs = performance.now();
         await pause(bounds.recoveryMs + servedMs);
         await callers.stop();
-        const history: History = { ...world.record(), calls: callers.calls, calmFromMs, endedAtMs: performance.now() };
+        const history: History = { ...world.record(), calls: callers.calls, stalls, calmFromMs, endedAtMs: performance.now() };
         const findings = findViolations(history, bounds);
         if (findings.length > 0 || options.keepsAll === true) {
             keepLogs(options, faults, history, findings);
@@ -89,9 +108,11 @@
         return {
             seed, faults, calls: callers.calls.length, served: countServed(callers.calls),
             callsWhenCalm: whenCalm.length, servedWhenCalm: countServed(whenCalm), findings,
+            longestStallMs: Math.max(0, ...stalls.map(({ fromMs, toMs }) => toMs - fromMs)),
         };
     }
     finally {
+        stop();
         await world.stop();
         rmSync(folder, { recursive: true });
     }
--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -42,8 +42,9 @@
 const [turningAwayMs, pushbackS] = [400, 4];
 /** An upstream that is replaced says that it leaves for this long before it drains, and then before it exits. */
 const [leavingMs, drainingMs] = [1_000, 4_000];
-/** Time after a process was started or continued in which it counts as disturbed. */
-const startMs = 3_000;
+/** Time after a process has started or continues in which it counts as disturbed. */
+const startMs = 2_500;
+const startPollMs = 100;
 /** A control daemon that is killed twice is killed again this long after its restart at most. */
 const secondKillWithinMs = 800;
 /** Requests per second that a cold upstream bears. */
@@ -75,7 +76,7 @@
     /** Brings about a fault; resolves when it is over. */
     apply(fault: Fault): Promise<void>;
     /** What was recorded so far, without the calls. */
-    record(): Omit<History, "calls" | "calmFromMs" | "endedAtMs">;
+    record(): Omit<History, "calls" | "stalls" | "calmFromMs" | "endedAtMs">;
     stop(): Promise<void>;
 }
 
@@ -156,7 +157,12 @@
         const outage = { daemon: daemon.id, kind, fromMs: performance.now(), toMs: Infinity };
         outages.push(outage);
         await disturb();
-        outage.toMs = performance.now() + startMs;
+        void (async () => {
+            while (!processes.hasStarted(daemon.id) && !isStopped) {
+                await pause(startPollMs);
+            }
+            outage.toMs = performance.now() + startMs;
+        })();
     }
 
     const restart = (daemon: DaemonSpec, signal: "SIGTERM" | "SIGKILL", downMs: number, losesDisk = false) =>
--- a/standin/platform/daemons.ts
+++ b/standin/platform/daemons.ts
@@ -53,6 +53,8 @@
     /** The output that a daemon has written to stdout and stderr so far, over all its starts. */
     output(id: string): string;
     isRunning(id: string): boolean;
+    /** Whether a daemon runs and has said that it has started. */
+    hasStarted(id: string): boolean;
     /** Every start of every daemon so far, in the order of time. */
     runs(): ProcessRun[];
     stop(): Promise<void>;
@@ -165,6 +167,7 @@
         wipe: id => rmSync(join(folder, id), { recursive: true, force: true }),
         output: id => runs.filter(({ daemon }) => daemon === id).flatMap(({ chunks }) => chunks).join(""),
         isRunning: id => running.has(id),
+        hasStarted: id => running.get(id)?.chunks.some(chunk => chunk.includes("\"message\":\"started\"")) === true,
         runs: () => runs.map(({ daemon, pid, startedAtMs, endOrders, end, chunks }) => ({ daemon, pid, startedAtMs, endOrders, end, output: chunks.join("") })),
         async stop() {
             const exits = [...running.values()].map(({ child, endOrders }) => new Promise<void>(resolve => {
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -19,7 +19,7 @@
 }
 
 const emptyHistory: History = {
-    calls: [], publications: [], reads: [], evacuations: [], outages: [], oddCheckIns: [], processes: [], upstreams: [],
+    calls: [], publications: [], reads: [], evacuations: [], outages: [], oddCheckIns: [], stalls: [], processes: [], upstreams: [],
     calmFromMs: 0, endedAtMs: 20_000,
 };
 
@@ -158,6 +158,10 @@
         expect(findViolations({ ...emptyHistory, processes }, bounds).find(({ check }) => check === "daemonsStay")).to.matchSnapshot();
     });
 
+    it("find daemons that don't start", () => {
+        expect(checksOf({ outages: [{ daemon: "entry-1", kind: "unplanned", fromMs: 5, toMs: Infinity }] })).to.deep.equal(["daemonsStart"]);
+    });
+
     it("find odd check-ins that were taken up", () => {
         const checkIn = { name: "a port", id: "u1", isRefusable: true, daemon: "control-0", sentAtMs: 5, status: 200 };
         expect(checksOf({ oddCheckIns: [checkIn] })).to.deep.equal(["oddCheckInsAreRefused"]);
@@ -171,6 +175,8 @@
         expect(checksOf({ calls: [left], upstreams })).to.deep.equal(["callersWhoLeftAreNotServed"]);
         expect(checksOf({ calls: [left], upstreams, outages })).to.deep.equal([]);
         expect(checksOf({ calls: [left], upstreams: [upstream({ runs: [{ ...run("a"), atMs: 340 }] })] })).to.deep.equal([]);
+        expect(checksOf({ calls: [left], upstreams, stalls: [{ fromMs: 100, toMs: 249 }] })).to.deep.equal(["callersWhoLeftAreNotServed"]);
+        expect(checksOf({ calls: [left], upstreams, stalls: [{ fromMs: 300, toMs: 410 }] })).to.deep.equal([]);
         const held = call("a", { endedAtMs: 4_100, status: 504 });
         expect(checksOf({ calls: [held] })).to.deep.equal(["deadlinesAreKept"]);
         expect(checksOf({ calls: [held], outages })).to.deep.equal([]);
