Soak: an entry can't know of a caller who leaves before it has read the request

The time is counted from then on; a queue that doesn't cancel is found as before since its requests are read first.

--- a/bench/soak/processChecks.ts
+++ b/bench/soak/processChecks.ts
@@ -6,6 +6,7 @@
 
 import type { ProcessRun } from "../../standin/platform/index.js";
 import type { Check } from "./checks.js";
+import type { History } from "./history.js";
 
 const lastLineLength = 300;
 
@@ -38,6 +39,19 @@
     .filter(line => line.includes("exception contained"))
     .map(line => `${daemon}: ${line.slice(0, lastLineLength)}`));
 
+interface RequestEndedLine {
+    readonly request: string;
+    readonly timestamp: string;
+    readonly tookMs: number;
+}
+
+/** Returns when entries read requests, by their own lines. */
+export function readTimesMs({ processes, originMs }: History): Map<string, number> {
+    const lines = processes.flatMap(({ output }) => output.split("\n")).filter(line => line.includes("\"message\":\"request ended\""));
+    return new Map(lines.map(line => JSON.parse(line) as RequestEndedLine)
+        .map(({ request, timestamp, tookMs }) => [request, Date.parse(timestamp) - originMs - tookMs]));
+}
+
 export const oddCheckInsAreRefused: Check = ({ oddCheckIns }) => oddCheckIns
     .filter(({ isRefusable, status }) => isRefusable && status === 200)
     .map(({ daemon, id, name }) => `${daemon} took up a check-in of ${id.slice(0, 40)} with ${name}`);
--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -92,7 +92,9 @@
         const calmFromMs = performance.now();
         await pause(bounds.recoveryMs + servedMs);
         await callers.stop();
-        const history: History = { ...world.record(), calls: callers.calls, stalls, calmFromMs, endedAtMs: performance.now() };
+        const history: History = {
+            ...world.record(), calls: callers.calls, stalls, originMs: performance.timeOrigin, calmFromMs, endedAtMs: performance.now(),
+        };
         const findings = findViolations(history, bounds);
         if (findings.length > 0 || options.keepsAll === true) {
             keepLogs(options, faults, history, findings);
