--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -60,6 +60,7 @@
         const outages = [{ daemon: "entry-0", kind: "unplanned" as const, fromMs: 500, toMs: 900 }];
         expect(checksOf({ calls, upstreams })).to.deep.equal(["pushbacksAreKept"]);
         expect(checksOf({ calls, upstreams, outages })).to.deep.equal([]);
+        expect(checksOf({ calls: calls.map(item => item.id === "a" ? { ...item, leftAtMs: 4 } : item), upstreams })).to.deep.equal([]);
     });
 
     it("find requests into an evacuated data centre, until its end was asked for, unless an entry or control was disturbed", () => {
