--- a/bench/soak/processChecks.ts
+++ b/bench/soak/processChecks.ts
@@ -39,17 +39,13 @@
     .filter(line => line.includes("exception contained"))
     .map(line => `${daemon}: ${line.slice(0, lastLineLength)}`));
 
-interface RequestEndedLine {
-    readonly request: string;
-    readonly timestamp: string;
-    readonly tookMs: number;
-}
+/** The last line of a process that was killed may be cut. */
+const requestEndedLine = /"message":"request ended".*"request":"([^"]+)".*"timestamp":"([^"]+)","tookMs":(\d+)/g;
 
 /** Returns when entries read requests, by their own lines. */
 export function readTimesMs({ processes, originMs }: History): Map<string, number> {
-    const lines = processes.flatMap(({ output }) => output.split("\n")).filter(line => line.includes("\"message\":\"request ended\""));
-    return new Map(lines.map(line => JSON.parse(line) as RequestEndedLine)
-        .map(({ request, timestamp, tookMs }) => [request, Date.parse(timestamp) - originMs - tookMs]));
+    const lines = processes.flatMap(({ output }) => [...output.matchAll(requestEndedLine)]);
+    return new Map(lines.map(([, request, timestamp, tookMs]) => [request!, Date.parse(timestamp!) - originMs - Number(tookMs)]));
 }
 
 export const oddCheckInsAreRefused: Check = ({ oddCheckIns }) => oddCheckIns
