--- a/src/siteControl/siteControlTypes.ts
+++ b/src/siteControl/siteControlTypes.ts
@@ -11,6 +11,7 @@
 import type { PeerConnections } from "../rpc/index.js";
 import type { OverloadMode, SiteDialect, SiteFinding } from "../site/index.js";
 import type { Logger, SiteMetrics } from "../telemetry/index.js";
+import type { AnnouncementOutcome } from "./announcementCheck.js";
 import type { EvacuationOutcome } from "./evacuations.js";
 import type { EngineClient } from "./groupLeader.js";
 import type { UpstreamInquirer } from "./restoration.js";
@@ -50,12 +51,6 @@
     readonly mayBeLate: boolean;
 }
 
-/**
- * An announcement is refused if no upstream can have made it, and `unavailable` if it must be made to another daemon because this one may
- * be cut off from the entries.
- */
-export type AnnouncementOutcome = "recorded" | "refused" | "unavailable";
-
 export interface SiteControl {
     readonly feed: FeedServer;
     publish(text: string): Promise<PublishOutcome>;
@@ -63,6 +58,7 @@
     readSite(): Promise<string | undefined>;
     /** Starts or ends an evacuation. It is not carried out if its operator has given up on it. */
     evacuate(dataCentre: string, isOut: boolean, operator: WaitingCaller): Promise<EvacuationOutcome>;
+    /** Records an announcement, if it is taken. */
     recordAnnouncement(announcement: Announcement): AnnouncementOutcome;
     /** Reports an announcement that can't be read; `id` is the one that its sender states. */
     refuseAnnouncement(id: string): void;
