Soak: a route that a configuration without acknowledgement has dropped may be unknown

A configuration has the routes of four versions, so a call counts unless one that is four versions newer had been sent.

--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -33,6 +33,9 @@
     readonly leftAtMs?: number | undefined;
 }
 
+/** Routes of this many versions are in each configuration. */
+export const routeVersions = 4;
+
 /** A configuration sent by the operator. */
 export interface Publication {
     readonly version: number;
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -96,6 +96,8 @@
             call(id, { kind: "route", routeVersion: 2, sentAtMs, endedAtMs: sentAtMs + 10, status, body: `done ${id}` });
         expect(checksOf({ publications, reads: [{ daemon: "control-0", sentAtMs: 5_000, version: 1 }] })).to.deep.equal(["readsAreNotStale"]);
         expect(checksOf({ publications, calls: [route("a", 5_000, 404)] })).to.deep.equal(["configurationsApply"]);
+        const later = { version: 6, sentAtMs: 4_000, keys: [], acknowledgedAtMs: undefined };
+        expect(checksOf({ publications: [...publications, later], calls: [route("a", 5_000, 404)] })).to.deep.equal([]);
         expect(checksOf({ publications, calls: [route("a", 300, 200), route("b", 600, 404)] })).to.deep.equal(["configurationsNeverRevert"]);
     });
 
