--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -10,7 +10,6 @@
 import { createHttpConnections, type RequestPosition, startListening, waitForPendingReads } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { createContainment } from "../runtime/index.js";
-import { closeBrokenConnections } from "./brokenRequests.js";
 import { type CallerAnswer, createCallerAnswer } from "./answer.js";
 import { createCallerConnection } from "./callerConnection.js";
 import type { Holder, Memory } from "./memory/index.js";
@@ -70,6 +69,8 @@
     /** Holds callers while the entry starts; without it they are refused at once. */
     readonly startHold?: StartHold;
     readonly memory: Memory;
+    /** Resolves to whether the caller has left although its request has just been read; its connection is closed then. */
+    hasLeft?(message: IncomingMessage): Promise<boolean>;
     /** Whether a new connection is accepted. One that isn't is closed unread, so that its caller knows that its request has not run. */
     acceptsConnection?(): boolean;
     /** Counts a request that was refused before an upstream was chosen. */
@@ -212,7 +213,7 @@
             refuseBody(served, "its body could not be read in time", head.request.deadlineAtMs);
             return;
         }
-        if (served.isClosed || answer.isOver) {
+        if (await dependencies.hasLeft?.(message) || served.isClosed || answer.isOver) {
             return;
         }
         // Reading the body may have taken long.
@@ -292,7 +293,6 @@
         }
     });
     connections.watch(server);
-    closeBrokenConnections(server, connections, socket => [...runningBySocket.get(socket) ?? []]);
     server.on("connection", socket => {
         const servedOnSocket = new Set<ServedRequest>();
         runningBySocket.set(socket, servedOnSocket);
