--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -4,7 +4,8 @@
  * @module
  */
 
-import type { Arrival, Pushback, Run } from "../../standin/platform/index.js";
+import type { Arrival, ProcessRun, Pushback, Run } from "../../standin/platform/index.js";
+import type { OddCheckInCall } from "./oddCheckIns.js";
 
 export type CallKind = "charge" | "read" | "caption" | "route" | "keyed" | "urgent" | "tolerant" | "bulk" | "crashing";
 
@@ -32,6 +33,9 @@
     readonly leftAtMs?: number | undefined;
 }
 
+/** Routes of this many versions are in each configuration. */
+export const routeVersions = 4;
+
 /** A configuration sent by the operator. */
 export interface Publication {
     readonly version: number;
@@ -67,6 +71,16 @@
     readonly toMs: number;
 }
 
+/** A check-in that no sound upstream has sent. */
+export interface OddCheckIn extends Pick<OddCheckInCall, "name" | "id" | "isRefusable"> {
+    readonly daemon: string;
+    readonly sentAtMs: number;
+    /** Undefined if the daemon gave no answer. */
+    readonly status: number | undefined;
+}
+
+export type Stall = Pick<Outage, "fromMs" | "toMs">;
+
 export interface UpstreamRecord {
     readonly id: string;
     readonly zone: string;
@@ -84,8 +98,28 @@
     /** In the order in which they were sent. */
     readonly evacuations: readonly EvacuationOrder[];
     readonly outages: readonly Outage[];
+    readonly oddCheckIns: readonly OddCheckIn[];
+    /** When the process of the soak itself, with its callers, relays and upstreams, did nothing that was due. */
+    readonly stalls: readonly Stall[];
+    /** Every start of a daemon. */
+    readonly processes: readonly ProcessRun[];
     readonly upstreams: readonly UpstreamRecord[];
+    /** The Unix time of the zero of all other times, in ms. */
+    readonly originMs: number;
     /** The end of the last fault, and the end of the run. */
     readonly calmFromMs: number;
     readonly endedAtMs: number;
 }
+
+export function isDisturbed(outages: readonly Outage[], daemon: string, fromMs: number, toMs: number): boolean {
+    return outages.some(outage => outage.daemon === daemon && outage.fromMs <= toMs && outage.toMs >= fromMs);
+}
+
+export function isServed({ status, isComplete }: Call): boolean {
+    return status === 200 && isComplete;
+}
+
+/** How long the process of the soak stalled between two times. */
+export function stalledMs(stalls: readonly Stall[], startMs: number, endMs: number): number {
+    return stalls.reduce((sum, { fromMs, toMs }) => sum + Math.max(0, Math.min(toMs, endMs) - Math.max(fromMs, startMs)), 0);
+}
