--- a/bench/soak/run.ts
+++ b/bench/soak/run.ts
@@ -13,7 +13,7 @@
 import { type Bounds, findViolations, type Finding } from "./checks.js";
 import { type Call, type History, isServed, type Stall } from "./history.js";
 import { createSchedule, type Fault, type FaultKind, isLoad } from "./schedule.js";
-import { coldPerSecond, logFileOf, startWorld } from "./world.js";
+import { coldPerSecond, startWorld } from "./world.js";
 
 export interface SoakOptions {
     readonly seed: number;
@@ -100,7 +100,7 @@
         if (findings.length > 0 || options.keepsAll === true) {
             keepLogs(options, faults, history, findings);
             const daemons = [...processes.controls, ...processes.entries];
-            daemons.forEach(({ id }) => writeFileSync(logFileOf(options.logFolder, id), processes.output(id)));
+            daemons.forEach(({ id }) => writeFileSync(join(options.logFolder, `${id}.log`), processes.output(id)));
         }
         const countServed = (calls: readonly Call[]) => calls.filter(isServed).length;
         // Others may rightly be refused: their key is revoked, or their route is no longer in the configuration.
--- a/bench/soak/world.ts
+++ b/bench/soak/world.ts
@@ -5,7 +5,6 @@
  * @module
  */
 
-import { join } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
 import {
     callControlDaemon, configurationText, createSiteProcesses, type DaemonSpec, type Runner, type SiteProcesses, startRunner,
@@ -346,8 +345,3 @@
         },
     };
 }
-
-/** Returns the file in which a daemon's output is kept. */
-export function logFileOf(folder: string, daemonId: string): string {
-    return join(folder, `${daemonId}.log`);
-}
