--- a/test/siteControl/directoryFeed.test.ts
+++ b/test/siteControl/directoryFeed.test.ts
@@ -17,6 +17,7 @@
     readonly position: DirectoryPosition | undefined;
 }
 
+const nextTurn = () => new Promise(resolve => setImmediate(resolve));
 const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
 describe("feed of a control daemon's upstreams", () => {
@@ -43,9 +44,9 @@
     it("publishes the changes of one turn together, and those soon after them in one more frame", async () => {
         announce({ id: "u1" });
         announce({ id: "u2", address: "10.0.0.2:80" });
-        await pause(1);
+        await nextTurn();
         announce({ id: "u3", address: "10.0.0.3:80" });
-        await pause(1);
+        await nextTurn();
         announce({ id: "u4", address: "10.0.0.4:80" });
         announce({ id: "u3", address: "10.0.0.3:80", sequence: 2, slots: 8 });
         await pause(60);
