Review: sites that run at the same time choose different networks

Two sites that started at the same moment could both find the same addresses free, and their daemons then ended with EADDRINUSE: a fault of the harness.

--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -21,6 +21,7 @@
 const rangePorts = 16;
 /** The metrics ports of the deploy file. */
 const metricsPorts = [9101, 9102];
+const [firstNetwork, networks, lockPort] = [20, 200, 20_999];
 
 /** The bounds of a small deployment, as DEPLOY.md shows them. */
 export const smallBounds = {
@@ -49,16 +50,26 @@
     return results.every(Boolean);
 }
 
-/** Chooses a network 127.N and ports that are free on all addresses. */
+/** Listens at an address that a site holds as long as it exists, so that no other site chooses its network. */
+function holdNetwork(net) {
+    return new Promise(resolve => {
+        const server = createServer().once("error", () => resolve(undefined));
+        server.listen({ host: `127.${net}.254.1`, port: lockPort, exclusive: true }, () => resolve(server.unref()));
+    });
+}
+
+/** Chooses a network 127.N that no other site has, and ports that are free on all of its addresses. */
 async function chooseAddresses(machines) {
-    for (let attempt = 0; attempt < 50; attempt++) {
-        const net = 20 + Math.floor(Math.random() * 200);
+    for (let attempt = 0; attempt < networks; attempt++) {
+        const net = firstNetwork + (process.pid + attempt) % networks;
         const base = 21_000 + Math.floor(Math.random() * 300) * 32;
-        const hosts = machines.map((_, index) => `127.${net}.${1 + Math.floor(index / 200)}.${1 + index % 200}`);
+        const lock = await holdNetwork(net);
+        const hosts = machines.map((_, index) => `127.${net}.1.${1 + index}`);
         const ports = [...Array.from({ length: portNames.length + rangePorts }, (_, index) => base + index), ...metricsPorts];
-        if (await areFree(hosts, ports)) {
-            return { net, base, hosts };
+        if (lock !== undefined && await areFree(hosts, ports)) {
+            return { net, base, hosts, lock };
         }
+        lock?.close();
     }
     throw new Error("no free addresses");
 }
@@ -69,7 +80,7 @@
  */
 export async function createSite({ machines, bounds = smallBounds, tolerance, heartbeatMs = 1200, memoryMb = 350, diskMb = 64 }) {
     const folder = mkdtempSync(join(tmpdir(), "review-"));
-    const { net, base, hosts } = await chooseAddresses(machines);
+    const { net, base, hosts, lock } = await chooseAddresses(machines);
     const specs = new Map(machines.map((machine, index) => [machine.name, { ...machine, ip: hosts[index] }]));
     const ports = { front: base, ready: base + 1, control: base + 2, range: base + 3 };
     const controls = [...specs.values()].filter(({ roles }) => roles.includes("control"));
@@ -177,6 +188,7 @@
         async stop() {
             await Promise.all([...specs.keys()].map(name => end(name, "SIGKILL")));
             await pause(50);
+            lock.close();
             if (process.env.KEEP === undefined) {
                 rmSync(folder, { recursive: true, force: true });
             }
