--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -30,6 +30,7 @@
     const bornMs = Date.now();
     const runner = {
         id, service, zone, address: `${host}:${port}`, bornMs, state: "ready", membership: undefined, staged: [], checksIn: true, running: 0,
+        coldUntilMs: performance.now() + (options.coldMs ?? 0),
         /** What ran here, in order. */
         runs: [],
     };
@@ -66,7 +67,8 @@
             return undefined;
         }
         return callControl(`/api/instances/${id}/heartbeat`, JSON.stringify({
-            service, address: runner.address, zone, version: "v1", slots, state: runner.state, coldRemainingMs: 0, seq: ++sequence, ...stated(),
+            service, address: runner.address, zone, version: "v1", slots, state: runner.state, seq: ++sequence, ...stated(),
+            coldRemainingMs: Math.max(0, Math.round(runner.coldUntilMs - performance.now())),
         }));
     }
 
