--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -22,6 +22,7 @@
 /** The metrics ports of the deploy file. */
 const metricsPorts = [9101, 9102];
 const [firstNetwork, networks, lockPort] = [20, 200, 20_999];
+const cannotRunExit = 2;
 
 /** The bounds of a small deployment, as DEPLOY.md shows them. */
 export const smallBounds = {
@@ -92,6 +93,9 @@
     /** Every exit that nobody has asked for. */
     const ownEnds = [];
     const keyOf = (name, role) => `${name}/${role}`;
+    // Whatever ends this process, no daemon stays behind.
+    process.once("exit", () => running.forEach(({ child }) => child.kill("SIGKILL")));
+    process.once("SIGTERM", () => process.exit(cannotRunExit));
 
     function fieldsOf({ name, zone, ip, hasDisk }, role, bootstrap) {
         const listen = role === "entry"
