Review: make room for graver cases

The cases 4 and 5 become 5 and 7. The former 6, 7 and 8 go to review/set-aside, unchanged but for their paths.

--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,131 +1,106 @@
 /**
- * One runner in trouble sends bytes without end in place of its streams' events. Requests to another service, whose runners are sound,
- * get no answer. See `claim.txt`.
+ * Six control daemons with disks, two of which may be lost at once. Machines lose power one after the other, and one of them is back for
+ * a while in between. Then a manifest is acknowledged, and two machines lose their disks. See `claim.txt`.
  *
  * @module
  */
 
-import { monitorEventLoopDelay } from "node:perf_hooks";
-import { fileURLToPath } from "node:url";
+import { writeFileSync } from "node:fs";
+import { dirname, join } from "node:path";
 import { setTimeout as pause } from "node:timers/promises";
-import { newAttemptId, sendAttempt } from "../lib-2/client.mjs";
-import {
-    appDeadlineMs, appTimeoutMs, exits, hasTrouble, host, key, model, runCase, startDeployment, streamPatienceMs, streamTimeoutMs,
-} from "../lib-2/deployment.mjs";
-
-/** The traffic of a small installation, on all machines together. */
-const [streamsPerS, bookingsPerS] = [57, 12];
-const [poolSize, awaitedGroups] = [12, 5];
-const [calmMs, troubleMs, settleMs] = [5_000, 8_000, 4_000];
-/** Pieces of the size of a usual event, 4 Mbit/s on each channel, of the 1,000 Mbit/s that a machine's link has. */
-const [pieceBytes, piecesAtOnce, pieceIntervalMs] = [64, 40, 5];
-/** Half a second after the route's `timeoutMs`. */
-const judgedAfterMs = appTimeoutMs + 500;
-/** Fewer requests break no rule. */
-const minUnanswered = 8;
-const [msPerSecond, nsPerMs] = [1_000, 1e6];
-
-/** Chunks of the body, encoded once: the stand-in is to have little work, so that it is not what makes answers late. */
-const pieces = Buffer.from(`${pieceBytes.toString(16)}\r\n${"a".repeat(pieceBytes)}\r\n`.repeat(piecesAtOnce));
+import { fileURLToPath } from "node:url";
+import { createOperator } from "../lib-2/operator.mjs";
+import { createSite, smallBounds } from "../lib-2/site.mjs";
 
-let isInTrouble = false;
-let troubled;
+const hasTrouble = process.env.TROUBLE !== "0";
+const [heldExit, brokenExit, cannotRunExit] = [0, 1, 2];
+/** The bounds of a deployment with two disks in each zone. */
+const bounds = { ...smallBounds, contactMs: 4000, ackMs: 5000, catchUpS: 6, configApplyMs: 2500, outerMs: 6000, recoverS: 15 };
+const names = ["a", "b", "c", "d", "e", "f"];
+const machines = names.map((name, index) => ({ name, zone: `zone-${Math.floor(index / 2)}`, hasDisk: true, roles: ["control"] }));
+/** Time without power, several times what it takes until others notice. */
+const darkMs = 4_000;
+const msPerSecond = 1_000;
+/** After the machines are back: `recoverS`, and twice the time for which the manifest is read back. */
+const readBackMs = bounds.recoverS * msPerSecond + 2 * bounds.contactMs;
 
-/** Answers with a proper head, then with bytes that are no events, until the caller closes. */
-function sendWithoutEnd(runner, message, response) {
-    if (!isInTrouble || runner !== troubled) {
-        return false;
-    }
-    response.writeHead(200, { ...runner.headersFor(message), ...runner.signature(message), "content-type": "text/event-stream" });
-    response.flushHeaders();
-    const { socket } = response;
-    const timer = setInterval(() => {
-        if (response.destroyed) {
-            clearInterval(timer);
-        }
-        else if (!socket.writableNeedDrain) {
-            socket.write(pieces);
-        }
-    }, pieceIntervalMs);
-    return true;
+const startedAtMs = performance.now();
+const lines = [];
+function record(line) {
+    lines.push(`${((performance.now() - startedAtMs) / msPerSecond).toFixed(2)} s  ${line}`);
 }
 
-function sendStream(address, number) {
-    return sendAttempt(address, {
-        method: "POST", host, path: `/draft/${number}`, body: "p".repeat(700), deadlineMs: streamTimeoutMs, patienceMs: streamPatienceMs,
-        headers: {
-            "api-key": key, "zinnialanding-model": model.name, "zinnialanding-token-usage": "714,60",
-            "zinnialanding-prefix-hash": `5c1e07a2:40,${newAttemptId()}:674`,
-        },
-    });
-}
-
-const sendBooking = address => sendAttempt(address, {
-    method: "POST", host, path: "/booking/1", body: "b".repeat(600), deadlineMs: appDeadlineMs, headers: { "api-key": key },
+const manifest = version => ({
+    version,
+    routes: [{ name: "r", host: "a.example", pathPrefix: "/r/", kind: "idempotent", timeoutMs: 4000, service: "app", maxAttempts: 2 }],
+    services: [{ name: "app", healthPath: "/healthz", maxConns: 100, protocol: "h1", tls: false, coldStartS: 0, coldPerS: 0 }],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
 });
 
-/** Judges requests by the rule: those unanswered at `timeoutMs`, and those of them that are half a second later. */
-function judge(answers) {
-    const unanswered = answers.filter(({ tookMs }) => tookMs > appTimeoutMs);
-    const late = unanswered.filter(({ tookMs, status, isComplete }) => tookMs > judgedAfterMs || (status === undefined && !isComplete));
-    return { sent: answers.length, unanswered: unanswered.length, late: late.length };
-}
-
-await runCase(fileURLToPath(new URL("record.txt", import.meta.url)), async record => {
-    const deployment = await startDeployment({ record, poolSize, groups: awaitedGroups, onRequest: sendWithoutEnd });
-    const { site, machines } = deployment;
-    const delays = monitorEventLoopDelay();
-    delays.enable();
-    const addresses = machines.map(({ name }) => site.frontAddress(name));
-    const phases = { calm: [], trouble: [], after: [] };
-    const pending = [];
-    let phase = "calm";
-    let isOver = false;
-    const streamEnds = new Map();
+async function run(site) {
+    const operator = createOperator(site.controlAddresses, record);
+    const start = async name => {
+        site.start(name);
+        record(`${name} has power again`);
+    };
+    const lose = async (...lost) => {
+        await Promise.all(lost.map(name => site.kill(name)));
+        record(`${lost.join(", ")}: no power; on: ${names.filter(name => site.isRunning(name, "control")).join(", ")}`);
+        await pause(darkMs);
+    };
 
-    async function keepSending(perS, sendOne) {
-        for (let number = 0; !isOver; number++) {
-            const answers = phases[phase];
-            pending.push(sendOne(addresses[number % addresses.length], number).then(answer => answers?.push(answer)));
-            await pause(msPerSecond / perS * (0.5 + Math.random()));
-        }
+    names.forEach(name => site.start(name, { bootstrap: true }));
+    if (!(await operator.publish(manifest(1))).isAcknowledged) {
+        return cannotRunExit;
     }
-
-    try {
-        void keepSending(bookingsPerS, sendBooking);
-        void keepSending(streamsPerS, async (address, number) => {
-            const { status, isComplete, hasLeft } = await sendStream(address, number);
-            const end = isComplete ? `status ${status}` : hasLeft ? "left after a long gap" : "channel ended without a whole answer";
-            streamEnds.set(end, (streamEnds.get(end) ?? 0) + 1);
-            return undefined;
-        }).catch(error => record.line(error.message));
-        await pause(calmMs);
-        [troubled] = deployment.heads();
-        phase = "trouble";
-        isInTrouble = hasTrouble;
-        record.line(hasTrouble ? `${troubled.id} sends bytes without end, one of ${poolSize} runners` : "no trouble");
-        await pause(troubleMs);
-        phase = "after";
-        isInTrouble = false;
-        await pause(settleMs);
-        isOver = true;
-        await Promise.all(pending);
-        record.line(`streams: ${JSON.stringify(Object.fromEntries(streamEnds))}; this process was blocked for ${Math.round(delays.max / nsPerMs)} ms at most`);
-        const runs = new Map(deployment.runners.flatMap(runner => runner.runs.map(run => [run.id, runner.id])));
-        for (const [name, answers] of Object.entries(phases)) {
-            const bookings = answers.filter(Boolean);
-            bookings.forEach(({ id, status, tookMs }) =>
-                record.line(`${name}: booking ${id}: status ${status ?? "none"} after ${Math.round(tookMs)} ms, run by ${runs.get(id) ?? "none"}`));
-            record.line(`${name}: bookings ${JSON.stringify(judge(bookings))}, slowest ${Math.round(Math.max(...bookings.map(({ tookMs }) => tookMs)))} ms`);
-        }
-        site.ownEnds.forEach(({ name, role, code }) => record.line(`${name}/${role} ended by itself with ${code}`));
-        const { unanswered, late } = judge(phases.trouble.filter(Boolean));
-        const isBroken = late >= minUnanswered && late > unanswered / 2;
-        record.line(isBroken ? `CONFIG: of ${unanswered} requests unanswered at timeoutMs, ${late} have no answer half a second later` : "held");
-        return isBroken ? exits.broken : exits.held;
+    // All six vote by now: each has been up for longer than `catchUpS`.
+    await pause(bounds.catchUpS * msPerSecond);
+    if (hasTrouble) {
+        await lose("e", "f");
+        await lose("d");
+        await start("e");
+        await pause(bounds.catchUpS * msPerSecond);
+        await lose("c");
+        await lose("e");
     }
-    finally {
-        isOver = true;
-        await deployment.stop();
+    // Not acknowledged: service may be suspended during losses beyond the tolerance.
+    const { isAcknowledged } = await operator.publish(manifest(2), 2 * bounds.ackMs);
+    if (hasTrouble) {
+        await Promise.all(["a", "b"].map(name => site.kill(name)));
+        ["a", "b"].forEach(name => site.wipe(name));
+        record("a, b: no power, disks lost");
+        await pause(msPerSecond);
+        await Promise.all(names.map(start));
     }
-});
+    const expected = isAcknowledged ? 2 : 1;
+    record(`all machines are on; the manifest that was acknowledged last is ${expected}`);
+    const untilMs = performance.now() + (hasTrouble ? readBackMs : bounds.contactMs);
+    const versions = new Map();
+    while (performance.now() < untilMs) {
+        const answers = await Promise.all(site.controlAddresses.map(address => operator.read(address)));
+        answers.forEach(version => versions.set(version, (versions.get(version) ?? 0) + 1));
+        await pause(500);
+    }
+    [...versions].forEach(([version, count]) => record(`read back: ${version === undefined ? "no manifest" : `manifest ${version}`}, ${count} times`));
+    // A version above the acknowledged one was sent without a clear answer, and may be in force.
+    const isThere = [...versions.keys()].some(version => version >= expected);
+    const isOlder = hasTrouble ? false : [...versions.keys()].some(version => version < expected);
+    record(isThere && !isOlder ? "held" : "LOST: what was acknowledged is gone");
+    return isThere && !isOlder ? heldExit : brokenExit;
+}
+
+let status = cannotRunExit;
+let site;
+try {
+    site = await createSite({ machines, bounds, tolerance: { machines: 2, zones: 1, regions: 0 }, memoryMb: 250 });
+    status = await run(site);
+    site.ownEnds.forEach(({ name, code }) => record(`${name} ended by itself with ${code}`));
+}
+catch (error) {
+    record(`the case could not run: ${error.message}`);
+}
+finally {
+    await site?.stop();
+}
+writeFileSync(join(dirname(fileURLToPath(import.meta.url)), "record.txt"), `${lines.join("\n")}\n`);
+process.exit(status);
--- a/review/8/case.mjs
+++ b/review/set-aside/cold-again/case.mjs
@@ -7,10 +7,10 @@
 
 import { fileURLToPath } from "node:url";
 import { setTimeout as pause } from "node:timers/promises";
-import { sendAttempt } from "../lib-2/client.mjs";
-import { appDeadlineMs, exits, hasTrouble, host, key, manifestOf, runCase, startDeployment, zones } from "../lib-2/deployment.mjs";
-import { startRunner } from "../lib-2/runner.mjs";
-import { smallBounds } from "../lib-2/site.mjs";
+import { sendAttempt } from "../../lib-2/client.mjs";
+import { appDeadlineMs, exits, hasTrouble, host, key, manifestOf, runCase, startDeployment, zones } from "../../lib-2/deployment.mjs";
+import { startRunner } from "../../lib-2/runner.mjs";
+import { smallBounds } from "../../lib-2/site.mjs";
 
 /** How long a runner is cold after its start, and what it bears then, requests a second. */
 const [coldStartS, coldPerS] = [3, 10];
--- a/review/6/play.mjs
+++ b/review/set-aside/two/play.mjs
@@ -6,13 +6,13 @@
  */
 
 import { fileURLToPath } from "node:url";
-import { createEngine, createPool } from "../lib/engine.mjs";
-import { call, pause } from "../lib/http.mjs";
-import { order } from "../lib/operator.mjs";
-import { runCase } from "../lib/record.mjs";
-import { startRunner } from "../lib/runner.mjs";
-import { bounds } from "../lib/settings.mjs";
-import { createSite, zones } from "../lib/site.mjs";
+import { createEngine, createPool } from "../../lib/engine.mjs";
+import { call, pause } from "../../lib/http.mjs";
+import { order } from "../../lib/operator.mjs";
+import { runCase } from "../../lib/record.mjs";
+import { startRunner } from "../../lib/runner.mjs";
+import { bounds } from "../../lib/settings.mjs";
+import { createSite, zones } from "../../lib/site.mjs";
 
 const model = "m1";
 /** The figures of the site's second model (`sites/sr-listings.toml`). */
