--- a/review/lib-3/runner.mjs
+++ b/review/lib-3/runner.mjs
@@ -1,5 +1,5 @@
 /**
- * A model runner as the pages describe it: checks in, carries out orders, forms groups, and answers with streams of events. Uses nothing but
+ * A model runner as the pages describe it: checks in, carries out orders, forms groups, answers with streams of events. Uses nothing but
  * Node.js.
  *
  * @module
@@ -12,7 +12,7 @@
 
 /**
  * Starts a runner. `controls` lists the addresses for its check-ins. `crashPart`, if set, is the part of a prompt under which it crashes as
- * it begins to write; it is back under a new id after `backAfterMs`. Calls `onArrival` with each request that reaches it and whether it ran,
+ * it begins to write; it is back under a new id after `backAfterMs`. Calls `onArrival` with each request that reaches it and if it ran,
  * and `onCrash` with each crash.
  */
 export async function startRunner({
--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -223,7 +223,7 @@
 }
 
 /**
- * Calls daemons as the operator does: in turn, with increasing backoff, until one answers with 2xx. Resolves to that answer, or to undefined
+ * Calls daemons as the operator does: in turn, with increasing backoff, until one answers 2xx. Resolves to that answer, or to undefined
  * after `timeoutMs`. `timeoutOf` is how long one call may take.
  */
 export async function callAsOperator(addresses, method, path, { body, timeoutMs, callTimeoutMs = 1_000, first = 0 }) {
