Crash of a trial counts by itself

What callers saw: test/promises/poison.test.ts failed with "expected 6 to be within 3..5": six engines ended for one part of prompts, five are the bound.

Cause: crashes within 100 ms of the first count once, as engines lost together have another cause. A request that crashed its engine is retried as a trial, alone, some 50 ms later; on a fast machine two requests and their trials fall into one window.

The new test of src/crashes failed before (no cause after four crashes).

Change: sidecars report whether only a trial was in flight; such a crash is a window of its own. A trial begins only after an earlier crash and runs alone, so it can't be one of several engines lost together with a domain without being to blame.

The bound is unchanged.

--- a/src/attempt/registry.ts
+++ b/src/attempt/registry.ts
@@ -61,6 +61,8 @@
         readonly fingerprints: readonly string[];
         /** The shared parts of the prompts in flight, each once. */
         readonly parts: readonly string[];
+        /** Whether the only attempt in flight was the trial of a crash suspect. */
+        readonly isTrial: boolean;
     };
 
 /** The retry delay given with a refusal that states none. */
@@ -193,9 +195,10 @@
     const attemptIds = [...state.live.keys()];
     const fingerprints = [...new Set([...state.live.values()].map(attempt => attempt.fingerprint))].filter(name => name !== "");
     const parts = [...new Set([...state.live.values()].flatMap(attempt => attempt.sharedParts))];
+    const isTrial = [...state.live.values()].every(attempt => attempt.suspect);
     return step<RegistryState, RegistryEffect>(
         attemptIds.reduce((next, attemptId) => retire(next, attemptId, "ended"), state),
-        { kind: "report-crash", engineBootId, fingerprints, parts },
+        { kind: "report-crash", engineBootId, fingerprints, parts, isTrial },
         ...attemptIds.map((attemptId): RegistryEffect =>
             ({ kind: "fail", attemptId, code: "engine-crashed", execution: "unknown", engineBootId })),
     );
--- a/src/control/control.ts
+++ b/src/control/control.ts
@@ -127,13 +127,13 @@
         },
     }, () => clock.nowMs());
 
-    async function reportCrash({ engineBootId, fingerprints, parts, provenParts }: CrashReport) {
+    async function reportCrash({ engineBootId, fingerprints, parts, provenParts, isTrial }: CrashReport) {
         const atMs = Date.now();
         if (fingerprints.length > 0) {
             await propose({ kind: "report-crash", engineBootId, fingerprints, atMs });
         }
         if (parts.length > 0) {
-            await propose({ kind: "report-crashed-parts", engineBootId, parts, provenParts, atMs });
+            await propose({ kind: "report-crashed-parts", engineBootId, parts, provenParts, isTrial, atMs });
         }
     }
 
--- a/src/crashes/causes.ts
+++ b/src/crashes/causes.ts
@@ -16,7 +16,10 @@
  */
 export type CrashCause = readonly string[];
 
-/** Crashes within this time of the first one count once: engines lost together, with a domain or data centre, have another cause. */
+/**
+ * Crashes within this time of the first one count once: engines lost together, with a domain or data centre, have another cause. The crash
+ * of a trial counts by itself, since the trial began only after an earlier crash.
+ */
 const windowMs = 100;
 /** A part that only shares engines with a cause is rarely in flight at so many crashes without an answer completed meanwhile. */
 const minCrashes = 3;
@@ -40,11 +43,22 @@
 }
 
 function toWindows(crashes: readonly EngineCrash[]): CrashWindow[] {
+    const isTrialCrash = ({ isTrial }: EngineCrash) => isTrial === true;
+    const ofTrials = crashes.filter(isTrialCrash).map(toWindow);
+    return [...mergeCrashes(crashes.filter(crash => !isTrialCrash(crash))), ...ofTrials];
+}
+
+function toWindow({ atMs, parts, provenParts }: EngineCrash): CrashWindow {
+    return { startedAtMs: atMs, parts: new Set(parts), provenParts: new Set(provenParts) };
+}
+
+function mergeCrashes(crashes: readonly EngineCrash[]): CrashWindow[] {
     const windows: CrashWindow[] = [];
-    for (const { atMs, parts, provenParts } of crashes) {
+    for (const crash of crashes) {
+        const { atMs, parts, provenParts } = crash;
         const last = windows.at(-1);
         if (last === undefined || atMs - last.startedAtMs >= windowMs) {
-            windows.push({ startedAtMs: atMs, parts: new Set(parts), provenParts: new Set(provenParts) });
+            windows.push(toWindow(crash));
             continue;
         }
         windows[windows.length - 1] = {
--- a/src/crashes/evidence.ts
+++ b/src/crashes/evidence.ts
@@ -18,6 +18,8 @@
     parts: z.array(z.string().min(1)).max(maxPartsPerCrash),
     /** Those of them on which the reporter has seen completed answers before the crash. */
     provenParts: z.array(z.string().min(1)).max(maxPartsPerCrash),
+    /** Whether the only request in flight was the trial of a crash suspect. */
+    isTrial: z.boolean().optional(),
     atMs: z.number(),
 });
 
@@ -37,6 +39,7 @@
     readonly parts: readonly string[];
     /** Those of `parts` on which answers had been completed before the crash. */
     readonly provenParts: readonly string[];
+    readonly isTrial?: boolean | undefined;
 }
 
 export interface CrashEvidenceState {
--- a/src/crashes/reducer.ts
+++ b/src/crashes/reducer.ts
@@ -18,10 +18,11 @@
     return command.kind === "report-crashed-parts" ? recordCrash(state, command) : clearParts(state, command.parts);
 }
 
-function recordCrash({ crashes }: CrashEvidenceState, { engineBootId, parts, provenParts, atMs }: ReportParts): CrashEvidenceState {
+function recordCrash({ crashes }: CrashEvidenceState, report: ReportParts): CrashEvidenceState {
+    const { engineBootId, parts, provenParts, isTrial, atMs } = report;
     const others = crashes.filter(crash => crash.engineBootId !== engineBootId && atMs - crash.atMs < crashTtlMs);
     const known = crashes.find(crash => crash.engineBootId === engineBootId);
-    const recorded: EngineCrash = { engineBootId, atMs: known?.atMs ?? atMs, parts, provenParts };
+    const recorded: EngineCrash = { engineBootId, atMs: known?.atMs ?? atMs, parts, provenParts, isTrial };
     return evictCrashes([...others, recorded].sort((a, b) => a.atMs - b.atMs));
 }
 
--- a/src/sidecar/attempts.ts
+++ b/src/sidecar/attempts.ts
@@ -42,7 +42,7 @@
     readonly admissionContext: (request: RunRequest) => Omit<AdmissionContext, "pushbackLeftMs">;
     /** Whether an answer of this epoch may be forwarded now. */
     readonly mayForward: (epoch: number) => boolean;
-    readonly reportCrash: (engineBootId: string, fingerprints: readonly string[], parts: readonly string[]) => void;
+    readonly reportCrash: (crash: Extract<RegistryEffect, { kind: "report-crash" }>) => void;
     /** Called when the upstream has completed an answer. */
     readonly onCompleted: (request: RunRequest) => void;
     readonly onIdle: () => void;
@@ -94,7 +94,7 @@
                 });
                 return [];
             case "report-crash":
-                options.reportCrash(effect.engineBootId, effect.fingerprints, effect.parts);
+                options.reportCrash(effect);
                 return [];
             case "attach":
             case "refuse":
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -132,10 +132,11 @@
         admissionContext,
         mayForward: epoch => vm.kind === "plain" || membership.mayServe(epoch),
         onCompleted: ({ sharedParts }) => sharedParts.forEach(part => provenParts.add(part)),
-        reportCrash(engineBootId, fingerprints, inFlight) {
+        reportCrash({ engineBootId, fingerprints, parts: inFlight, isTrial }) {
             const parts = inFlight.slice(0, maxPartsPerCrash);
             options.session().reportCrash({
-                vmId: vm.id, engineBootId, fingerprints: [...fingerprints], parts, provenParts: parts.filter(part => provenParts.has(part)),
+                vmId: vm.id, engineBootId, fingerprints: [...fingerprints], parts, isTrial,
+                provenParts: parts.filter(part => provenParts.has(part)),
             });
             options.metrics.count("sidecar.crashes", { service: vm.service });
             options.onChange("engine-crashed", { engineBootId, inFlight: fingerprints.length });
--- a/test/crashes/causes.test.ts
+++ b/test/crashes/causes.test.ts
@@ -8,6 +8,8 @@
     return { kind: "report-crashed-parts", engineBootId: `engine at ${atMs}`, parts: [...parts], provenParts: [...provenParts], atMs };
 }
 
+/** The crash of an engine that ran only the trial of a suspect. */
+const trialCrash = (atMs: number, parts: readonly string[]) => ({ ...crash(atMs, parts), isTrial: true });
 const cleared = (...parts: string[]): CrashEvidenceCommand => ({ kind: "clear-crashed-parts", parts, atMs: 0 });
 const apply = (...commands: CrashEvidenceCommand[]) => commands.reduce(applyCrashEvidence, emptyCrashEvidence);
 const causesOf = (...commands: CrashEvidenceCommand[]) => findCrashCauses(apply(...commands)).map(cause => [...cause].sort());
@@ -46,6 +48,13 @@
         expect(causesOf(...[0, 20, 40, 60, 95].map(atMs => crash(atMs, ["subject"])))).to.deep.equal([]);
     });
 
+    // Guards against two engines lost to each of several requests, because the crash of a trial followed that of the first attempt at once.
+    it("are a part in flight at the crashes of trials, however soon each follows another crash", () => {
+        const crashes = [crash(0, ["bad", "a"]), trialCrash(20, ["bad", "a"]), crash(40, ["bad", "b"]), trialCrash(60, ["bad", "b"])];
+        expect(causesOf(...crashes)).to.deep.equal([["bad"]]);
+        expect(causesOf(...crashes.slice(0, 3))).to.deep.equal([]);
+    });
+
     it("are told apart by further crashes, and one after the other", () => {
         const first = [0, 300, 600].map(atMs => crash(atMs, ["bad1", "x"]));
         expect(causesOf(...first)).to.deep.equal([["bad1", "x"]]);
