Don't cancel an admission because the lost disk is silent

After a second lost disk, more than catchUpS after the first, no configuration is read back.

Cause: the admission of a wiped voter's new disk is cancelled by the silence of its lost disk, as both have one voter id: 9 ms after the lost disk has lost its vote. Catching up begins again, and meanwhile both other voters are needed.

--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -29,6 +29,16 @@
     );
 }
 
+/**
+ * Drops the learners whose process has come back with another disk since. Their silence would count against the new disk, and the leader
+ * would go on sending them entries.
+ */
+function withoutSupersededDisks(progress: readonly Progress[], voters: readonly Voter[]): readonly Progress[] {
+    const isVoting = ({ voter }: Progress) => voters.some(other => other.diskId === voter.diskId);
+    return progress.filter(item => isVoting(item) || !progress.some(other =>
+        other !== item && other.voter.voterId === item.voter.voterId && !isVoting(other) && other.lastContactAtMs > item.lastContactAtMs));
+}
+
 /** Updates the progress after a membership change: adds new voters, keeps learners of known voters, drops removed voters. */
 function updateProgress(state: ConsensusState): ConsensusState {
     const role = state.role as LeaderRole;
@@ -36,7 +46,8 @@
     const kept = Object.values(role.progress).filter(item =>
         membership.voters.some(voter => voter.voterId === item.voter.voterId) ||
         membership.admitting?.voterId === item.voter.voterId);
-    const progress: Record<string, Progress> = Object.fromEntries(kept.map(item => [item.voter.diskId, item]));
+    const progress: Record<string, Progress> =
+        Object.fromEntries(withoutSupersededDisks(kept, membership.voters).map(item => [item.voter.diskId, item]));
     for (const voter of membership.voters) {
         if (voter.diskId !== state.options.self.diskId) {
             progress[voter.diskId] ??= createProgress(state, voter);
@@ -121,9 +132,9 @@
 /** Whether the process being admitted has not responded within the admission timeout. */
 function hasAdmissionTimedOut(state: ConsensusState, voterId: string): boolean {
     const role = state.role as LeaderRole;
-    const learner = Object.values(role.progress).find(item =>
+    const learners = Object.values(role.progress).filter(item =>
         item.voter.voterId === voterId && !state.membership!.voters.some(voter => voter.diskId === item.voter.diskId));
-    const lastProgressAtMs = Math.max(role.electedAtMs, learner?.lastContactAtMs ?? 0, state.admissionStartedAtMs);
+    const lastProgressAtMs = Math.max(role.electedAtMs, state.admissionStartedAtMs, ...learners.map(item => item.lastContactAtMs));
     return state.nowMs - lastProgressAtMs > state.options.timings.admissionTimeoutMs;
 }
 
--- a/test/consensus/lostVoters.test.ts
+++ b/test/consensus/lostVoters.test.ts
@@ -163,6 +163,27 @@
         expect(world.versionAt(world.leader()!)).to.equal(version);
     });
 
+    // Guards against an admission that is cancelled because the lost disk of the same voter has been silent for long.
+    it("admits a wiped voter as soon as it has caught up, and before the next loss", () => {
+        const world = createFormedCluster(3, 3, 0);
+        const [wiped, other] = world.nodes.filter(node => node !== world.leader());
+        const version = acceptChange(world);
+        world.actions.loseDisk(wiped!);
+        advance(world, 2_500);
+        world.actions.restart(wiped!);
+        world.actions.blockLink(world.leader()!, wiped!);
+        advance(world, catchUpMs[0] - 400);
+        world.actions.unblockLinks();
+        advance(world, 400);
+        expect(world.leader()!.state!.membership!.voters.map(voter => voter.diskId)).to.include(wiped!.diskId);
+        world.actions.loseDisk(other!);
+        advance(world, 1_000);
+        world.actions.restart(other!);
+        advance(world, recoveryMs);
+        expect(world.leader(), "a leader").to.not.equal(undefined);
+        expect(world.versionAt(world.leader()!)).to.equal(version);
+    });
+
     // A successor's settings named only lost VMs at startup. It never contacted those named later, so its disk never got a vote.
     it("admits a successor whose settings name the voters only after its start", () => {
         const world = createFormedCluster(5, 3, 1);
