--- a/src/consensus/entries.ts
+++ b/src/consensus/entries.ts
@@ -1,20 +1,69 @@
 /**
- * The in-memory part of the log: all entries after `baseIndex`. Entries up to `baseIndex` are covered by a snapshot.
+ * The in-memory part of the log: all entries after `baseIndex`. Entries up to `baseIndex` are covered by a snapshot. The log is bounded by
+ * the size of its entries: one may hold a whole configuration, another a few bytes.
  *
  * @module
  */
 
-import type { Entry, Membership } from "./messages.js";
+import type { Entry, Membership, Payload } from "./messages.js";
 
-export interface Log {
+/** What the entries of a log follow. */
+export interface LogBase {
     readonly baseIndex: number;
     readonly baseTerm: number;
     /** The membership as of `baseIndex`; undefined before the cluster formed. */
     readonly baseMembership: Membership | undefined;
+}
+
+export interface Log extends LogBase {
     readonly entries: readonly Entry[];
+    /** For each entry, the size of the log up to its end in bytes, counted from `startBytes`. */
+    readonly endBytes: readonly number[];
+    readonly startBytes: number;
+}
+
+const payloadBytes = new WeakMap<Payload, number>();
+/** What the index and the term of an entry add to its payload, about. */
+const entryFrameBytes = 40;
+
+/** Returns the size of an entry as JSON, as which it is sent and stored, in bytes. */
+export function entryBytes({ payload }: Entry): number {
+    let bytes = payloadBytes.get(payload);
+    if (bytes === undefined) {
+        bytes = entryFrameBytes + Buffer.byteLength(JSON.stringify(payload));
+        payloadBytes.set(payload, bytes);
+    }
+    return bytes;
+}
+
+function sumBytes(startBytes: number, entries: readonly Entry[]): number[] {
+    let bytes = startBytes;
+    return entries.map(entry => bytes += entryBytes(entry));
+}
+
+export function createLog({ baseIndex, baseTerm, baseMembership }: LogBase, entries: readonly Entry[]): Log {
+    return { baseIndex, baseTerm, baseMembership, entries, startBytes: 0, endBytes: sumBytes(0, entries) };
 }
 
-export const emptyLog: Log = { baseIndex: 0, baseTerm: 0, baseMembership: undefined, entries: [] };
+export const emptyLog: Log = createLog({ baseIndex: 0, baseTerm: 0, baseMembership: undefined }, []);
+
+function endBytesAt(log: Log, index: number): number {
+    return index <= log.baseIndex ? log.startBytes : log.endBytes[Math.min(index, lastIndexOf(log)) - log.baseIndex - 1] ?? log.startBytes;
+}
+
+/** Returns the size of the entries after index `after` up to index `upTo` that the log still holds, in bytes. */
+export function bytesBetween(log: Log, after: number, upTo: number): number {
+    return Math.max(0, endBytesAt(log, upTo) - endBytesAt(log, after));
+}
+
+/** Returns entries from index `first` on whose size is `maxBytes` at most; the first one whatever its size. */
+export function entriesWithin(log: Log, first: number, maxBytes: number): readonly Entry[] {
+    let last = first;
+    while (last < lastIndexOf(log) && bytesBetween(log, first - 1, last + 1) <= maxBytes) {
+        last++;
+    }
+    return entriesFrom(log, first, last - first + 1);
+}
 
 export function lastIndexOf(log: Log): number {
     return log.baseIndex + log.entries.length;
@@ -44,8 +93,13 @@
     if (first === undefined) {
         return log;
     }
-    const kept = first.index === lastIndexOf(log) + 1 ? log.entries : log.entries.slice(0, first.index - log.baseIndex - 1);
-    return { ...log, entries: kept.concat(entries) };
+    const keptCount = first.index - log.baseIndex - 1;
+    const isAppended = keptCount === log.entries.length;
+    const [keptEntries, keptBytes] = isAppended
+        ? [log.entries, log.endBytes]
+        : [log.entries.slice(0, keptCount), log.endBytes.slice(0, keptCount)];
+    const addedBytes = sumBytes(endBytesAt(log, first.index - 1), entries);
+    return { ...log, entries: keptEntries.concat(entries), endBytes: keptBytes.concat(addedBytes) };
 }
 
 /** Returns the newest membership recorded before index `before`, and the index of its entry. */
@@ -59,6 +113,15 @@
     return { membership: log.baseMembership, index: log.baseIndex };
 }
 
+/** Returns the log without the entries up to index `upTo`, except the newest of them whose size is `maxBytes` at most. */
+export function compactedExcept(log: Log, upTo: number, maxBytes: number): Log {
+    let index = upTo;
+    while (index > log.baseIndex && bytesBetween(log, index - 1, upTo) <= maxBytes) {
+        index--;
+    }
+    return compactedTo(log, index);
+}
+
 /** Returns the log without the entries up to and including `index`. */
 export function compactedTo(log: Log, index: number): Log {
     if (index <= log.baseIndex) {
@@ -70,5 +133,7 @@
         baseTerm: termAt(log, index)!,
         baseMembership: newestMembership(covered).membership,
         entries: log.entries.slice(index - log.baseIndex),
+        startBytes: endBytesAt(log, index),
+        endBytes: log.endBytes.slice(index - log.baseIndex),
     };
 }
--- a/src/consensus/recovery.ts
+++ b/src/consensus/recovery.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { emptyLog, lastIndexOf, type Log, newestMembership } from "./entries.js";
+import { createLog, emptyLog, lastIndexOf, type LogBase, newestMembership } from "./entries.js";
 import { applyCommitted } from "./snapshot.js";
 import type { ConsensusOptions, ConsensusState, ConsensusStep, DiskImage, StateMachine } from "./state.js";
 import { persist, updateState } from "./steps.js";
@@ -32,10 +32,10 @@
     options: ConsensusOptions, machine: StateMachine, disk: DiskImage, nowMs: number, random: number,
 ): ConsensusState {
     const { snapshot } = disk;
-    const baseLog: Log = snapshot === undefined
+    const base: LogBase = snapshot === undefined
         ? emptyLog
-        : { baseIndex: snapshot.index, baseTerm: snapshot.term, baseMembership: snapshot.membership, entries: [] };
-    const log: Log = { ...baseLog, entries: disk.entries };
+        : { baseIndex: snapshot.index, baseTerm: snapshot.term, baseMembership: snapshot.membership };
+    const log = createLog(base, disk.entries);
     const isEmptyDisk = snapshot === undefined && disk.entries.length === 0;
     const { electionTimeoutMinMs: minMs, electionTimeoutMaxMs: maxMs } = options.timings;
     const { membership, index: membershipIndex } = newestMembership(log);
@@ -49,14 +49,14 @@
         votedFor: disk.votedFor,
         log,
         snapshot,
-        snapshotAfterEntries: options.limits.snapshotEntries,
+        snapshotAfterBytes: options.limits.snapshotLogBytes,
         membership,
         membershipIndex,
         commitIndex,
         recordedCommitIndex: commitIndex,
         unrecordedCommitSinceMs: undefined,
-        appliedIndex: baseLog.baseIndex,
-        appliedMembership: baseLog.baseMembership,
+        appliedIndex: base.baseIndex,
+        appliedMembership: base.baseMembership,
         machine: snapshot === undefined ? machine.initial : snapshot.data,
         role: { kind: "follower" },
         leader: undefined,
--- a/src/consensus/reducer.ts
+++ b/src/consensus/reducer.ts
@@ -16,7 +16,7 @@
 import type { Identity, Message } from "./messages.js";
 import { advanceCommit, broadcast, onAppend, onAppendResponse, onSnapshot, replicate } from "./replication.js";
 import { recordCommitIfDue } from "./recovery.js";
-import { applyCommitted, entriesUntilSnapshot, takeSnapshotIfDue } from "./snapshot.js";
+import { applyCommitted, bytesUntilSnapshot, takeSnapshotIfDue } from "./snapshot.js";
 import type { ConsensusEvent, ConsensusState, ConsensusStep, Effect, HeldMessage, StateMachine } from "./state.js";
 import { andThen, appendAsLeader, chain, isSelf, send, withLeaderRole } from "./steps.js";
 
@@ -120,7 +120,7 @@
 function noteSnapshotSize(state: ConsensusState, snapshotBytes: number | undefined): ConsensusState {
     return snapshotBytes === undefined
         ? state
-        : { ...state, snapshotAfterEntries: entriesUntilSnapshot(state.options.limits.snapshotEntries, snapshotBytes) };
+        : { ...state, snapshotAfterBytes: bytesUntilSnapshot(state.options.limits.snapshotLogBytes, snapshotBytes) };
 }
 
 /** Releases the messages that waited for writes now on disk; those to this voter itself are handled immediately. */
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -6,7 +6,7 @@
  */
 
 import { becomeFollower, nextElectionDeadline, transferWhenCaughtUp } from "./roles.js";
-import { entriesFrom, lastIndexOf, lastTermOf, newestMembership, termAt, withEntries } from "./entries.js";
+import { bytesBetween, createLog, entriesFrom, entriesWithin, lastIndexOf, lastTermOf, newestMembership, termAt, withEntries } from "./entries.js";
 import type { Entry, Identity, MessageOf, Voter } from "./messages.js";
 import type { ConsensusState, ConsensusStep, LeaderRole, Progress } from "./state.js";
 import { andThen, chain, isSelf, persist, quorumValue, send, sendWhenDurable, updateState, withLeaderRole } from "./steps.js";
@@ -22,7 +22,7 @@
         nextIndex: lastIndexOf(state.log) + 1,
         matchIndex: 0,
         probing: true,
-        snapshotSentAtMs: undefined,
+        probedInRound: undefined,
         lastContactAtMs: state.nowMs,
         confirmedRound: 0,
         confirmedSentAtMs: Number.NEGATIVE_INFINITY,
@@ -51,17 +51,15 @@
 }
 
 function sendSnapshot(state: ConsensusState, role: LeaderRole, progress: Progress): ConsensusStep {
-    const isRecentlySent = progress.snapshotSentAtMs !== undefined &&
-        state.nowMs - progress.snapshotSentAtMs < state.options.timings.snapshotRetryMs;
     const { snapshot } = state;
-    if (isRecentlySent || snapshot === undefined) {
+    if (snapshot === undefined) {
         return { state, effects: [] };
     }
     const message = {
         kind: "snapshot" as const, clusterId: state.membership!.clusterId, term: state.term, snapshot, round: role.round, sentAtMs: state.nowMs,
     };
     return {
-        state: withProgress(state, { ...progress, probing: true, snapshotSentAtMs: state.nowMs }),
+        state: withProgress(state, { ...progress, probing: true, probedInRound: role.round }),
         effects: [send(progress.voter, message)],
     };
 }
@@ -76,18 +74,18 @@
     if (progress.nextIndex <= state.log.baseIndex) {
         return sendSnapshot(state, role, progress);
     }
-    const { messageEntries, windowEntries } = state.options.limits;
-    const capacity = progress.probing ? messageEntries : progress.matchIndex + windowEntries - progress.nextIndex + 1;
-    const entries = entriesFrom(state.log, progress.nextIndex, Math.min(messageEntries, capacity));
-    if (entries.length === 0) {
+    const { messageBytes, windowBytes } = state.options.limits;
+    const inFlightBytes = progress.probing ? 0 : bytesBetween(state.log, progress.matchIndex, progress.nextIndex - 1);
+    if (progress.nextIndex > lastIndexOf(state.log) || inFlightBytes >= windowBytes) {
         return { state, effects: [] };
     }
-    const sent = andThen(
-        { state, effects: [send(progress.voter, appendMessage(state, role, progress.nextIndex - 1, entries))] },
-        next => updateState(
-            withProgress(next, progress.probing ? progress : { ...progress, nextIndex: progress.nextIndex + entries.length }), {}),
-    );
-    return progress.probing || entries.length < messageEntries ? sent : andThen(sent, next => sendEntries(next, diskId));
+    const entries = entriesWithin(state.log, progress.nextIndex, Math.min(messageBytes, windowBytes - inFlightBytes));
+    const message = send(progress.voter, appendMessage(state, role, progress.nextIndex - 1, entries));
+    if (progress.probing) {
+        return { state: withProgress(state, { ...progress, probedInRound: role.round }), effects: [message] };
+    }
+    const sent = { state: withProgress(state, { ...progress, nextIndex: progress.nextIndex + entries.length }), effects: [message] };
+    return andThen(sent, next => sendEntries(next, diskId));
 }
 
 /** Sends new entries to every follower that is not being probed. */
@@ -112,14 +110,16 @@
 function sendHeartbeat(state: ConsensusState, diskId: string): ConsensusStep {
     const role = state.role as LeaderRole;
     const progress = role.progress[diskId]!;
-    if (progress.probing && progress.nextIndex <= lastIndexOf(state.log) && progress.nextIndex > state.log.baseIndex) {
+    const needsSnapshot = progress.nextIndex <= state.log.baseIndex;
+    const hasEntries = !needsSnapshot && progress.nextIndex <= lastIndexOf(state.log);
+    if (progress.probing && hasEntries && progress.probedInRound === undefined) {
         return sendEntries(state, diskId);
     }
-    const needsSnapshot = progress.nextIndex <= state.log.baseIndex;
-    // While a snapshot is in flight, an append after it would be rejected each time; one at index 0 never is.
-    const prevIndex = needsSnapshot ? 0 : progress.nextIndex - 1;
-    const heartbeat = send(progress.voter, appendMessage(state, role, prevIndex, []));
-    return andThen({ state, effects: [heartbeat] }, next => needsSnapshot ? sendEntries(next, diskId) : { state: next, effects: [] });
+    // While a probe or a snapshot is in flight, an append after it would be rejected each time; one at index 0 never is.
+    const isProbed = needsSnapshot || (progress.probing && progress.probedInRound !== undefined);
+    const message = appendMessage(state, role, isProbed ? 0 : progress.nextIndex - 1, []);
+    const heartbeat: ConsensusStep = { state, effects: [send(progress.voter, message)] };
+    return needsSnapshot && progress.probedInRound === undefined ? andThen(heartbeat, next => sendEntries(next, diskId)) : heartbeat;
 }
 
 function respond(state: ConsensusState, to: Identity, request: MessageOf<"append"> | MessageOf<"snapshot">, outcome: {
@@ -196,7 +196,7 @@
 function installSnapshot(state: ConsensusState, snapshot: MessageOf<"snapshot">["snapshot"]): ConsensusStep {
     const isPrefix = termAt(state.log, snapshot.index) === snapshot.term;
     const after = isPrefix ? entriesFrom(state.log, snapshot.index + 1, Number.MAX_SAFE_INTEGER) : [];
-    const log = { baseIndex: snapshot.index, baseTerm: snapshot.term, baseMembership: snapshot.membership, entries: after };
+    const log = createLog({ baseIndex: snapshot.index, baseTerm: snapshot.term, baseMembership: snapshot.membership }, after);
     const newest = newestMembership(log);
     const installed: ConsensusState = {
         ...state,
@@ -235,19 +235,22 @@
         confirmedRound: Math.max(earlier.confirmedRound, message.round),
         confirmedSentAtMs: Math.max(earlier.confirmedSentAtMs, message.sentAtMs),
     };
-    return message.success ? onAppendAccepted(state, progress, message.matchIndex) : onAppendRejected(state, progress, message);
+    return message.success ? onAppendAccepted(state, progress, message) : onAppendRejected(state, progress, message);
 }
 
-function onAppendAccepted(state: ConsensusState, earlier: Progress, acknowledgedIndex: number): ConsensusStep {
+function onAppendAccepted(state: ConsensusState, earlier: Progress, message: MessageOf<"append-response">): ConsensusStep {
+    const acknowledgedIndex = message.matchIndex;
     const matchIndex = Math.max(earlier.matchIndex, acknowledgedIndex);
     const needsSnapshot = earlier.nextIndex <= state.log.baseIndex && acknowledgedIndex < earlier.nextIndex;
     const nextIndex = Math.max(earlier.nextIndex, matchIndex + 1);
     const probing = needsSnapshot || (earlier.probing && acknowledgedIndex + 1 < earlier.nextIndex);
-    const progress: Progress = {
-        ...earlier, matchIndex, nextIndex, probing, snapshotSentAtMs: needsSnapshot ? earlier.snapshotSentAtMs : undefined,
-    };
-    const next = withProgress(state, progress);
-    return chain(next, later => probing ? { state: later, effects: [] } : sendEntries(later, progress.voter.diskId), transferWhenCaughtUp);
+    // A follower answers in order: if it has answered a later message first, what was sent to it is lost. Nothing is sent again before, so
+    // that a slow follower gets one message at a time, and one that is down gets none.
+    const isLost = message.round > (earlier.probedInRound ?? Number.POSITIVE_INFINITY);
+    const probedInRound = probing && !isLost ? earlier.probedInRound : undefined;
+    const next = withProgress(state, { ...earlier, matchIndex, nextIndex, probing, probedInRound });
+    const mustWait = probedInRound !== undefined;
+    return chain(next, later => mustWait ? { state: later, effects: [] } : sendEntries(later, earlier.voter.diskId), transferWhenCaughtUp);
 }
 
 function onAppendRejected(state: ConsensusState, earlier: Progress, message: MessageOf<"append-response">): ConsensusStep {
@@ -256,7 +259,7 @@
         return { state: withProgress(state, earlier), effects: [] };
     }
     const nextIndex = Math.max(earlier.matchIndex + 1, Math.min(message.prevIndex, message.hintIndex + 1));
-    const next = withProgress(state, { ...earlier, nextIndex, probing: true });
+    const next = withProgress(state, { ...earlier, nextIndex, probing: true, probedInRound: undefined });
     return sendEntries(next, earlier.voter.diskId);
 }
 
--- a/src/consensus/snapshot.ts
+++ b/src/consensus/snapshot.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { entriesFrom, termAt, compactedTo } from "./entries.js";
+import { bytesBetween, compactedExcept, entriesFrom, termAt } from "./entries.js";
 import type { Snapshot } from "./messages.js";
 import type { ConsensusState, ConsensusStep, Effect, StateMachine } from "./state.js";
 import { andThen, persist, withLeaderRole } from "./steps.js";
@@ -38,21 +38,18 @@
     return { state: proposals === undefined ? applied : withLeaderRole(applied, { pendingProposals: proposals }), effects };
 }
 
-/** Approximate size of one entry on disk. */
-const estimatedEntryBytes = 300;
-
 /**
- * Returns the number of entries until the next snapshot: as many as take twice the space of the last one. With a fixed number, a
- * voter with a large state would under load do little else than write snapshots.
+ * Returns the size of the entries until the next snapshot: twice that of the last one. With a fixed size, a voter with a large state would
+ * under load do little else than write snapshots.
  */
-export function entriesUntilSnapshot(minEntries: number, snapshotBytes: number): number {
-    return Math.max(minEntries, Math.ceil(2 * snapshotBytes / estimatedEntryBytes));
+export function bytesUntilSnapshot(minBytes: number, snapshotBytes: number): number {
+    return Math.max(minBytes, 2 * snapshotBytes);
 }
 
-/** Takes a snapshot once enough entries have been applied since the last one. */
+/** Takes a snapshot once entries of enough bytes have been applied since the last one. */
 export function takeSnapshotIfDue(state: ConsensusState): ConsensusStep {
-    const entriesSinceSnapshot = state.appliedIndex - (state.snapshot?.index ?? 0);
-    if (entriesSinceSnapshot < state.snapshotAfterEntries || state.appliedMembership === undefined || state.storageFault !== undefined) {
+    const bytesSinceSnapshot = bytesBetween(state.log, state.snapshot?.index ?? 0, state.appliedIndex);
+    if (bytesSinceSnapshot < state.snapshotAfterBytes || state.appliedMembership === undefined || state.storageFault !== undefined) {
         return { state, effects: [] };
     }
     const snapshot: Snapshot = {
@@ -62,6 +59,6 @@
         data: state.machine,
     };
     const after = entriesFrom(state.log, snapshot.index + 1, Number.MAX_SAFE_INTEGER);
-    const log = compactedTo(state.log, Math.max(state.log.baseIndex, snapshot.index - state.options.limits.trailingEntries));
+    const log = compactedExcept(state.log, snapshot.index, state.options.limits.trailingBytes);
     return andThen({ state: { ...state, snapshot, log }, effects: [] }, next => persist(next, { snapshot: { snapshot, after } }));
 }
--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -33,19 +33,17 @@
     readonly readTimeoutMs: number;
     /** Interval at which a process without a vote announces itself. */
     readonly helloMs: number;
-    /** Time after which an unacknowledged snapshot is sent again. */
-    readonly snapshotRetryMs: number;
 }
 
 export interface ConsensusLimits {
-    /** Minimum number of applied entries between two snapshots. */
-    readonly snapshotEntries: number;
-    /** Number of entries kept in memory behind a snapshot for followers that lag slightly. */
-    readonly trailingEntries: number;
-    /** Maximum number of entries in one message. */
-    readonly messageEntries: number;
-    /** Maximum number of unacknowledged entries in flight to a follower. */
-    readonly windowEntries: number;
+    /** Minimum size of the entries applied between two snapshots. */
+    readonly snapshotLogBytes: number;
+    /** Maximum size of the entries kept in memory behind a snapshot for followers that lag slightly. */
+    readonly trailingBytes: number;
+    /** Maximum size of the entries in one message; a larger entry is sent alone. */
+    readonly messageBytes: number;
+    /** Maximum size of the unacknowledged entries in flight to a follower; a larger entry is sent alone. */
+    readonly windowBytes: number;
 }
 
 export const defaultTimings: ConsensusTimings = {
@@ -59,14 +57,13 @@
     rejoinAfterMs: 3_000,
     readTimeoutMs: 3_000,
     helloMs: 500,
-    snapshotRetryMs: 2_000,
 };
 
 export const defaultLimits: ConsensusLimits = {
-    snapshotEntries: 2_000,
-    trailingEntries: 500,
-    messageEntries: 256,
-    windowEntries: 4_096,
+    snapshotLogBytes: 1024 * 1024,
+    trailingBytes: 512 * 1024,
+    messageBytes: 256 * 1024,
+    windowBytes: 2 * 1024 * 1024,
 };
 
 export interface ConsensusOptions {
@@ -91,7 +88,8 @@
     readonly matchIndex: number;
     /** True until an append matches; meanwhile only one message at a time is sent. */
     readonly probing: boolean;
-    readonly snapshotSentAtMs: number | undefined;
+    /** While probing, the round in which entries or a snapshot were sent; undefined if they are to be sent with the next heartbeat. */
+    readonly probedInRound: number | undefined;
     readonly lastContactAtMs: number;
     /** The newest round that the follower has echoed. */
     readonly confirmedRound: number;
@@ -171,8 +169,8 @@
     readonly votedFor: string | undefined;
     readonly log: Log;
     readonly snapshot: Snapshot | undefined;
-    /** Number of applied entries after which the next snapshot is taken; grows with the size of the last one. */
-    readonly snapshotAfterEntries: number;
+    /** Size of the applied entries after which the next snapshot is taken, in bytes; grows with the size of the last one. */
+    readonly snapshotAfterBytes: number;
     /** The newest membership in the log, committed or not, and its index. */
     readonly membership: Membership | undefined;
     readonly membershipIndex: number;
--- a/src/consensus/storage.ts
+++ b/src/consensus/storage.ts
@@ -7,6 +7,7 @@
 
 import { randomUUID } from "node:crypto";
 import * as path from "node:path";
+import { entryBytes } from "./entries.js";
 import { type FileOperations, type OpenFile, diskOperations, replaceFile } from "./files.js";
 import {
     type FolderContent, type LogRecord, openFolder, segmentName, segmentPattern, snapshotName, snapshotPattern,
@@ -65,6 +66,8 @@
 
 const defaultSegmentBytes = 8 * 1024 * 1024;
 const defaultRetryMs = 500;
+/** Maximum size of the entries written as one record; those of one effect are written together whatever their size. */
+const maxBatchBytes = 1024 * 1024;
 
 /** Opens the folder, creating it if necessary. Truncates a torn write at the end and rejects a damaged log. */
 export async function openStorage(options: StorageOptions): Promise<Storage> {
@@ -72,6 +75,18 @@
     return createWriter({ ...options, files, ...await openFolder(files, options.folder, options.voterId) });
 }
 
+/** Returns the first effects that are written as one batch: up to the next snapshot, or that snapshot alone if it comes first. */
+function nextBatch(queue: readonly PersistEffect[]): PersistEffect[] {
+    let bytes = 0;
+    const endPosition = queue.findIndex(({ snapshot, entries = [] }, position) => {
+        bytes += entries.reduce((sum, entry) => sum + entryBytes(entry), 0);
+        return position > 0 && (snapshot !== undefined || bytes > maxBatchBytes);
+    });
+    const isSnapshot = queue[0]!.snapshot !== undefined;
+    // A copy: writes requested while this batch is written are not part of it and must not be reported with it.
+    return queue.slice(0, isSnapshot ? 1 : endPosition < 0 ? queue.length : endPosition);
+}
+
 interface WriterOptions extends StorageOptions, FolderContent {
     readonly files: FileOperations;
 }
@@ -177,11 +192,8 @@
         callbacks!.synced(0);
     }
 
-    /** Writes the queued effects up to the next snapshot as one batch, or that snapshot if it comes first. */
     async function writeBatch(): Promise<void> {
-        const snapshotPosition = queue.findIndex(effect => effect.snapshot !== undefined);
-        // A copy: writes requested while this batch is written are not part of it and must not be reported with it.
-        const batch = queue.slice(0, snapshotPosition < 0 ? queue.length : Math.max(1, snapshotPosition));
+        const batch = nextBatch(queue);
         const newestVote = batch.findLast(effect => effect.vote !== undefined)?.vote;
         if (newestVote !== undefined) {
             vote = voteOf(newestVote);
--- a/src/consensus/transport.ts
+++ b/src/consensus/transport.ts
@@ -11,6 +11,7 @@
 import { type ConsensusEnvelope, ConsensusEnvelopeSchema, ConsensusService } from "../rpc/gen/zinnialanding/v1/consensus_pb.js";
 import { createSessionManager, type SessionManager } from "../rpc/sessionManager.js";
 import { type AddressedMessage, addressedMessageSchema } from "./messages.js";
+import { createSendQueue, type SendQueueLimits } from "./sendQueue.js";
 
 /** PEM certificates and key for links between daemons. */
 export interface LinkTls {
@@ -19,7 +20,7 @@
     readonly key: string;
 }
 
-export interface TransportOptions {
+export interface TransportOptions extends SendQueueLimits {
     readonly voterId: string;
     readonly tls?: LinkTls | undefined;
     /** Idle time after which the peer is pinged, and the time it has to answer. */
@@ -27,12 +28,12 @@
     readonly pingTimeoutMs: number;
     readonly backoffMinMs: number;
     readonly backoffMaxMs: number;
-    /** Maximum number of messages queued for one link; further ones are dropped. */
-    readonly maxQueuedMessages: number;
     readonly random?: () => number;
 }
 
-export const defaultTransport = { pingMs: 1_000, pingTimeoutMs: 1_000, backoffMinMs: 50, backoffMaxMs: 1_000, maxQueuedMessages: 2_000 };
+export const defaultTransport = {
+    pingMs: 1_000, pingTimeoutMs: 1_000, backoffMinMs: 50, backoffMaxMs: 1_000, maxQueuedMessages: 2_000, maxQueuedBytes: 4 * 1024 * 1024,
+};
 
 export interface Transport {
     /** Sends if the link is usable or can be opened; a message for a link in backoff is dropped. */
@@ -47,46 +48,6 @@
     close(): void;
 }
 
-/** Creates the queue from which a stream reads; closing it ends the stream. */
-function createSendQueue(limit: number) {
-    const queue: ConsensusEnvelope[] = [];
-    let wake: (() => void) | undefined;
-    let closed = false;
-    /** Since when messages have been queued without one being read. */
-    let stalledSinceMs: number | undefined;
-    return {
-        push(envelope: ConsensusEnvelope) {
-            if (queue.length < limit) {
-                queue.push(envelope);
-            }
-            stalledSinceMs ??= performance.now();
-            wake?.();
-        },
-        /** How long messages have been queued without one being read, in ms. */
-        get stalledMs() {
-            return queue.length === 0 || stalledSinceMs === undefined ? 0 : performance.now() - stalledSinceMs;
-        },
-        close() {
-            closed = true;
-            wake?.();
-        },
-        async* read(): AsyncGenerator<ConsensusEnvelope> {
-            while (!closed) {
-                const next = queue.shift();
-                stalledSinceMs = queue.length === 0 ? undefined : performance.now();
-                if (next !== undefined) {
-                    yield next;
-                    continue;
-                }
-                await new Promise<void>(resolve => {
-                    wake = resolve;
-                });
-                wake = undefined;
-            }
-        },
-    };
-}
-
 /** Opens a client for another voter, over its own connection. */
 export function openClient(address: string, options: Pick<TransportOptions, "tls" | "pingMs" | "pingTimeoutMs">): {
     client: Client<typeof ConsensusService>;
@@ -110,7 +71,7 @@
 
 function openLink(address: string, options: TransportOptions, onEnded: () => void): Link {
     const { client, session } = openClient(address, options);
-    const sendQueue = createSendQueue(options.maxQueuedMessages);
+    const sendQueue = createSendQueue(options);
     function close() {
         sendQueue.close();
         session.abort();
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -42,9 +42,6 @@
     stop(): Promise<void>;
 }
 
-/** Log entries between snapshots: a site's text can be large, and the log keeps every version since the last snapshot. */
-const snapshotEntries = 32;
-const trailingEntries = 16;
 /** Part of the stop timeout that is reserved for the final writes. */
 const stopMarginMs = 700;
 
@@ -86,7 +83,6 @@
             voterId: hostOf(listen.rpc!), address: listen.rpc!, dataFolder: daemon.dataFolder,
             peers: consensusPeers(settings),
             mayForm: controlSettings.firstStart, isOpen: true,
-            limits: { snapshotEntries, trailingEntries },
             logger: line => logger.info(line),
         })).singleton(),
     });
--- a/test/consensus/endedVoter.test.ts
+++ b/test/consensus/endedVoter.test.ts
@@ -46,6 +46,8 @@
 }
 
 const firstTerm = logOf(Array(16).fill(1));
+/** Each entry is about as large as a snapshot. */
+const largeEntries = logOf(Array(8).fill(1), Array.from({ length: 8 }, (_, index) => index + 1));
 const diverging = logOf([1, 1, ...Array(14).fill(2)]);
 const helloResponse: Message = { kind: "hello-response", empty: true, voterIds: ["a", "b", "c"] };
 
@@ -90,10 +92,10 @@
     },
     "snapshots of its own": {
         peers: [b, c],
-        snapshotEntries: 2,
+        snapshotLogBytes: 500,
         steps: [
-            append(b, 1, firstTerm.slice(0, 3), 3), append(b, 1, firstTerm.slice(0, 6), 4, 3),
-            append(b, 1, firstTerm.slice(0, 8), 7, 6),
+            append(b, 1, largeEntries.slice(0, 3), 3), append(b, 1, largeEntries.slice(0, 6), 4, 3),
+            append(b, 1, largeEntries.slice(0, 8), 7, 6),
         ],
     },
     "an empty disk that catches up": {
--- a/test/support/consensusInvariants.ts
+++ b/test/support/consensusInvariants.ts
@@ -6,7 +6,7 @@
  */
 
 import { applyCommand, type ClusterState, type Command, emptyCluster } from "../../src/cluster/index.js";
-import { lastIndexOf, termAt, withEntries } from "../../src/consensus/entries.js";
+import { createLog, lastIndexOf, termAt, withEntries } from "../../src/consensus/entries.js";
 import { holdsLease } from "../../src/consensus/lease.js";
 import type { Entry, Membership, Payload } from "../../src/consensus/messages.js";
 import type { ConsensusState, DiskImage, PersistEffect } from "../../src/consensus/state.js";
@@ -31,9 +31,7 @@
 /** Returns the content of a disk after a write. */
 export function diskAfterWrite(disk: DiskImage, write: PersistEffect): DiskImage {
     const base = write.snapshot === undefined ? disk : { ...disk, snapshot: write.snapshot.snapshot, entries: write.snapshot.after };
-    const log = {
-        baseIndex: base.snapshot?.index ?? 0, baseTerm: 0, baseMembership: undefined, entries: base.entries,
-    };
+    const log = createLog({ baseIndex: base.snapshot?.index ?? 0, baseTerm: 0, baseMembership: undefined }, base.entries);
     const entries = write.entries === undefined ? base.entries : withEntries(log, write.entries).entries;
     return { ...base, ...write.vote, entries, commitIndex: Math.max(disk.commitIndex, write.commitIndex ?? 0) };
 }
--- a/test/support/consensusWorld.ts
+++ b/test/support/consensusWorld.ts
@@ -12,7 +12,7 @@
 import { createConsensusReducer, nextTickMs } from "../../src/consensus/reducer.js";
 import { createInitialState } from "../../src/consensus/recovery.js";
 import {
-    type ProposalAnswer, type ConsensusEvent, type ConsensusTimings, type Effect, emptyDisk, type StateMachine,
+    type ProposalAnswer, type ConsensusEvent, type ConsensusLimits, type ConsensusTimings, type Effect, emptyDisk, type StateMachine,
 } from "../../src/consensus/state.js";
 import { createInvariantChecker, newestMembershipOnDisk, diskAfterWrite, type WorldNode as Node } from "./consensusInvariants.js";
 import { findContradiction, type Operation } from "./history.js";
@@ -24,9 +24,9 @@
 const reducer = createConsensusReducer(machine);
 const shortTimings: ConsensusTimings = {
     heartbeatMs: 100, electionTimeoutMinMs: 300, electionTimeoutMaxMs: 600, preVoteMs: 80, leaseMs: 220, voterSilenceTimeoutMs: 2_400,
-    admissionTimeoutMs: 2_400, rejoinAfterMs: 1_800, readTimeoutMs: 600, helloMs: 200, snapshotRetryMs: 500,
+    admissionTimeoutMs: 2_400, rejoinAfterMs: 1_800, readTimeoutMs: 600, helloMs: 200,
 };
-const limits = { snapshotEntries: 8, trailingEntries: 13, messageEntries: 4, windowEntries: 12 };
+const smallLimits: ConsensusLimits = { snapshotLogBytes: 2_400, trailingBytes: 3_900, messageBytes: 1_200, windowBytes: 3_600 };
 
 interface Packet {
     readonly from: Identity;
@@ -48,10 +48,14 @@
     readonly isOpen?: boolean;
     readonly disklessIds?: readonly string[];
     readonly timings?: ConsensusTimings;
+    readonly limits?: ConsensusLimits;
+    /** The size of what each change adds to the log. */
+    readonly changeBytes?: number;
+    readonly onMessage?: (message: Message) => void;
 }
 
 export function createWorld(seed: number, ids: readonly string[], spareIds: readonly string[] = [], options: WorldOptions = {}) {
-    const { isOpen = false, disklessIds = [], timings = shortTimings } = options;
+    const { isOpen = false, disklessIds = [], timings = shortTimings, limits = smallLimits, changeBytes = 0, onMessage } = options;
     const peerOf = ({ voterId }: { readonly voterId: string }) => ({ id: voterId, address: `${voterId}:1` });
     const peers = ids.map(voterId => peerOf({ voterId }));
     /** Permanently removed nodes; nodes started afterwards no longer list them in their settings. */
@@ -136,6 +140,7 @@
         if (!messageSchema.safeParse(message).success) {
             fail(`${node.voterId} sends an invalid message: ${JSON.stringify(message)}`);
         }
+        onMessage?.(message);
         if (!blockedLinks.has(`${node.voterId}>${toVoterId}`)) {
             network.push({ from: { voterId: node.voterId, diskId: node.diskId }, toVoterId, toDiskId, message });
         }
@@ -261,7 +266,7 @@
             const id = `change${++idCount}`;
             const value = { classes: [], services: [], organisations: [], dataCentres: [{ name: id, region: "r", drained: false }] };
             const command: Command = {
-                kind: "change-configuration", changeId: id, author: "o", atMs: 1, edits: [{ kind: "replace", configuration: value }],
+                kind: "change-configuration", changeId: id, author: `o${"-".repeat(changeBytes)}`, atMs: 1, edits: [{ kind: "replace", configuration: value }],
                 ...isConditional && node.state !== undefined ? { expectedVersion: versionAt(node) } : {},
             };
             callers.set(id, { id, invokedAt: ++step, command });
--- a/test/support/endingVoter.ts
+++ b/test/support/endingVoter.ts
@@ -49,7 +49,7 @@
     readonly peers: readonly Identity[];
     readonly steps: readonly ScriptStep[];
     readonly mayForm?: boolean;
-    readonly snapshotEntries?: number;
+    readonly snapshotLogBytes?: number;
     readonly segmentBytes?: number;
 }
 
@@ -127,7 +127,7 @@
         peers: [voterId, ...script.peers.map(peer => peer.voterId)].map(id => ({ id, address: `${id}:1` })),
         diskless: false,
         timings: defaultTimings,
-        limits: { ...defaultLimits, snapshotEntries: script.snapshotEntries ?? defaultLimits.snapshotEntries, trailingEntries: 0 },
+        limits: { ...defaultLimits, snapshotLogBytes: script.snapshotLogBytes ?? defaultLimits.snapshotLogBytes, trailingBytes: 0 },
         mayForm: script.mayForm ?? false,
         isOpen: true,
     }, machine, storage.image, nowMs, 0.5);
--- a/test/support/voterProcess.ts
+++ b/test/support/voterProcess.ts
@@ -15,7 +15,7 @@
 
 const [voterId, dataFolder, addresses] = process.argv.slice(2) as [string, string, string];
 const peers = addresses.split(",").map(pair => ({ id: pair.split("=")[0]!, address: `127.0.0.1:${pair.split("=")[1]}` }));
-const limits = { snapshotEntries: 100, trailingEntries: 10 };
+const limits = { snapshotLogBytes: 30_000, trailingBytes: 3_000 };
 const node = await createReplicatedLog({ voterId, peers, dataFolder, timings: quickTimings, limits });
 const server = http2.createServer(connectNodeAdapter({ routes: node.routes }));
 server.listen(Number(peers.find(peer => peer.id === voterId)!.address.split(":")[1]), "127.0.0.1");
--- a/test/support/voters.ts
+++ b/test/support/voters.ts
@@ -17,7 +17,7 @@
 export const quickTimings = {
     heartbeatMs: 50, electionTimeoutMinMs: 400, electionTimeoutMaxMs: 800, preVoteMs: 100, leaseMs: 300,
     voterSilenceTimeoutMs: 3_200, admissionTimeoutMs: 3_200, rejoinAfterMs: 2_400, readTimeoutMs: 800,
-    helloMs: 100, snapshotRetryMs: 500,
+    helloMs: 100,
 };
 
 export interface VoterHost {
