Keep as many voters as an acknowledgement has to outlive

A configuration that two of six control VMs acknowledged is gone with their disks, and nobody leads again.

Cause: a silent voter was removed whenever the number of voters was even or a process was being admitted; each returning VM cost every silent voter its vote, six voters became three. The tolerated losses were in no setting.

With d, voters are removed for silence only from an even number above 2d + 1; otherwise the successor is admitted first and the silent voter goes after it. A wiped voter's lost disk goes first while 2d voters stay, otherwise its new disk is added first.

Why it works: any majority of 2d voters or more is d + 1 disks, and 2d + 1 voters elect without d of them.

--- a/src/config/siteSettings.ts
+++ b/src/config/siteSettings.ts
@@ -39,6 +39,8 @@
         rpcPort: z.number().int().positive().max(65_535),
         /** True only when the whole site is started for the first time. */
         firstStart: z.boolean(),
+        /** The number of disks that the site may lose at once without losing what was acknowledged; unset if it isn't known. */
+        toleratedDiskLosses: z.number().int().min(0).max(50).optional(),
         /** The interval at which upstreams announce themselves. */
         heartbeatMs: z.number().positive().max(3_600_000).default(1_200),
     }),
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -1,6 +1,9 @@
 /**
- * Membership changes, one voter at a time. A wiped voter is readmitted in two changes: the first removes its lost disk, the second adds
- * the new one. So the majorities of any two consecutive memberships overlap, even if the lost disk comes back later.
+ * Membership changes, one voter at a time, so that the majorities of any two consecutive memberships overlap. A wiped voter is readmitted
+ * in two changes, since its lost disk may come back later: one removes the lost disk, the other adds the new one.
+ *
+ * To lose nothing with `d` disks, an entry must be on `d + 1` before it is acknowledged, and what is left must still elect a leader. So the
+ * leader of an open cluster never goes below `2d + 1` voters because of silence, and below them by one only while it replaces a lost disk.
  *
  * @module
  */
@@ -86,13 +89,16 @@
             return writeMembership(state, { clusterId, formed, voters }, `consensus: ${admitting.voterId} stopped responding before it could be admitted`);
         }
         const learner = findCaughtUpLearner(state, voter => voter.voterId === admitting.voterId);
-        return learner === undefined ? { state, effects: [] } : replaceSilentOrAdmit(state, membership, learner);
+        return learner === undefined ? { state, effects: [] } : admitOnceSettled(state, membership, learner);
     }
     const wiped = findCaughtUpLearner(state, voter => membership.voters.some(other => other.voterId === voter.voterId));
     if (wiped === undefined || membership.voters.length === 1) {
         const step = removeSilentVoter(state, membership);
         return step.effects.length === 0 ? startNextAdmission(state) : step;
     }
+    if (state.options.isOpen && !mayRemoveLostDiskFirst(state, membership)) {
+        return admit(state, membership, wiped);
+    }
     const voters = membership.voters.filter(voter => voter.voterId !== wiped.voterId);
     const line = `consensus: ${wiped.voterId} came back with a new disk and has caught up; its lost disk no longer votes`;
     return writeMembership(state, { ...membership, voters, admitting: { voterId: wiped.voterId, address: wiped.address } }, line);
@@ -114,12 +120,21 @@
 }
 
 /**
- * Admits a process that has caught up, after removing a silent voter if there is one. If successors were added beside voters that never
- * come back, the quorum would grow until the number of losses that the site must tolerate leaves no majority.
+ * Whether the lost disk of a wiped voter may be removed before the new one is added. That order needs the fewest voters meanwhile, but it
+ * leaves one disk fewer that acknowledges. Without a stated tolerance, an even number of voters may already be one too few.
+ */
+function mayRemoveLostDiskFirst({ options }: ConsensusState, { voters }: Membership): boolean {
+    const { toleratedDiskLosses } = options;
+    return toleratedDiskLosses === undefined ? voters.length % 2 === 1 : voters.length > 2 * toleratedDiskLosses;
+}
+
+/**
+ * Admits a process that has caught up, once it is known which voters are silent: one of them is removed before the admission or right after
+ * it, whichever leaves enough voters. If successors were added beside voters that never come back, the quorum would grow until the number
+ * of losses that the site must tolerate leaves no majority.
  */
-function replaceSilentOrAdmit(state: ConsensusState, membership: Membership, learner: Voter): ConsensusStep {
-    const isReturningVoter = membership.voters.some(voter => voter.voterId === learner.voterId);
-    if (!state.options.isOpen || isReturningVoter) {
+function admitOnceSettled(state: ConsensusState, membership: Membership, learner: Voter): ConsensusStep {
+    if (!state.options.isOpen) {
         return admit(state, membership, learner);
     }
     if (!hasSettledReachability(state, membership)) {
@@ -139,18 +154,21 @@
 }
 
 /**
- * Removes a silent voter if the number of voters is even or a successor has caught up. A VM that was replaced never comes back, and its
- * vote would count against every majority forever; an even number of voters tolerates no more losses than one fewer. A voter that does
- * come back asks to be admitted again.
+ * Removes a silent voter if the number of voters is even and above what the tolerated losses need, or if the voter has another disk since
+ * that votes. A VM that was replaced never comes back, and its vote would count against every majority forever; an even number of voters
+ * tolerates no more losses than one fewer. A voter that does come back asks to be admitted again.
  */
 function removeSilentVoter(state: ConsensusState, membership: Membership): ConsensusStep {
     const role = state.role as LeaderRole;
-    const mayShrink = membership.voters.length % 2 === 0 || membership.admitting !== undefined;
-    const silent = membership.voters.find(voter => isSilent(state, role.progress[voter.diskId]));
-    if (!state.options.isOpen || !mayShrink || silent === undefined) {
+    const { voters: current } = membership;
+    const mayShrink = current.length % 2 === 0 && current.length > 2 * (state.options.toleratedDiskLosses ?? 0) + 1;
+    const isSuperseded = (voter: Voter) => current.some(other => other !== voter && other.voterId === voter.voterId);
+    const silentVoters = current.filter(voter => isSilent(state, role.progress[voter.diskId]));
+    const silent = silentVoters.find(isSuperseded) ?? (mayShrink ? silentVoters[0] : undefined);
+    if (!state.options.isOpen || silent === undefined) {
         return { state, effects: [] };
     }
-    const voters = membership.voters.filter(voter => voter.diskId !== silent.diskId);
+    const voters = current.filter(voter => voter.diskId !== silent.diskId);
     if (removalRefusal(state, voters) !== undefined) {
         return { state, effects: [] };
     }
--- a/src/consensus/node.ts
+++ b/src/consensus/node.ts
@@ -35,6 +35,8 @@
     readonly address?: string;
     readonly mayForm?: boolean;
     readonly isOpen?: boolean;
+    /** The number of disks that the site may lose at once; unset: what the number of voters implies. */
+    readonly toleratedDiskLosses?: number | undefined;
     readonly timings?: Partial<ConsensusTimings>;
     readonly limits?: Partial<ConsensusLimits>;
     readonly transport?: Partial<typeof defaultTransport>;
@@ -100,6 +102,7 @@
         diskless: options.dataFolder === undefined,
         mayForm: options.mayForm ?? true,
         isOpen: options.isOpen ?? false,
+        toleratedDiskLosses: options.toleratedDiskLosses,
         address: options.address ?? options.peers.find(peer => peer.id === options.voterId)?.address ?? "",
         peers: options.peers,
         timings: { ...defaultTimings, ...options.timings },
--- a/src/consensus/state.ts
+++ b/src/consensus/state.ts
@@ -79,6 +79,8 @@
     readonly mayForm: boolean;
     /** Whether the cluster is open: its leader admits processes that announce themselves and removes silent voters by itself. */
     readonly isOpen: boolean;
+    /** The number of disks that the site may lose at once, if its settings state it: the leader of an open cluster keeps enough voters. */
+    readonly toleratedDiskLosses?: number | undefined;
 }
 
 /** The leader's replication state for one other identity. */
--- a/src/siteDaemon.ts
+++ b/src/siteDaemon.ts
@@ -82,7 +82,7 @@
         log: asFunction(({ logger }: Cradle) => createReplicatedLog({
             voterId: hostOf(listen.rpc!), address: listen.rpc!, dataFolder: daemon.dataFolder,
             peers: consensusPeers(settings),
-            mayForm: controlSettings.firstStart, isOpen: true,
+            mayForm: controlSettings.firstStart, isOpen: true, toleratedDiskLosses: controlSettings.toleratedDiskLosses,
             logger: line => logger.info(line),
         })).singleton(),
     });
--- a/standin/platform/daemons.ts
+++ b/standin/platform/daemons.ts
@@ -86,7 +86,8 @@
 const endingSignals: readonly NodeJS.Signals[] = ["SIGTERM", "SIGKILL"];
 
 function formatSettings(daemon: DaemonSpec, seeds: readonly string[], firstStart: boolean, options: SiteProcessesOptions): string {
-    const { port, memoryLimitMb } = options;
+    const { port, memoryLimitMb, controls, diskless = [] } = options;
+    const toleratedDiskLosses = Math.max(0, Math.floor((controls - diskless.length - 1) / 2));
     const listen = daemon.role === "entry"
         ? `callers = ${daemon.host}:${port}\nready = ${daemon.host}:${port + 1}\nmetrics = ${daemon.host}:${port + 4}`
         : `control = ${daemon.host}:${port + 2}\nrpc = ${daemon.host}:${port + 3}\nmetrics = ${daemon.host}:${port + 4}`;
@@ -101,6 +102,7 @@
 seeds = ${seeds.join(",")}
 rpc_port = ${port + 3}
 first_start = ${firstStart}
+tolerated_disk_losses = ${toleratedDiskLosses}
 [repeats]
 ratio = 0.2
 slack = 160
--- a/test/support/consensusWorld.ts
+++ b/test/support/consensusWorld.ts
@@ -49,13 +49,15 @@
     readonly disklessIds?: readonly string[];
     readonly timings?: ConsensusTimings;
     readonly limits?: ConsensusLimits;
+    readonly toleratedDiskLosses?: number;
     /** The size of what each change adds to the log. */
     readonly changeBytes?: number;
     readonly onMessage?: (message: Message) => void;
 }
 
 export function createWorld(seed: number, ids: readonly string[], spareIds: readonly string[] = [], options: WorldOptions = {}) {
-    const { isOpen = false, disklessIds = [], timings = shortTimings, limits = smallLimits, changeBytes = 0, onMessage } = options;
+    const { isOpen = false, disklessIds = [], timings = shortTimings, limits = smallLimits } = options;
+    const { changeBytes = 0, onMessage, toleratedDiskLosses } = options;
     const peerOf = ({ voterId }: { readonly voterId: string }) => ({ id: voterId, address: `${voterId}:1` });
     const peers = ids.map(voterId => peerOf({ voterId }));
     /** Permanently removed nodes; nodes started afterwards no longer list them in their settings. */
@@ -101,7 +103,7 @@
         const startOptions = {
             self: { voterId: node.voterId, diskId: node.diskId }, address: ownPeer.address, timings, limits,
             peers: isOpen || ids.includes(node.voterId) ? seedPeers : [...seedPeers, ownPeer], diskless: disklessIds.includes(node.voterId),
-            mayForm: !isOpen || node.lives === 0, isOpen,
+            mayForm: !isOpen || node.lives === 0, isOpen, toleratedDiskLosses,
         };
         node.lives++;
         node.state = createInitialState(startOptions, machine, node.disk, clockOf(node), random());
