Search for the end of an event in new bytes only

Cause: both edges joined each chunk with what they held of the event and went over all of it again, up to 8 MiB: work that grows with the square of the size, on the only thread.

Change: only the new chunk and the two bytes before it are searched; an event above 1 MiB is given up, as 24 of 8 MiB are more than a sidecar has.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -22,7 +22,7 @@
  */
 const maxBufferedBytes = 262_144;
 /** An event of this size is taken for one without end. It is far above what engines put into an event. */
-const maxEventBytes = 8 * 1_048_576;
+const maxEventBytes = 1_048_576;
 /** How often an attempt checks whether it is stalled. */
 const stallCheckIntervalMs = 100;
 
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -52,30 +52,52 @@
     return [...events.matchAll(/(?:^|\n)id:[ ]?([^\r\n]*)/g)].at(-1)?.[1];
 }
 
-/** Creates a splitter for a new stream. */
+const noBytes: Buffer = Buffer.alloc(0);
+/** The bytes of an event's end that may come before the chunk with its last byte. */
+const maxEndBytes = 2;
+
+/** Creates a splitter for a new stream. The work for a chunk doesn't depend on the size of the incomplete event. */
 export function createEventSplitter(): EventSplitter {
-    let partial: Buffer = Buffer.alloc(0);
+    let partial: Buffer[] = [];
+    let partialBytes = 0;
+    /** The last bytes of the incomplete event. */
+    let partialEnd: Buffer = noBytes;
     let lastId: string | undefined;
+
+    function restart(rest: Buffer) {
+        partial = rest.length === 0 ? [] : [rest];
+        partialBytes = rest.length;
+        partialEnd = rest.subarray(-maxEndBytes);
+    }
+
     return {
         push(chunk) {
-            const bytes = partial.length === 0 ? chunk : Buffer.concat([partial, chunk]);
-            const end = endOfLastEvent(bytes);
-            partial = bytes.subarray(end);
-            const complete = bytes.subarray(0, end);
-            lastId = end === 0 ? lastId : lastIdIn(complete.toString("latin1")) ?? lastId;
+            const searched = partialEnd.length === 0 ? chunk : Buffer.concat([partialEnd, chunk]);
+            const end = endOfLastEvent(searched);
+            if (end === 0) {
+                partial.push(chunk);
+                partialBytes += chunk.length;
+                partialEnd = searched.subarray(-maxEndBytes);
+                return noBytes;
+            }
+            const rest = searched.subarray(end);
+            const last = chunk.subarray(0, chunk.length - rest.length);
+            const complete = partial.length === 0 ? last : Buffer.concat([...partial, last]);
+            restart(rest);
+            lastId = lastIdIn(complete.toString("latin1")) ?? lastId;
             return complete;
         },
         get lastId() {
             return lastId;
         },
         get isAtBoundary() {
-            return partial.length === 0;
+            return partialBytes === 0;
         },
         get partialBytes() {
-            return partial.length;
+            return partialBytes;
         },
         discardPartial() {
-            partial = Buffer.alloc(0);
+            restart(noBytes);
         },
     };
 }
--- a/src/sidecar/upstream.ts
+++ b/src/sidecar/upstream.ts
@@ -8,6 +8,7 @@
 import type { Dispatcher } from "undici";
 import type { Header, RunRequest } from "../rpc/index.js";
 import type { Engine } from "./engine.js";
+import { createBlockSplitter } from "./eventBlocks.js";
 
 /** An event of the upstream's answer. */
 export type UpstreamEvent =
@@ -26,7 +27,7 @@
 const connectFailureCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
 const doneMarker = "[DONE]";
 /** An event of this size is taken for one without end. It is far above what engines put into an event. */
-const maxEventChars = 8 * 1_048_576;
+const maxEventChars = 1_048_576;
 
 function forwardedHeaders(headers: readonly Header[]): Record<string, string> {
     return Object.fromEntries(headers.filter(header => !hopByHopHeaders.has(header.name)).map(({ name, value }) => [name, value]));
@@ -42,12 +43,10 @@
 async function* serverSentData(body: AsyncIterable<Uint8Array>): AsyncGenerator<Uint8Array> {
     const decoder = new TextDecoder();
     const encoder = new TextEncoder();
-    let buffered = "";
+    const splitter = createBlockSplitter();
     for await (const part of body) {
-        buffered += decoder.decode(part, { stream: true });
-        const blocks = buffered.split("\n\n");
-        buffered = blocks.pop()!;
-        if (buffered.length > maxEventChars) {
+        const blocks = splitter.push(decoder.decode(part, { stream: true }));
+        if (splitter.partialChars > maxEventChars) {
             throw new Error("an event is too large");
         }
         for (const block of blocks) {
