Don't forward statuses that HTTP doesn't have

What callers saw: elsewhere, an upstream's status 000 reached a client as an answer. Here 600 to 999 did, at both edges.

Cause: the HTTP client rejects statuses below 100 and lets those above 599 through; nothing checked them.

Change: such an answer counts as none of the request's, at the entry as at the sidecar.

--- a/src/gateway/answerOrigin.ts
+++ b/src/gateway/answerOrigin.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { maxStatus } from "../http/index.js";
 import { type HeaderNames, headerValue } from "./headers.js";
 
 const plainCodings: ReadonlySet<string> = new Set(["chunked", "identity"]);
@@ -17,6 +18,9 @@
 
 /** Returns why an answer can't be the upstream's answer to the request with `attemptId`, or undefined. */
 export function foreignReason({ status, rawHeaders }: AnswerHead, attemptId: string, names: HeaderNames): string | undefined {
+    if (status > maxStatus) {
+        return `the answer has status ${status}, which HTTP doesn't have`;
+    }
     if (headerValue(rawHeaders, names.attemptId) !== attemptId) {
         return "the answer bears another request's id";
     }
--- a/src/sidecar/upstream.ts
+++ b/src/sidecar/upstream.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Dispatcher } from "undici";
+import { maxStatus } from "../http/index.js";
 import type { Header, RunRequest } from "../rpc/index.js";
 import type { Engine } from "./engine.js";
 import { createBlockSplitter } from "./eventBlocks.js";
@@ -91,6 +92,9 @@
             highWaterMark: Number.MAX_SAFE_INTEGER,
         });
         hasResponse = true;
+        if (answer.statusCode > maxStatus) {
+            throw new Error(`the upstream answered with status ${answer.statusCode}, which HTTP doesn't have`);
+        }
         connection.pause();
         yield { kind: "started", status: answer.statusCode, headers: answerHeaders(answer) };
         connection.resume();
