Take no action in a stop that may not be finished

What callers saw: elsewhere, requests that came late in the grace of a planned stop were cut at its end, also such as may not be repeated.

Cause: here what comes after the listener should have closed is taken only if it is certain to be final in time. In the seconds before, everything was taken, and an action with a time-out beyond the grace ended with its outcome unknown.

Change: what may run only once is held to the strict rule from SIGTERM on: it is refused as not run, with Retry-After 0, and another entry serves it.

--- a/src/gateway/parsedRequest.ts
+++ b/src/gateway/parsedRequest.ts
@@ -37,6 +37,11 @@
     readonly giveUpAtMs: number;
 }
 
+/** Whether a request on `route` may be sent again although it may have run. */
+export function isRepeatable(route: Route): boolean {
+    return route.kind === "idempotent" || (route.kind === "stream" && route.isResumable);
+}
+
 /** How long an answer that was sent before the end of its request's body waits for the rest of the body. */
 const lingerMs = 1_000;
 
--- a/src/gateway/request.ts
+++ b/src/gateway/request.ts
@@ -15,7 +15,7 @@
 import { createContainment } from "../runtime/index.js";
 import { type AdmissionDecision, releaseRoom } from "./admissionTypes.js";
 import type { CallerAnswer } from "./answer.js";
-import type { ParsedRequest } from "./parsedRequest.js";
+import { isRepeatable as mayRepeat, type ParsedRequest } from "./parsedRequest.js";
 import { startAttempt } from "./attempt.js";
 import type { AttemptFailure } from "./attemptFailure.js";
 import { mayTryAgain } from "./attemptLimits.js";
@@ -42,7 +42,7 @@
     const { names, balancer, logger } = dependencies;
     const { route } = request;
     const isStream = route.kind === "stream";
-    const isRepeatable = route.kind === "idempotent" || (isStream && route.isResumable);
+    const isRepeatable = mayRepeat(route);
     const service = chooseService(route, dependencies.random());
     const engine = request.table.service(service)?.engine;
     const coldRequestsPerSecond = request.table.service(service)?.coldRequestsPerSecond ?? 0;
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -14,7 +14,7 @@
 import { createCallerConnection } from "./callerConnection.js";
 import type { Holder, Memory } from "./memory/index.js";
 import {
-    hasContent, headersSize, type ParsedRequest, messageHeader, readBody, readHead, type Refusal, whenBodyRead,
+    hasContent, headersSize, isRepeatable, type ParsedRequest, messageHeader, readBody, readHead, type Refusal, whenBodyRead,
 } from "./parsedRequest.js";
 import { startRequest } from "./request.js";
 import type { RequestDependencies, RunningRequest } from "./requestTypes.js";
@@ -93,8 +93,8 @@
     runningRequest: RunningRequest | undefined;
     /** When its answer is final at the latest. 0 until its head has been read. */
     giveUpAtMs: number;
-    /** Whether another request can continue the answer. */
-    isResumable: boolean;
+    /** Undefined until its head has been read. */
+    route: ParsedRequest["route"] | undefined;
     isClosed: boolean;
 }
 
@@ -117,9 +117,10 @@
         return Math.max(...onSameConnection.slice(0, onSameConnection.indexOf(served) + 1).map(({ giveUpAtMs }) => giveUpAtMs));
     }
 
-    /** Whether a request's answer is certain to be sent before the shutdown may cut it off. */
-    function canFinishInTime(served: ServedRequest): boolean {
-        return dependencies.nowMs() < strictAdmissionFromMs || latestSendAtMs(served) + answerFlushMs <= cutOffAtMs;
+    /** Whether the shutdown leaves a request its time. One that may run only once is taken only if its answer is certain to be sent. */
+    function canFinishInTime(served: ServedRequest, route: ParsedRequest["route"]): boolean {
+        const isStrict = dependencies.nowMs() >= strictAdmissionFromMs || !isRepeatable(route);
+        return !isStrict || latestSendAtMs(served) + answerFlushMs <= cutOffAtMs;
     }
 
     function finish(served: ServedRequest) {
@@ -182,12 +183,13 @@
             refuseEarly(served, head.refused);
             return;
         }
+        const { route, model } = head.request;
         served.giveUpAtMs = head.request.giveUpAtMs;
-        if (!canFinishInTime(served)) {
+        served.route = route;
+        if (!canFinishInTime(served, route)) {
             refuseStopping(served);
             return;
         }
-        const { route, model } = head.request;
         const hold = dependencies.startHold?.untilUpstreams(route, model, arrivedAtMs, caller);
         if (hold !== undefined) {
             await hold;
@@ -196,7 +198,6 @@
                 return;
             }
         }
-        served.isResumable = head.request.route.kind === "stream" && head.request.route.isResumable;
         if (dependencies.memory.refusesBodies && hasContent(message)) {
             refuseBody(served, "too much is held for other requests", head.request.deadlineAtMs);
             return;
@@ -217,7 +218,7 @@
             return;
         }
         // Reading the body may have taken long.
-        if (!canFinishInTime(served)) {
+        if (!canFinishInTime(served, route)) {
             refuseStopping(served);
             return;
         }
@@ -237,11 +238,12 @@
             onDrain: () => served.runningRequest?.resume(),
             onWritten: dependencies.memory.isBounded ? contained(() => holder.hold("caller", response.writableLength)) : undefined,
         });
-        const holder = dependencies.memory.open(createCallerConnection(response, answer, attemptId, () => served.isResumable));
+        const holder = dependencies.memory.open(createCallerConnection(response, answer, attemptId, () =>
+            served.route?.kind === "stream" && served.route.isResumable));
         holder.hold("head", headersSize(message.rawHeaders));
         const served: ServedRequest = {
             attemptId, message, response, place, answer, holder,
-            runningRequest: undefined, giveUpAtMs: 0, isResumable: false, isClosed: false,
+            runningRequest: undefined, giveUpAtMs: 0, route: undefined, isClosed: false,
         };
         running.add(served);
         runningBySocket.get(message.socket)?.add(served);
