Keep lines in the bundle, so that a failed assertion costs no minutes

Entries hang for good while upstreams fail with large bodies and close their connections.

Cause: an assertion of the HTTP client fails, and Node.js describes one without a text by parsing its source line; the bundle had lines of up to 337,996 characters.

That the answer is given up within the client's callback is not changed here.

--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -27,6 +27,8 @@
     // Identifiers are not minified, so that stack traces stay readable.
     minifyWhitespace: true,
     minifySyntax: true,
+    // Node.js builds the text of a failed assertion from its source line, which takes minutes if the line is the whole program.
+    lineLimit: 160,
     define: { "import.meta.url": "__moduleUrl" },
     banner: { js: "const __moduleUrl = require('node:url').pathToFileURL(__filename).href;" },
     plugins: [undiciParts],
