An answer to an append of an earlier term confirms no round

What callers could see: a stale read. A leader that is elected again counts its rounds from 0; the answer to an append of its earlier term, given by a voter that is in the new term already, carried the round of the earlier one, and would confirm rounds not begun yet.

Cause: the refusal of a stale append echoed its round and time, and bears the voter's present term, which the leader takes for its own.

Change: such a refusal carries round 0 and time 0. Answers that were held for the disk bear the term in which they were made, and are dropped by a leader of another one.

--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -129,6 +129,13 @@
     return sendWhenDurable(state, to, { kind: "append-response", term: state.term, ...outcome, round, sentAtMs });
 }
 
+/** Tells a sender of an earlier term that there is a later one. Rounds count within a term, so this answer confirms none. */
+function respondToStaleLeader(state: ConsensusState, to: Identity, prevIndex: number): ConsensusStep {
+    return sendWhenDurable(state, to, {
+        kind: "append-response", term: state.term, success: false, matchIndex: 0, prevIndex, hintIndex: 0, round: 0, sentAtMs: 0,
+    });
+}
+
 /** Records contact with the leader of `term`. */
 function recordLeaderContact(state: ConsensusState, from: Identity, term: number, random: number): ConsensusStep {
     const contacted: ConsensusState = {
@@ -140,7 +147,7 @@
 
 export function onAppend(state: ConsensusState, from: Identity, message: MessageOf<"append">, random: number): ConsensusStep {
     if (message.term < state.term) {
-        return respond(state, from, message, { success: false, matchIndex: 0, prevIndex: message.prevIndex, hintIndex: 0 });
+        return respondToStaleLeader(state, from, message.prevIndex);
     }
     return andThen(recordLeaderContact(state, from, message.term, random), next => appendFromLeader(next, from, message));
 }
@@ -183,7 +190,7 @@
 export function onSnapshot(state: ConsensusState, from: Identity, message: MessageOf<"snapshot">, random: number): ConsensusStep {
     const { snapshot } = message;
     if (message.term < state.term) {
-        return respond(state, from, message, { success: false, matchIndex: 0, prevIndex: snapshot.index, hintIndex: 0 });
+        return respondToStaleLeader(state, from, snapshot.index);
     }
     return andThen(recordLeaderContact(state, from, message.term, random), next => {
         const installed = snapshot.index <= next.commitIndex ? { state: next, effects: [] } : installSnapshot(next, snapshot);
--- a/test/consensus/safeguards.test.ts
+++ b/test/consensus/safeguards.test.ts
@@ -57,6 +57,21 @@
         expect([world.leader(), a.state!.term]).to.deep.equal([a, term]);
     });
 
+    // Guards against a stale read: the answer to an append of an earlier term would confirm rounds that the leader has not begun yet.
+    it("confirms no round by the answer to an append of an earlier term", () => {
+        const { world, a, b } = createFormedRegion();
+        const leaderOf = () => a.state!.role.kind === "leader" ? a.state!.role : undefined;
+        const { clusterId } = a.state!.membership!;
+        const sentAtMs = Number.MAX_SAFE_INTEGER;
+        world.actions.deliverMessage(a, b, {
+            kind: "append", clusterId, term: a.state!.term - 1, prevIndex: 0, prevTerm: 0, entries: [], commitIndex: 0, round: 1_000_000, sentAtMs,
+        });
+        world.actions.runFaultFree(10);
+        const { progress, round } = leaderOf()!;
+        expect(progress[b.diskId]!.confirmedRound).to.be.at.most(round);
+        expect(progress[b.diskId]!.confirmedSentAtMs).to.be.below(sentAtMs);
+    });
+
     // All processes are killed after many changes since the last snapshot. Until a leader is elected, each voter would send its
     // watchers the configuration of that snapshot: a revoked key would be valid again, and a new route unknown.
     it("shows an accepted change again after all voters have restarted, before there is a leader", () => {
--- a/test/support/consensusWorld.ts
+++ b/test/support/consensusWorld.ts
@@ -198,6 +198,9 @@
                 deliverPacket(packet);
             }
         },
+        /** Delivers a message that is not in the network, such as one that was under way for long. */
+        deliverMessage: (from: Node, to: Node, message: Message) =>
+            dispatch(to, { kind: "message", from: { voterId: from.voterId, diskId: from.diskId }, toDiskId: to.diskId, message }),
         drop: (choice: number) => void (network.length > 0 && network.splice(choice % network.length, 1)),
         dropAll: () => void network.splice(0),
         duplicate: (choice: number) => void (network.length > 0 && network.push(network[choice % network.length]!)),
