Give up an upstream that sends informational answers without end

What callers could see: requests of others that wait while an upstream sends 1xx answers without end, each of which the HTTP client parses and reports. Nothing is held, but the work is on the only thread, until the request's own time is over.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -9,7 +9,7 @@
 
 import { connect as connectTcp, type Socket } from "node:net";
 import { Client, type Dispatcher } from "undici";
-import { createReadGate, type ReadGate } from "../http/index.js";
+import { createReadGate, maxInformationalAnswers, type ReadGate } from "../http/index.js";
 import { splitAddress } from "../rpc/index.js";
 import { startAnswerTimeout } from "../runtime/index.js";
 
@@ -147,6 +147,7 @@
         let isStarting = true;
         let isOver = false;
         let isSent = false;
+        let informationalAnswers = 0;
 
         function release(isReusable: boolean) {
             isOver = true;
@@ -181,7 +182,14 @@
                 }
             },
             onResponseStart(responseController, status) {
-                if (isOver || status < 200) {
+                if (isOver) {
+                    return;
+                }
+                if (status < 200) {
+                    informationalAnswers++;
+                    if (informationalAnswers > maxInformationalAnswers) {
+                        responseController.abort(new Error("too many informational answers"));
+                    }
                     return;
                 }
                 const raw = (responseController.rawHeaders ?? []) as (Buffer | string)[];
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -5,4 +5,4 @@
 export { createReadGate, type ReadGate } from "./readGate.js";
 export { createWaitingCallers, type WaitingCaller, type WaitingCallers } from "./waitingCallers.js";
 export { parseAmount, parseRetryAfterMs } from "./retryAfter.js";
-export { maxStatus } from "./status.js";
+export { maxInformationalAnswers, maxStatus } from "./status.js";
--- a/src/sidecar/upstream.ts
+++ b/src/sidecar/upstream.ts
@@ -6,7 +6,7 @@
  */
 
 import type { Dispatcher } from "undici";
-import { maxStatus } from "../http/index.js";
+import { maxInformationalAnswers, maxStatus } from "../http/index.js";
 import type { Header, RunRequest } from "../rpc/index.js";
 import type { Engine } from "./engine.js";
 import { createBlockSplitter } from "./eventBlocks.js";
@@ -82,6 +82,7 @@
 export async function* runUpstream(engine: Engine, run: RunRequest, signal: AbortSignal): AsyncGenerator<UpstreamEvent> {
     const connection = engine.connect();
     let hasResponse = false;
+    let informationalAnswers = 0;
     try {
         const answer = await connection.client.request({
             path: run.path,
@@ -89,6 +90,12 @@
             headers: { ...forwardedHeaders(run.headers), "x-request-id": run.attemptId, ...(run.traceparent === "" ? {} : { traceparent: run.traceparent }) },
             body: requestBody(run),
             signal,
+            onInfo() {
+                informationalAnswers++;
+                if (informationalAnswers > maxInformationalAnswers) {
+                    throw new Error("too many informational answers");
+                }
+            },
             highWaterMark: Number.MAX_SAFE_INTEGER,
         });
         hasResponse = true;
--- a/test/gateway/endlessBytes.test.ts
+++ b/test/gateway/endlessBytes.test.ts
@@ -22,6 +22,23 @@
     "in an event": [`HTTP/1.1 200 OK\r\n${echo}Content-Type: text/event-stream\r\n\r\n`, "x".repeat(piece)],
 };
 
+describe("informational answers of an upstream", () => {
+    // Guards against an entry that reads them for as long as they come, which costs the requests of others.
+    for (const [count, status] of [[3, 200], [2_000, 502]] as const) {
+        it(`end its request if there are too many: ${count}`, async () => {
+            const upstream = await startRawUpstream((request, socket) => socket.write(
+                `${"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n".repeat(count)}HTTP/1.1 200 OK\r\n` +
+                `Zinnialanding-Attempt-Id: ${request.header("Zinnialanding-Attempt-Id")}\r\n` +
+                "Zinnialanding-Upstream-Signature: s1\r\nContent-Length: 4\r\n\r\ndone"));
+            const site = await startGateway([createUpstream(upstream.address, "u1")]);
+            const answer = await exchangeRaw(site.port, encodeRequest("POST", "/charge/1", { body: "x", headers: { Connection: "close" } }), 2_000);
+            expect(parseStatus(answer)).to.equal(status);
+            site.stop();
+            await upstream.close();
+        });
+    }
+});
+
 describe("bytes without end that are no answer", () => {
     let troubled: Server;
     let sound: RawUpstream;
