Join the small parts of an incomplete event

What callers could see: an entry or a sidecar that ends for want of memory, with all its requests, while one upstream sends an event without end in small pieces.

Cause: since the end of an event is searched in new bytes only, each chunk of an incomplete event was kept by itself, with an object of some 100 bytes. Found while the whole change was read again.

Change: parts at the end that are no larger than the next are joined: about as many parts as the size has binary digits, and each byte is copied as often at most.

--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -56,7 +56,15 @@
 /** The bytes of an event's end that may come before the chunk with its last byte. */
 const maxEndBytes = 2;
 
-/** Creates a splitter for a new stream. The work for a chunk doesn't depend on the size of the incomplete event. */
+/** Adds a chunk and joins those at the end that are no larger than the next: there are few parts then, however small the chunks are. */
+function addPart(parts: Buffer[], chunk: Buffer) {
+    parts.push(chunk);
+    while (parts.length > 1 && parts.at(-2)!.length <= parts.at(-1)!.length) {
+        parts.push(Buffer.concat(parts.splice(-2)));
+    }
+}
+
+/** Creates a splitter for a new stream. The work for a chunk hardly depends on the size of the incomplete event. */
 export function createEventSplitter(): EventSplitter {
     let partial: Buffer[] = [];
     let partialBytes = 0;
@@ -75,7 +83,7 @@
             const searched = partialEnd.length === 0 ? chunk : Buffer.concat([partialEnd, chunk]);
             const end = endOfLastEvent(searched);
             if (end === 0) {
-                partial.push(chunk);
+                addPart(partial, chunk);
                 partialBytes += chunk.length;
                 partialEnd = searched.subarray(-maxEndBytes);
                 return noBytes;
--- a/src/sidecar/eventBlocks.ts
+++ b/src/sidecar/eventBlocks.ts
@@ -13,7 +13,16 @@
     readonly partialChars: number;
 }
 
-/** Creates a splitter for a new stream. The work for a text doesn't depend on the length of the incomplete block. */
+/** Adds text and joins the parts at the end that are no longer than the next: there are few parts then, however short the texts are. */
+function addPart(parts: string[], text: string) {
+    parts.push(text);
+    while (parts.length > 1 && parts.at(-2)!.length <= parts.at(-1)!.length) {
+        // A joined array is one flat string; a sum would keep both parts.
+        parts.push(parts.splice(-2).join(""));
+    }
+}
+
+/** Creates a splitter for a new stream. The work for a text hardly depends on the length of the incomplete block. */
 export function createBlockSplitter(): BlockSplitter {
     let partial: string[] = [];
     let partialChars = 0;
@@ -22,7 +31,7 @@
             const previousChar = partial.at(-1)?.at(-1) ?? "";
             if (!(previousChar + text).includes(separator)) {
                 if (text !== "") {
-                    partial.push(text);
+                    addPart(partial, text);
                 }
                 partialChars += text.length;
                 return [];
--- a/test/gateway/endlessBytes.test.ts
+++ b/test/gateway/endlessBytes.test.ts
@@ -1,9 +1,8 @@
 import { expect } from "chai";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { createGroupHead, createUpstream, encodeRequest, exchangeRaw, type GatewaySite, parseStatus, startGateway } from "../support/gatewaySite.js";
 import { waitUntil } from "../support/platformSite.js";
+import { measureHeldBytes } from "../support/heldBytes.js";
 import { type RawUpstream, startRawUpstream } from "../support/rawUpstream.js";
 
 const mib = 1_048_576;
@@ -24,14 +23,6 @@
     "in an event": [`HTTP/1.1 200 OK\r\n${echo}Content-Type: text/event-stream\r\n\r\n`, "x".repeat(piece)],
 };
 
-/** Returns the bytes that this process holds, without garbage. */
-function measureHeldBytes(): number {
-    setFlagsFromString("--expose-gc");
-    (runInNewContext("gc") as () => void)();
-    const { heapUsed, external } = process.memoryUsage();
-    return heapUsed + external;
-}
-
 describe("informational answers of an upstream", () => {
     // Guards against an entry that reads them for as long as they come, which costs the requests of others.
     for (const [count, status] of [[3, 200], [2_000, 502]] as const) {
--- a/test/gateway/events.test.ts
+++ b/test/gateway/events.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
 import { createEventSplitter } from "../../src/gateway/events.js";
+import { measureHeldBytes } from "../support/heldBytes.js";
 
 const pieces = fc.array(fc.constantFrom("data: a", "id: 7", "\n", "\r\n", "\n\n", "\r", ":", "\n\r\n"), { maxLength: 40 });
 
@@ -33,6 +34,16 @@
         }), { seed: 1, numRuns: 2_000 });
     });
 
+    // Guards against an event without end that costs a multiple of its bytes because it comes in small pieces.
+    it("holds little more than the bytes of an event in single bytes", () => {
+        const splitter = createEventSplitter();
+        const bytes = Buffer.from("a".repeat(1_048_576));
+        const heldBefore = measureHeldBytes();
+        bytes.forEach((_, index) => splitter.push(bytes.subarray(index, index + 1)));
+        expect(measureHeldBytes() - heldBefore).to.be.below(8_388_608);
+        expect(splitter.partialBytes).to.equal(1_048_576);
+    });
+
     // Guards against work that grows with the square of an event without end: it took minutes, during which the entry served nobody.
     it("takes an event without end in many chunks", () => {
         const splitter = createEventSplitter();
--- a/test/sidecar/eventBlocks.test.ts
+++ b/test/sidecar/eventBlocks.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import * as fc from "fast-check";
 import { createBlockSplitter } from "../../src/sidecar/eventBlocks.js";
+import { measureHeldBytes } from "../support/heldBytes.js";
 
 describe("the splitter of an engine's events", () => {
     // Guards against an event that is lost, doubled or cut because its end is spread over chunks.
@@ -21,6 +22,17 @@
         }), { seed: 1, numRuns: 2_000 });
     });
 
+    // Guards against an event without end that costs a multiple of its length because it comes in small pieces.
+    it("holds little more than the text of an event in single characters", () => {
+        const splitter = createBlockSplitter();
+        const heldBefore = measureHeldBytes();
+        for (let count = 0; count < 1_048_576; count++) {
+            splitter.push("a");
+        }
+        expect(measureHeldBytes() - heldBefore).to.be.below(4_194_304);
+        expect(splitter.partialChars).to.equal(1_048_576);
+    });
+
     // Guards against work that grows with the square of an event without end, during which the sidecar serves nobody.
     it("takes an event without end in many chunks", () => {
         const splitter = createBlockSplitter();
